--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,275 @@
+// Package config reads the platform's settings file (TOML) and the operators'
+// own settings (JSON, checked against an embedded schema).
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Member  string `toml:"member"`
+	Site    string `toml:"site"`
+	Address string `toml:"address"`
+}
+
+// Team is a team with its guarantee and its limit; 0 means none.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is one aim for starting or finishing.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"`
+}
+
+// Workers holds the workers' timings, in seconds.
+type Workers struct {
+	ReportS   float64 `toml:"report_s"`
+	LeaseS    float64 `toml:"lease_s"`
+	GangWaitS float64 `toml:"gang_wait_s"`
+	GangPeerS float64 `toml:"gang_peer_s"`
+	CancelS   float64 `toml:"cancel_s"`
+}
+
+// Settings is the platform's file.
+type Settings struct {
+	Member     string    `toml:"member"`
+	Site       string    `toml:"site"`
+	Listen     string    `toml:"listen"`
+	PeerListen string    `toml:"peer_listen"`
+	Siblings   []Sibling `toml:"siblings"`
+	Outside    struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"outside"`
+	Facts struct {
+		Nodes      int         `toml:"nodes"`
+		Zones      []string    `toml:"zones"`
+		SkewMs     float64     `toml:"skew_ms"`
+		Teams      []Team      `toml:"teams"`
+		Objectives []Objective `toml:"objectives"`
+		Workers    Workers     `toml:"workers"`
+		State      struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Resources struct {
+			CoreShare  float64 `toml:"core_share"`
+			RAMMB      float64 `toml:"ram_mb"`
+			MaxSockets int     `toml:"max_sockets"`
+		} `toml:"resources"`
+	} `toml:"facts"`
+}
+
+// Seconds turns a number of seconds into a duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Load reads and checks the platform's file.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks the platform's settings. Unknown fields are ignored.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(b, s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, _ := de.Position()
+			return nil, fmt.Errorf("settings: line %d, field %s: %s", row, strings.Join(de.Key(), "."), de.Error())
+		}
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	bad := func(field, why string) error { return fmt.Errorf("settings: %s: %s", field, why) }
+	if s.Member == "" {
+		return bad("member", "missing")
+	}
+	for _, a := range []struct{ field, addr string }{
+		{"listen", s.Listen}, {"peer_listen", s.PeerListen},
+		{"outside.cloud", s.Outside.Cloud}, {"outside.state", s.Outside.State},
+	} {
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return bad(a.field, fmt.Sprintf("%q is not host:port", a.addr))
+		}
+	}
+	seen := map[string]bool{s.Member: true}
+	for i, p := range s.Siblings {
+		if p.Member == "" || seen[p.Member] {
+			return bad(fmt.Sprintf("siblings[%d].member", i), "missing or named twice")
+		}
+		seen[p.Member] = true
+		if _, _, err := net.SplitHostPort(p.Address); err != nil {
+			return bad(fmt.Sprintf("siblings[%d].address", i), fmt.Sprintf("%q is not host:port", p.Address))
+		}
+	}
+	f := &s.Facts
+	if len(f.Zones) == 0 {
+		return bad("facts.zones", "missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range f.Teams {
+		at := fmt.Sprintf("facts.teams[%d]", i)
+		if t.Name == "" || teams[t.Name] {
+			return bad(at+".name", "missing or named twice")
+		}
+		teams[t.Name] = true
+		if t.CPUs < 0 || t.CPUsMax < 0 || t.GPUs < 0 || t.GPUsMax < 0 {
+			return bad(at, "negative amount")
+		}
+		if t.CPUsMax > 0 && t.CPUs > t.CPUsMax {
+			return bad(at+".cpus_max", "below the guarantee")
+		}
+		if t.GPUsMax > 0 && t.GPUs > t.GPUsMax {
+			return bad(at+".gpus_max", "below the guarantee")
+		}
+	}
+	for _, n := range []struct {
+		field string
+		v     float64
+	}{
+		{"facts.workers.report_s", f.Workers.ReportS}, {"facts.workers.lease_s", f.Workers.LeaseS},
+		{"facts.workers.gang_wait_s", f.Workers.GangWaitS}, {"facts.workers.gang_peer_s", f.Workers.GangPeerS},
+		{"facts.workers.cancel_s", f.Workers.CancelS},
+		{"facts.state.rps", f.State.RPS}, {"facts.state.write_rps", f.State.WriteRPS},
+		{"facts.state.value_kb", f.State.ValueKB}, {"facts.state.txn_ops", float64(f.State.TxnOps)},
+		{"facts.cloud.rps", f.Cloud.RPS},
+		{"facts.resources.ram_mb", f.Resources.RAMMB},
+		{"facts.resources.max_sockets", float64(f.Resources.MaxSockets)},
+	} {
+		if !(n.v > 0) || math.IsInf(n.v, 0) {
+			return bad(n.field, "missing or not above 0")
+		}
+	}
+	if f.Workers.LeaseS <= f.Workers.ReportS {
+		return bad("facts.workers.lease_s", "not above report_s")
+	}
+	if f.Workers.CancelS <= f.Workers.LeaseS {
+		return bad("facts.workers.cancel_s", "not above lease_s")
+	}
+	if f.State.TxnOps < 6 {
+		return bad("facts.state.txn_ops", "below 6, the largest transaction of one job")
+	}
+	return nil
+}
+
+// Tuning holds the operators' own settings.
+type Tuning struct {
+	// LeaderLeaseMs is the length of the leader's lease in the state service.
+	LeaderLeaseMs int `json:"leader_lease_ms"`
+	Weights       struct {
+		Queue      float64 `json:"queue"`
+		Jobs       float64 `json:"jobs"`
+		CPU        float64 `json:"cpu"`
+		Image      float64 `json:"image"`
+		Sticky     float64 `json:"sticky"`
+		SameZone   float64 `json:"same_zone"`
+		Unreliable float64 `json:"unreliable"`
+		Empty      float64 `json:"empty"`
+	} `json:"weights"`
+	Hosts struct {
+		// IdleBoots is how long an idle machine is kept, in boot times of its type.
+		IdleBoots float64 `json:"idle_boots"`
+		// GiveUpBoots is when a machine that has not come up is returned.
+		GiveUpBoots float64 `json:"give_up_boots"`
+		// MinFill is the share of a new machine that waiting work must fill.
+		MinFill float64 `json:"min_fill"`
+		// PatienceS is how long a task may wait before MinFill is waived.
+		PatienceS float64 `json:"patience_s"`
+		// SickErrors is the number of unexplained errors that condemn a machine.
+		SickErrors int `json:"sick_errors"`
+	} `json:"hosts"`
+}
+
+//go:embed schema.json
+var schemaJSON []byte
+
+//go:embed defaults.json
+var defaultsJSON []byte
+
+// LoadTuning reads the operators' settings over the embedded defaults; an empty
+// path gives the defaults.
+func LoadTuning(path string) (*Tuning, error) {
+	t := &Tuning{}
+	if err := json.Unmarshal(defaultsJSON, t); err != nil {
+		return nil, fmt.Errorf("default tuning: %w", err)
+	}
+	if path == "" {
+		return t, nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("tuning: %w", err)
+	}
+	if err := ParseTuning(b, t); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// ParseTuning checks b against the schema and lays it over t.
+func ParseTuning(b []byte, t *Tuning) error {
+	schema, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaJSON))
+	if err != nil {
+		return fmt.Errorf("tuning schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("tuning.json", schema); err != nil {
+		return fmt.Errorf("tuning schema: %w", err)
+	}
+	s, err := c.Compile("tuning.json")
+	if err != nil {
+		return fmt.Errorf("tuning schema: %w", err)
+	}
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("tuning: %w", err)
+	}
+	if err := s.Validate(doc); err != nil {
+		return fmt.Errorf("tuning: %w", err)
+	}
+	if err := json.Unmarshal(b, t); err != nil {
+		return fmt.Errorf("tuning: %w", err)
+	}
+	if t.Weights.Queue+t.Weights.Jobs+t.Weights.CPU <= 0 {
+		return errors.New("tuning: /weights: one of queue, jobs and cpu must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,188 @@
+// Package control is the leading controller: the actor that owns jobs, fleet,
+// placement and rentals for the length of one term.
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/hosts"
+	"vetchstream/internal/job"
+	"vetchstream/internal/lead"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// Deps is what a controller works with.
+type Deps struct {
+	Settings *config.Settings
+	Tuning   *config.Tuning
+	State    *state.Client
+	Cloud    *hosts.Cloud
+	Dial     state.DialFunc
+	Log      *slog.Logger
+	// Entitled tells whether this node may act for the term right now.
+	Entitled func(term uint64) bool
+	// Deposed is told of a later term that a worker has seen.
+	Deposed func(term uint64)
+}
+
+// Controller answers for the cluster while its node leads.
+type Controller struct {
+	Deps
+	direct *http.Client
+
+	mu    sync.Mutex
+	reign *reign
+	types []wire.MachineType // the last price list, kept over terms
+}
+
+// New makes a controller that does not lead yet.
+func New(d Deps) *Controller {
+	return &Controller{Deps: d, direct: &http.Client{Transport: &http.Transport{DialContext: d.Dial,
+		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+}
+
+// Lead runs one reign until its context ends.
+func (c *Controller) Lead(ctx context.Context, l lead.Reign) {
+	r := newReign(ctx, c, l)
+	c.mu.Lock()
+	c.reign = r
+	c.mu.Unlock()
+	r.run()
+	c.mu.Lock()
+	c.reign = nil
+	c.mu.Unlock()
+}
+
+func (c *Controller) current() *reign {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reign
+}
+
+// Leading reports whether the node leads and is entitled to.
+func (c *Controller) Leading() bool {
+	r := c.current()
+	return r != nil && c.Entitled(r.term)
+}
+
+func reply(status int, v any) *peer.Reply {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return &peer.Reply{Status: http.StatusInternalServerError}
+	}
+	return &peer.Reply{Status: status, Body: b}
+}
+
+// Later tells the client to come back.
+func Later(why string) *peer.Reply {
+	r := reply(http.StatusServiceUnavailable, wire.Error{Error: why})
+	r.RetryAfter = 1
+	return r
+}
+
+// Answer answers a request as leader; nil means that this node does not lead.
+func (c *Controller) Answer(ctx context.Context, q *peer.Request) *peer.Reply {
+	r := c.current()
+	if r == nil || !c.Entitled(r.term) {
+		return nil
+	}
+	var do func(*reign, func(*peer.Reply))
+	switch q.Kind {
+	case peer.KindSubmit:
+		spec, err := job.ParseSpec(q.Body)
+		id := ""
+		if err != nil {
+			id = job.PeekID(q.Body)
+		} else {
+			id = spec.ID
+		}
+		do = func(r *reign, back func(*peer.Reply)) { r.submit(id, spec, err, back) }
+	case peer.KindStatus:
+		do = func(r *reign, back func(*peer.Reply)) { r.status(q.ID, back) }
+	case peer.KindAbort:
+		do = func(r *reign, back func(*peer.Reply)) { r.abort(q.ID, back) }
+	case peer.KindReport:
+		m := &wire.Report{}
+		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
+			return reply(http.StatusBadRequest, wire.Error{Error: "malformed report"})
+		}
+		do = func(r *reign, back func(*peer.Reply)) { r.report(m, back) }
+	default:
+		return reply(http.StatusBadRequest, wire.Error{Error: "unknown request"})
+	}
+	ch := make(chan *peer.Reply, 1)
+	back := func(p *peer.Reply) {
+		select {
+		case ch <- p:
+		default:
+		}
+	}
+	select {
+	case r.inbox <- func() { do(r, back) }:
+	case <-r.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return Later("busy")
+	}
+	select {
+	case p := <-ch:
+		// As late as possible: the actor's decision may have waited here for longer
+		// than the lease.
+		if !c.Entitled(r.term) {
+			return nil
+		}
+		return p
+	case <-r.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return Later("not settled yet")
+	}
+}
+
+// lookup reads a job's record afresh; it is nil if the job was never accepted.
+func lookup(ctx context.Context, st *state.Client, id string) (*job.Record, uint64, error) {
+	// Active first: a job that moves between the two reads is found by the second.
+	for _, prefix := range []string{job.ActivePrefix, job.FinalPrefix} {
+		e, err := st.Get(ctx, prefix+id)
+		if err == state.ErrNotFound {
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		rec := &job.Record{}
+		if err := wire.Unmarshal(e.Value, rec); err != nil {
+			return nil, 0, err
+		}
+		return rec, e.Version, nil
+	}
+	return nil, 0, nil
+}
+
+func recordStatus(rec *job.Record) wire.Status {
+	s := wire.Status{ID: rec.Spec.ID, Phase: rec.Phase, Done: rec.Done}
+	if s.Phase == "" {
+		s.Phase = wire.JobPending
+	}
+	return s
+}
+
+// Direct answers a status request from the state service, for a node that
+// neither leads nor reaches the leader.
+func (c *Controller) Direct(ctx context.Context, id string) *peer.Reply {
+	rec, _, err := lookup(ctx, c.State, id)
+	switch {
+	case err != nil:
+		return Later("no leader and no state service")
+	case rec == nil:
+		return reply(http.StatusNotFound, wire.Error{Error: "no such job"})
+	}
+	return reply(http.StatusOK, recordStatus(rec))
+}
--- /dev/null
+++ b/internal/control/users.go
@@ -0,0 +1,261 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// known answers from memory; nil if the job is not there.
+func (r *reign) known(id string) *peer.Reply {
+	if j := r.jobs[id]; j != nil && !r.strangers[j] {
+		return reply(http.StatusOK, j.Status(r.running(j)))
+	}
+	if s, ok := r.finals.get(id); ok {
+		return reply(http.StatusOK, s)
+	}
+	return nil
+}
+
+func (r *reign) running(j *job.Job) (n int) {
+	if len(j.Live) == 0 {
+		return 0
+	}
+	for _, h := range r.fleet.All() {
+		for _, s := range h.Slots {
+			if s.Job == j && (s.Phase == wire.Running || s.Phase == wire.Saving) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// readBack answers from a fresh read; absent is the answer for a job that was
+// never accepted.
+func (r *reign) readBack(id string, absent *peer.Reply, back func(*peer.Reply)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+		defer cancel()
+		rec, _, err := lookup(ctx, r.c.State, id)
+		switch {
+		case err != nil:
+			back(Later("state service is not to be reached"))
+		case rec == nil:
+			back(absent)
+		default:
+			if rec.Phase != "" {
+				r.post(func() { r.finals.put(recordStatus(rec)) })
+			}
+			back(reply(http.StatusOK, recordStatus(rec)))
+		}
+	}()
+}
+
+func (r *reign) status(id string, back func(*peer.Reply)) {
+	absent := reply(http.StatusNotFound, wire.Error{Error: "no such job"})
+	if !job.ValidID(id) {
+		back(absent)
+		return
+	}
+	if p := r.known(id); p != nil {
+		back(p)
+		return
+	}
+	if r.pending[id] {
+		back(Later("submission is being stored"))
+		return
+	}
+	r.readBack(id, absent, back)
+}
+
+// submit answers a submission. A known id wins over every check.
+func (r *reign) submit(id string, spec *job.Spec, invalid error, back func(*peer.Reply)) {
+	if id != "" {
+		if p := r.known(id); p != nil {
+			back(p)
+			return
+		}
+		if r.pending[id] {
+			back(Later("submission is being stored"))
+			return
+		}
+	}
+	if invalid != nil {
+		bad := reply(http.StatusBadRequest, wire.Error{Error: invalid.Error()})
+		if id == "" {
+			back(bad)
+			return
+		}
+		r.readBack(id, bad, back)
+		return
+	}
+	why, decided := r.canNever(spec)
+	if !decided {
+		back(Later("machine types are not known yet"))
+		return
+	}
+	if why != "" {
+		r.readBack(id, reply(http.StatusUnprocessableEntity, wire.Error{Error: job.ErrNever.Error() + ": " + why}), back)
+		return
+	}
+	r.pending[id] = true
+	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
+	go r.create(rec, back)
+}
+
+// create makes the job durable before its user is told. An unclear commit is
+// tried again: either it was applied, and the conditions show it, or the second
+// one takes its place.
+func (r *reign) create(rec *job.Record, back func(*peer.Reply)) {
+	id := rec.Spec.ID
+	done := func(version uint64, found *job.Record, p *peer.Reply) {
+		r.post(func() {
+			delete(r.pending, id)
+			switch {
+			case found != nil && found.Phase != "":
+				r.finals.put(recordStatus(found))
+			case found != nil && (r.jobs[id] == nil || r.strangers[r.jobs[id]]):
+				r.add(found, version, time.Now())
+			}
+			back(p)
+		})
+	}
+	put, err := state.Put(job.ActivePrefix+id, rec)
+	if err != nil {
+		done(0, nil, reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
+		return
+	}
+	txn := state.Txn{
+		If:     []state.Cond{r.fence, {Key: job.ActivePrefix + id}, {Key: job.FinalPrefix + id}},
+		Writes: []state.Write{put},
+	}
+	for unclear := false; r.ctx.Err() == nil; {
+		version, err := r.c.State.Commit(r.ctx, txn)
+		switch {
+		case err == nil:
+			done(version, rec, reply(http.StatusCreated, recordStatus(rec)))
+			return
+		case errors.Is(err, state.ErrConflict):
+			found, v, err := lookup(r.ctx, r.c.State, id)
+			if err != nil {
+				r.pause(200 * time.Millisecond)
+				continue
+			}
+			if found == nil {
+				// The term has moved on.
+				done(0, nil, Later("leadership has changed"))
+				return
+			}
+			done(v, found, reply(http.StatusOK, recordStatus(found)))
+			return
+		case errors.Is(err, state.ErrRefused) && !unclear:
+			// Certainly not stored: the user is told at once to come back.
+			done(0, nil, Later("state service refuses writes"))
+			return
+		default:
+			unclear = true
+			back(Later("submission is not settled yet"))
+			r.pause(200 * time.Millisecond)
+		}
+	}
+}
+
+func (r *reign) abort(id string, back func(*peer.Reply)) {
+	absent := reply(http.StatusNotFound, wire.Error{Error: "no such job"})
+	if !job.ValidID(id) {
+		back(absent)
+		return
+	}
+	j := r.jobs[id]
+	if j == nil || r.strangers[j] || j.Phase != "" {
+		r.status(id, back)
+		return
+	}
+	r.waiters[j] = append(r.waiters[j], back)
+	if j.Closing == "" {
+		r.finish(j, wire.JobAborted)
+	}
+}
+
+// finish moves a job to its final phase. From here on nothing of it is launched,
+// whatever becomes of the commit. Done and aborted race on the version of the
+// active record; the first to commit stands for ever.
+func (r *reign) finish(j *job.Job, phase string) {
+	j.Closing = phase
+	r.stopAll(j)
+	rec := &job.Record{Spec: j.Spec, Phase: phase, Done: j.DoneCount}
+	writes := []state.Write{{Delete: job.ActivePrefix + j.ID}}
+	put, err := state.Put(job.FinalPrefix+j.ID, rec)
+	if err != nil {
+		r.log.Error("record does not encode", "job", j.ID, "error", err)
+		return
+	}
+	writes = append(writes, put)
+	for _, c := range j.SavedChunks() {
+		writes = append(writes, state.Write{Delete: j.ChunkKey(c)})
+	}
+	txn := state.Txn{If: []state.Cond{r.fence, {Key: job.ActivePrefix + j.ID, Version: j.Version}}, Writes: writes}
+	id := j.ID
+	go func() {
+		for r.ctx.Err() == nil {
+			_, err := r.c.State.Commit(r.ctx, txn)
+			switch {
+			case err == nil:
+			case errors.Is(err, state.ErrConflict):
+				found, _, err := lookup(r.ctx, r.c.State, id)
+				if err != nil || found == nil || found.Phase == "" {
+					// Deposed, or not to be told now: the reign ends or the loop goes on.
+					r.pause(200 * time.Millisecond)
+					continue
+				}
+				rec = found
+			default:
+				r.pause(200 * time.Millisecond)
+				continue
+			}
+			r.post(func() { r.finished(j, rec) })
+			return
+		}
+	}()
+}
+
+func (r *reign) finished(j *job.Job, rec *job.Record) {
+	j.Phase = rec.Phase
+	s := recordStatus(rec)
+	r.finals.put(s)
+	for _, back := range r.waiters[j] {
+		back(reply(http.StatusOK, s))
+	}
+	delete(r.waiters, j)
+	for _, s := range r.unstored[j] {
+		s.Settled = true
+	}
+	delete(r.unstored, j)
+	r.log.Info("job is over", "job", j.ID, "phase", j.Phase, "class", j.Class, "after", time.Since(j.Submitted).Round(time.Second))
+	r.dirty = true
+}
+
+// sweep drops jobs that are over once nothing of them is on any machine.
+func (r *reign) sweep() {
+	on := map[*job.Job]bool{}
+	for _, h := range r.fleet.All() {
+		for _, s := range h.Slots {
+			on[s.Job] = true
+		}
+	}
+	for id, j := range r.jobs {
+		if (j.Phase != "" || r.strangers[j]) && !on[j] {
+			delete(r.jobs, id)
+			delete(r.byID, r.ids[j])
+			delete(r.ids, j)
+			delete(r.strangers, j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/work.go
@@ -0,0 +1,646 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sort"
+	"time"
+
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/hosts"
+	"vetchstream/internal/job"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/place"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// maxOrders bounds one answer, well below the limit for bodies.
+const maxOrders = 400
+
+// report takes in a worker's check-in and answers it.
+func (r *reign) report(m *wire.Report, back func(*peer.Reply)) {
+	now := time.Now()
+	if r.removed[m.Host] {
+		// A late message of a machine that is gone must not bring it back.
+		back(Later("machine was returned"))
+		return
+	}
+	h := r.fleet.Hosts[m.Host]
+	if h == nil {
+		r.log.Info("adopting a machine that nobody expected", "host", m.Host, "type", m.Type, "zone", m.Zone)
+		h = r.fleet.Add(m.Host, now)
+	}
+	fresh, ok := r.observe(h, m, true, now)
+	if !ok {
+		back(Later("a later term is known"))
+		return
+	}
+	r.place(now)
+	orders, _, ev := r.fleet.Compose(h, m.Seq, fresh, now, maxOrders)
+	r.handle(ev, now)
+	back(reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders}))
+}
+
+func (r *reign) observe(h *fleet.Host, m *wire.Report, isReport bool, now time.Time) (fresh, ok bool) {
+	if !h.Known || h.Type < 0 {
+		r.describe(h, m.Type, m.Zone, m.Spot)
+	}
+	booting := h.Booting
+	res := r.fleet.Observe(h, m, isReport, now, r.find)
+	if res.Deposed {
+		r.log.Info("a worker has seen a later term", "host", h.Name, "seen", m.Token)
+		r.c.Deposed(m.Token)
+		return false, false
+	}
+	if res.Fresh && booting && !h.Booting {
+		r.log.Info("machine is up", "host", h.Name, "after", now.Sub(h.Born).Round(time.Second))
+		h.IdleFrom = now
+		r.dirty = true
+	}
+	for _, s := range h.Slots {
+		if s.On() && s.Job.Phase+s.Job.Closing != "" && !r.strangers[s.Job] && !s.Stopping {
+			r.handle(r.fleet.Stop(s, 0), now)
+		}
+		if s.Job.Shape == job.Gang && s.On() {
+			r.gangSeen(s)
+		}
+	}
+	r.handle(res.Events, now)
+	if res.Fresh && !h.RecallAt.IsZero() {
+		r.recall(h, now)
+	}
+	return res.Fresh, true
+}
+
+// gangSeen ties a gang to the attempt that a report shows: the number survives
+// a change of leader this way.
+func (r *reign) gangSeen(s *fleet.Slot) {
+	j := s.Job
+	switch {
+	case j.GangAttempt == 0:
+		j.GangAttempt = s.Attempt
+	case j.GangAttempt != s.Attempt:
+		r.breakGang(j)
+	}
+	if s.Phase == wire.Running || s.Phase == wire.Saving {
+		j.GangRan = true
+	}
+}
+
+func (r *reign) breakGang(j *job.Job) {
+	if !j.GangBroken {
+		j.GangBroken = true
+		r.stopAll(j)
+	}
+}
+
+// stopAll stops every placement of a job without grace.
+func (r *reign) stopAll(j *job.Job) { r.stopJob(j, 0) }
+
+func (r *reign) stopJob(j *job.Job, grace float64) {
+	now := time.Now()
+	for _, h := range r.fleet.All() {
+		for _, s := range h.Slots {
+			if s.Job == j {
+				r.handle(r.fleet.Stop(s, grace), now)
+			}
+		}
+	}
+}
+
+// stopSlot stops one placement in good order: a gang is stopped whole, because
+// a save needs all its members.
+func (r *reign) stopSlot(s *fleet.Slot, grace float64) {
+	if s.Job.Shape == job.Gang {
+		s.Job.GangBroken = true
+		r.stopJob(s.Job, grace)
+		return
+	}
+	r.handle(r.fleet.Stop(s, grace), time.Now())
+}
+
+// saveGrace is the time that a placement gets to save.
+func saveGrace(j *job.Job) float64 {
+	if j.Checkpoint <= 0 {
+		return 0
+	}
+	return j.SaveS + 1
+}
+
+// recall empties a machine that the cloud takes back.
+func (r *reign) recall(h *fleet.Host, now time.Time) {
+	left := h.RecallAt.Sub(now).Seconds()
+	if _, told := r.noticed[h]; !told {
+		r.log.Info("machine is being taken back", "host", h.Name, "in", left)
+		r.noticed[h] = h.RecallAt
+	}
+	for _, s := range h.Slots {
+		if !s.On() || s.Stopping {
+			continue
+		}
+		if g := saveGrace(s.Job); g > 0 && left > s.Job.SaveS {
+			r.stopSlot(s, g)
+			continue
+		}
+		ran := 0.0
+		if !s.RunAt.IsZero() {
+			ran = now.Sub(s.RunAt).Seconds()
+		}
+		if s.Phase != wire.Running || estimate(s.Job)-ran > left {
+			r.stopSlot(s, 0)
+		}
+	}
+}
+
+// handle deals with what became of placements.
+func (r *reign) handle(ev []fleet.Event, now time.Time) {
+	for _, e := range ev {
+		s, j, h := e.Slot, e.Slot.Job, e.Slot.Host
+		r.dirty = true
+		if r.strangers[j] {
+			s.Settled = e.Kind == fleet.Ended
+			continue
+		}
+		if !h.Busy() {
+			h.IdleFrom = now
+		}
+		switch e.Kind {
+		case fleet.Started:
+			cache := 0.0
+			if h.Type >= 0 && h.Type < len(r.types) {
+				cache = r.types[h.Type].CacheGB
+			}
+			h.Touch(j.ImageIdx, j.ImageGB, cache)
+			if j.Shape == job.Gang {
+				j.GangRan = true
+			}
+		case fleet.Ended:
+			r.ended(s, j, h, now)
+		case fleet.Gone, fleet.Never:
+			if j.Shape == job.Gang && j.GangRan {
+				r.breakGang(j)
+			}
+		}
+		if j.Shape == job.Gang && len(j.Live) == 0 {
+			// Every member has certainly left: the next attempt may be made.
+			j.GangAttempt, j.GangBroken, j.GangRan = 0, false, false
+		}
+	}
+}
+
+func (r *reign) ended(s *fleet.Slot, j *job.Job, h *fleet.Host, now time.Time) {
+	r.log.Debug("task ended", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "cause", s.Cause)
+	s.Settled = true
+	if j.Phase != "" {
+		return
+	}
+	switch s.Cause {
+	case wire.CauseDone:
+		h.Errors = 0
+		clear(h.ErrorJobs)
+		j.Worked, j.Backoff = true, 0
+		s.Settled = false
+		r.unstored[j] = append(r.unstored[j], s)
+		if j.Shape == job.Service {
+			s.Settled = true // a replica that ends is started again
+			return
+		}
+		j.SetDone(s.Task)
+		if j.Shape == job.Gang {
+			// The members complete together: one that is done shows it for all.
+			for t := range j.Tasks {
+				j.SetDone(int32(t))
+			}
+		}
+		if j.Over() && j.Closing == "" {
+			r.finish(j, wire.JobDone)
+		}
+		return
+	case wire.CauseError:
+		r.blame(j, h, now)
+	case wire.CauseNoSuch:
+		r.holdBack(j, now)
+	}
+	if j.Shape == job.Gang && s.Cause != wire.CauseFull {
+		r.breakGang(j)
+	}
+}
+
+// blame decides whether an error is the machine's or the job's. A job that has
+// failed on several machines and worked on none is at fault itself; the others'
+// errors count against the machine.
+func (r *reign) blame(j *job.Job, h *fleet.Host, now time.Time) {
+	j.ErrorHosts[h.Name] = true
+	if !j.Worked && len(j.ErrorHosts) > 1 {
+		r.holdBack(j, now)
+		return
+	}
+	h.Errors++
+	h.ErrorJobs[j] = true
+	if h.Errors >= r.c.Tuning.Hosts.SickErrors && !h.Draining {
+		r.log.Info("machine fails what it starts, returning it", "host", h.Name, "errors", h.Errors, "jobs", len(h.ErrorJobs))
+		h.Draining = true
+	}
+}
+
+// holdBack makes a job that keeps failing wait, longer each time.
+func (r *reign) holdBack(j *job.Job, now time.Time) {
+	if now.Before(j.NotBefore) {
+		return
+	}
+	j.Backoff = min(30*time.Second, max(time.Second, 2*j.Backoff))
+	j.NotBefore = now.Add(j.Backoff)
+	r.log.Info("job fails, holding it back", "job", j.ID, "for", j.Backoff, "hosts", len(j.ErrorHosts))
+}
+
+// turn is what the actor does after each batch of messages.
+func (r *reign) turn(now time.Time) {
+	r.handle(r.fleet.Expire(now), now)
+	if !r.c.Entitled(r.term) {
+		return
+	}
+	r.register()
+	r.flush(now)
+	r.cloud(now)
+	r.place(now)
+	for _, h := range r.fleet.All() {
+		if h.Calling || h.Lost || h.Addr == "" || !h.Durable || now.Before(h.NextCall) {
+			continue
+		}
+		if !h.Fenced || h.Urgent(now) {
+			r.call(h, now)
+		}
+	}
+	r.sweep()
+}
+
+// call sends a direct command: it fences a worker after a takeover, and brings
+// launches and halts without waiting for the next report.
+func (r *reign) call(h *fleet.Host, now time.Time) {
+	session := max(1, h.Session)
+	orders, sent, ev := r.fleet.Compose(h, 0, h.Usable(), now, maxOrders)
+	r.handle(ev, now)
+	body, err := wire.Marshal(wire.Direct{Token: r.term, Session: session, Orders: orders})
+	if err != nil {
+		r.log.Error("orders do not encode", "error", err)
+		return
+	}
+	h.Calling, h.CallFrom = true, now
+	addr := h.Addr
+	go func() {
+		status, rep, reached, err := r.do(addr, body)
+		r.post(func() { r.called(h, status, rep, reached, err, sent) })
+	}()
+}
+
+// do runs a direct command; reached tells whether anything can have been sent.
+func (r *reign) do(addr string, body []byte) (status int, rep *wire.Report, reached bool, err error) {
+	ctx, cancel := context.WithTimeout(r.ctx, 2500*time.Millisecond)
+	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/do", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, false, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", wire.ContentType)
+	if !r.c.Entitled(r.term) {
+		return 0, nil, false, errors.New("not entitled")
+	}
+	res, err := r.c.direct.Do(req)
+	if err != nil {
+		return 0, nil, reached, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 4*wire.MaxBody))
+	if err != nil {
+		return 0, nil, true, err
+	}
+	rep = &wire.Report{}
+	if err := wire.Unmarshal(b, rep); err != nil || rep.Session == 0 {
+		return res.StatusCode, nil, true, err
+	}
+	return res.StatusCode, rep, true, nil
+}
+
+func (r *reign) called(h *fleet.Host, status int, rep *wire.Report, reached bool, err error, sent []*fleet.Slot) {
+	now := time.Now()
+	h.Calling = false
+	if r.fleet.Hosts[h.Name] != h {
+		return
+	}
+	if !reached || (status != http.StatusOK && rep != nil) || status == http.StatusBadRequest {
+		// Nothing was executed, and nothing will be.
+		r.handle(r.fleet.Unsent(sent), now)
+	}
+	if rep == nil {
+		r.log.Debug("direct command failed", "host", h.Name, "status", status, "error", err)
+		h.NextCall = now.Add(time.Second)
+		return
+	}
+	if rep.Host != "" && rep.Host != h.Name {
+		h.NextCall = now.Add(10 * time.Second)
+		return
+	}
+	r.observe(h, rep, false, now)
+}
+
+// register makes machines durable before their first command.
+func (r *reign) register() {
+	if r.storing {
+		return
+	}
+	var hs []*fleet.Host
+	var writes []state.Write
+	for _, h := range r.fleet.All() {
+		if h.Durable || h.Booting || h.Addr == "" || !h.Known || len(writes) >= r.c.Settings.Facts.State.TxnOps {
+			continue
+		}
+		w, err := state.Put(hostPrefix+h.Name, hostRecord{Addr: h.Addr, Type: r.types[h.Type].Name, Zone: r.zones[h.Zone], Spot: h.Spot})
+		if err != nil {
+			continue
+		}
+		hs, writes = append(hs, h), append(writes, w)
+	}
+	if len(hs) == 0 {
+		return
+	}
+	r.storing = true
+	r.write(writes, func(err error) {
+		r.storing = false
+		if err == nil {
+			for _, h := range hs {
+				h.Durable = true
+			}
+			r.dirty = true
+		}
+	})
+}
+
+// write runs a fenced transaction and hands its outcome to the actor. The
+// writes may be repeated safely: only this term can make them.
+func (r *reign) write(writes []state.Write, then func(error)) {
+	go func() {
+		_, err := r.c.State.Commit(r.ctx, state.Txn{If: []state.Cond{r.fence}, Writes: writes})
+		if err != nil {
+			r.pause(200 * time.Millisecond)
+		}
+		r.post(func() { then(err) })
+	}()
+}
+
+// flush stores results, so that the workers may forget them.
+func (r *reign) flush(now time.Time) {
+	if r.flushing || now.Before(r.flushAt) {
+		return
+	}
+	type part struct {
+		j *job.Job
+		c int
+	}
+	var parts []part
+	var writes []state.Write
+	settle := map[*job.Job][]*fleet.Slot{}
+	for _, j := range r.jobs {
+		if j.Closing != "" || j.Phase != "" {
+			continue
+		}
+		dirty := j.Dirty()
+		if len(dirty) == 0 || len(writes)+len(dirty) > r.c.Settings.Facts.State.TxnOps {
+			continue
+		}
+		for _, c := range dirty {
+			w, err := state.Put(j.ChunkKey(c), j.TakeChunk(c))
+			if err != nil {
+				continue
+			}
+			j.MarkSaved(c) // it may exist from the moment the commit is sent
+			parts, writes = append(parts, part{j, c}), append(writes, w)
+		}
+		settle[j] = r.unstored[j]
+		delete(r.unstored, j)
+	}
+	if len(writes) == 0 {
+		return
+	}
+	r.flushing, r.flushAt = true, now.Add(time.Second)
+	r.write(writes, func(err error) {
+		r.flushing = false
+		for _, p := range parts {
+			if err != nil {
+				p.j.MarkDirty(p.c)
+			}
+		}
+		for j, ss := range settle {
+			if err != nil {
+				r.unstored[j] = append(r.unstored[j], ss...)
+				continue
+			}
+			for _, s := range ss {
+				s.Settled = true
+			}
+		}
+	})
+}
+
+// placeEvery keeps bursts of messages from making a plan each.
+const placeEvery = 50 * time.Millisecond
+
+// place makes and carries out a plan, if anything has changed.
+func (r *reign) place(now time.Time) {
+	if now.Sub(r.passAt) < placeEvery || (!r.dirty && now.Sub(r.passAt) < time.Second) {
+		return
+	}
+	if !r.ready {
+		if !r.fleet.Settled() {
+			return
+		}
+		r.ready = true
+		r.log.Info("every machine is settled, placing", "after", now.Sub(r.since).Round(time.Millisecond))
+	}
+	if len(r.strangers) > 0 {
+		// What a stranger takes is not counted for any team yet.
+		for j := range r.strangers {
+			if len(j.Live) > 0 {
+				return
+			}
+		}
+	}
+	r.passAt, r.dirty = now, false
+	in, ms, slots := r.input(now)
+	if len(in.Demands) == 0 {
+		r.wants = nil
+		return
+	}
+	plan := place.Make(in)
+	attempts := map[*job.Job]uint64{}
+	for _, a := range plan.Assign {
+		j := r.byID[in.Demands[a.Demand].ID]
+		h := ms[a.Machine]
+		n := attempts[j]
+		switch {
+		case j.Shape == job.Gang && j.GangAttempt != 0:
+			n = j.GangAttempt
+		case j.Shape == job.Gang:
+			n = r.attempt()
+			j.GangAttempt = n
+		case n == 0:
+			n = r.attempt()
+			attempts[j] = n
+		}
+		r.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
+		j.LastHost = h.Idx
+		j.WaitFrom = now
+		if k, ok := r.keeps[h]; ok && k.job == j {
+			delete(r.keeps, h)
+		}
+	}
+	for _, p := range plan.Preempt {
+		j, h := r.byID[in.Demands[p.Demand].ID], ms[p.Machine]
+		r.log.Info("making room", "job", j.ID, "host", h.Name, "stops", len(p.Victims))
+		r.keeps[h] = keep{j, now.Add(15 * time.Second)}
+		for _, v := range p.Victims {
+			r.stopSlot(slots[v], saveGrace(slots[v].Job))
+		}
+	}
+	r.wants = r.wants[:0]
+	for i := range in.Demands {
+		d := &in.Demands[i]
+		if plan.Short[i] == 0 {
+			continue
+		}
+		j := r.byID[d.ID]
+		r.wants = append(r.wants, hosts.Want{Demand: d, Count: plan.Short[i], TaskS: estimate(j), Image: j.ImageGB,
+			Waited: now.Sub(j.WaitFrom).Seconds(), Urgent: j.Shape == job.Gang})
+	}
+	sort.SliceStable(r.wants, func(a, b int) bool { return r.wants[a].Demand.LatestStart < r.wants[b].Demand.LatestStart })
+	if now.Sub(r.logWaitAt) > 5*time.Second && len(r.wants) > 0 {
+		r.logWaitAt = now
+		for i, w := range r.wants {
+			if i == 5 {
+				break
+			}
+			j := r.byID[w.Demand.ID]
+			r.log.Info("no machine has room", "job", j.ID, "class", j.Class, "tasks", w.Count, "waited", w.Waited)
+		}
+	}
+}
+
+// maxPending bounds the tasks of one job that one plan looks at.
+const maxPending = 600
+
+// input describes the fleet and the waiting work to the planner.
+func (r *reign) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
+	w := r.c.Tuning.Weights
+	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
+		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty}
+	for _, t := range r.c.Settings.Facts.Teams {
+		in.Teams = append(in.Teams, place.Team{
+			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
+			Limit:     place.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
+	}
+	inZone := map[*job.Job][]int{}
+	exits := map[*fleet.Host]map[place.Task]bool{}
+	for _, h := range r.fleet.All() {
+		for _, s := range h.Slots {
+			if !s.On() {
+				if id := r.ids[s.Job]; id != 0 {
+					if exits[h] == nil {
+						exits[h] = map[place.Task]bool{}
+					}
+					exits[h][place.Task{Job: id, Task: s.Task}] = true
+				}
+				continue
+			}
+			if s.Job.TeamIdx >= 0 {
+				u := &in.Teams[s.Job.TeamIdx].Used
+				u.CPUs, u.GPUs = u.CPUs+s.Job.CPUs, u.GPUs+s.Job.GPUs
+			}
+			z := inZone[s.Job]
+			if z == nil {
+				z = make([]int, len(r.zones))
+				inZone[s.Job] = z
+			}
+			if h.Zone >= 0 {
+				z[h.Zone]++
+			}
+		}
+	}
+	for _, j := range r.jobs {
+		if j.Phase != "" || j.Closing != "" || r.strangers[j] || now.Before(j.NotBefore) || j.TeamIdx < 0 {
+			continue
+		}
+		if j.Shape == job.Gang && (j.GangBroken || j.GangRan) {
+			continue
+		}
+		d := place.Demand{ID: r.ids[j], Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
+			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
+			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
+			Total: j.Tasks, InZone: inZone[j], LatestStart: r.latestStart(j)}
+		limit := maxPending
+		if j.Shape == job.Gang {
+			limit = j.Tasks
+		}
+		for t := range j.Needs {
+			d.Pending = append(d.Pending, t)
+			if len(d.Pending) >= limit {
+				break
+			}
+		}
+		if len(d.Pending) == 0 {
+			continue
+		}
+		if d.InZone == nil {
+			d.InZone = make([]int, len(r.zones))
+		}
+		waited := now.Sub(j.WaitFrom)
+		late := d.LatestStart-now.Sub(r.since).Seconds() < 5
+		d.Preempts = waited > 300*time.Millisecond && (j.Shape != job.Array || late)
+		in.Demands = append(in.Demands, d)
+	}
+	sort.Slice(in.Demands, func(a, b int) bool { return in.Demands[a].ID < in.Demands[b].ID })
+	if len(in.Demands) == 0 {
+		return in, nil, nil
+	}
+	for _, h := range r.fleet.All() {
+		if !h.Usable() || h.Type >= len(r.types) {
+			continue
+		}
+		t := &r.types[h.Type]
+		m := place.Machine{ID: h.Idx, Type: h.Type, Zone: h.Zone, Spot: h.Spot,
+			Total: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB},
+			Free:  place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB},
+			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: exits[h]}
+		for _, im := range h.Images {
+			m.Images = append(m.Images, im.Idx)
+		}
+		if k, ok := r.keeps[h]; ok {
+			if now.After(k.until) || k.job.Phase+k.job.Closing != "" {
+				delete(r.keeps, h)
+			} else {
+				m.KeptFor = r.ids[k.job]
+				m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
+			}
+		}
+		for _, s := range h.Slots {
+			if !s.On() || s.Stopping || !s.Sent || s.Job.Closing != "" || s.Job.Phase != "" {
+				continue
+			}
+			loss := 0.0
+			if !s.RunAt.IsZero() && s.Job.Checkpoint <= 0 {
+				loss = now.Sub(s.RunAt).Seconds() * s.Job.CPUs
+			}
+			m.Victims = append(m.Victims, place.Victim{ID: len(slots), Rank: s.Job.Rank, Team: s.Job.TeamIdx,
+				Need: place.Amount{CPUs: s.Job.CPUs, GPUs: s.Job.GPUs, MemGB: s.Job.MemGB}, Loss: loss})
+			slots = append(slots, s)
+		}
+		in.Machines = append(in.Machines, m)
+		ms = append(ms, h)
+	}
+	return in, ms, slots
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,463 @@
+// Package fleet keeps the workers' sessions, the order of their messages, and
+// the one ledger of what may be on each machine. It does no I/O and has no
+// goroutine: the leader's actor owns it and passes the time in.
+package fleet
+
+import (
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// Key names one placement.
+type Key struct {
+	Job     *job.Job
+	Task    int32
+	Attempt uint64
+}
+
+// Slot is a placement that may be on a machine.
+type Slot struct {
+	Key
+	Host *Host
+	// Phase is the worker's word, or empty before the first one.
+	Phase string
+	Cause string
+	Saved bool
+	// Sent: the launch has left, or may have. Before that the slot only holds
+	// its room.
+	Sent bool
+	// Seen: a message of this session has shown the slot.
+	Seen bool
+	// Direct: launched by a direct command; such a launch is not settled by a
+	// report that lacks it, because it can arrive minutes later.
+	Direct bool
+	// viaSeq is the report whose answer carried the launch.
+	viaSeq uint64
+	At     time.Time
+	RunAt  time.Time
+	// Stopping: the placement has to go; Grace is the time to save, Halted when
+	// the last halt was sent.
+	Stopping bool
+	Grace    float64
+	Halted   time.Time
+	// Settled: the exit has been dealt with, durably where it matters, so the
+	// worker may forget it.
+	Settled bool
+}
+
+// On reports whether the task may take room on its machine.
+func (s *Slot) On() bool { return s.Phase != wire.Exited }
+
+// EventKind says what became of a slot.
+type EventKind uint8
+
+const (
+	// Started: the slot was first seen running.
+	Started EventKind = iota
+	// Ended: the worker reports the exit; the slot stays until it is cleared.
+	Ended
+	// Gone: the slot has certainly left without a word about its result.
+	Gone
+	// Never: the launch was certainly not executed.
+	Never
+)
+
+// Event tells the leader about a slot.
+type Event struct {
+	Kind EventKind
+	Slot *Slot
+}
+
+// Host is a machine.
+type Host struct {
+	Idx     int
+	Name    string
+	Addr    string
+	Type    int
+	Zone    int
+	Spot    bool
+	Known   bool // type and zone are known
+	Durable bool // in the registry
+	Storing bool // the registry write is under way
+	Born    time.Time
+	Booting bool // never heard of
+
+	Session uint64
+	seq     uint64
+	// Fenced: the worker has sent a message with our own term.
+	Fenced bool
+	// heard is the last moment from which an answer of ours, or of an earlier
+	// leader, may have renewed the worker's lease.
+	heard time.Time
+	// Spoke is when the newest message came.
+	Spoke time.Time
+	// Lost: the lease has run out without a message; nothing is on the machine.
+	Lost     bool
+	LostAt   time.Time
+	RecallAt time.Time // zero: no notice
+
+	Slots map[Key]*Slot
+	// Calling: a direct command is under way.
+	Calling  bool
+	CallFrom time.Time
+	// NextCall holds back direct commands after a failure.
+	NextCall  time.Time
+	Releasing bool
+	Draining  bool // no more launches, ever
+	IdleFrom  time.Time
+
+	// Errors counts unexplained failures in a row; ErrorJobs their jobs.
+	Errors    int
+	ErrorJobs map[*job.Job]bool
+	// Images is the cache as far as it can be told, most recent last.
+	Images []Image
+
+	// What the placements take, kept by recount.
+	CPUs, GPUs, MemGB float64
+	Queue, Jobs       int
+}
+
+// Image is a cached image.
+type Image struct {
+	Idx int
+	GB  float64
+}
+
+// Has reports whether the image is thought to be cached.
+func (h *Host) Has(image int) bool {
+	for _, i := range h.Images {
+		if i.Idx == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Touch notes the use of an image; cacheGB bounds the cache.
+func (h *Host) Touch(image int, gb, cacheGB float64) {
+	for i, im := range h.Images {
+		if im.Idx == image {
+			h.Images = append(append(h.Images[:i:i], h.Images[i+1:]...), im)
+			return
+		}
+	}
+	h.Images = append(h.Images, Image{image, gb})
+	sum := 0.0
+	for _, im := range h.Images {
+		sum += im.GB
+	}
+	for len(h.Images) > 1 && sum > cacheGB {
+		sum -= h.Images[0].GB
+		h.Images = h.Images[1:]
+	}
+}
+
+// Fleet is the set of machines and the ledger.
+type Fleet struct {
+	Term  uint64
+	Lease time.Duration // including the margin
+	Hosts map[string]*Host
+	order []*Host
+	next  int
+}
+
+// New makes an empty fleet for a term. The lease is lengthened by the drift of
+// the worker's clock and a margin for the granularity of its timers.
+func New(term uint64, lease time.Duration) *Fleet {
+	return &Fleet{Term: term, Lease: lease + lease/1000 + 500*time.Millisecond, Hosts: map[string]*Host{}}
+}
+
+// All returns the machines in the order in which they were met.
+func (f *Fleet) All() []*Host { return f.order }
+
+// Add returns the machine of that name, making it if need be. A machine that is
+// already registered may have been renewed by an earlier leader as late as
+// since, the start of this reign.
+func (f *Fleet) Add(name string, since time.Time) *Host {
+	if h := f.Hosts[name]; h != nil {
+		return h
+	}
+	h := &Host{Idx: f.next, Name: name, Type: -1, Zone: -1, Born: since, Booting: true, heard: since, IdleFrom: since,
+		Slots: map[Key]*Slot{}, ErrorJobs: map[*job.Job]bool{}}
+	f.next++
+	f.Hosts[name] = h
+	f.order = append(f.order, h)
+	return h
+}
+
+// Remove forgets a machine whose release was answered: everything on it is gone.
+func (f *Fleet) Remove(h *Host) []Event {
+	ev := f.drop(h)
+	delete(f.Hosts, h.Name)
+	for i, o := range f.order {
+		if o == h {
+			f.order = append(f.order[:i:i], f.order[i+1:]...)
+			break
+		}
+	}
+	return ev
+}
+
+func (f *Fleet) drop(h *Host) []Event {
+	var ev []Event
+	for _, s := range h.Slots {
+		ev = append(ev, f.remove(h, s, Gone)...)
+	}
+	h.Recount()
+	return ev
+}
+
+func (f *Fleet) remove(h *Host, s *Slot, kind EventKind) []Event {
+	delete(h.Slots, s.Key)
+	if !s.On() {
+		return nil
+	}
+	s.Job.AddLive(s.Task, -1)
+	s.Phase = wire.Exited
+	return []Event{{kind, s}}
+}
+
+// Recount sums up what the placements take.
+func (h *Host) Recount() {
+	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs = 0, 0, 0, 0, 0
+	for _, s := range h.Slots {
+		if !s.On() {
+			continue
+		}
+		h.CPUs += s.Job.CPUs
+		h.GPUs += s.Job.GPUs
+		h.MemGB += s.Job.MemGB
+		h.Jobs++
+		if s.Phase != wire.Running && s.Phase != wire.Saving {
+			h.Queue++
+		}
+	}
+}
+
+// Busy reports whether anything may be on the machine.
+func (h *Host) Busy() bool { return h.Jobs > 0 }
+
+// Usable reports whether the machine may get launches.
+func (h *Host) Usable() bool {
+	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero()
+}
+
+// Assign puts a placement into the ledger; its launch is sent by the next answer
+// or direct command.
+func (f *Fleet) Assign(h *Host, k Key, now time.Time) *Slot {
+	s := &Slot{Key: k, Host: h, At: now}
+	h.Slots[k] = s
+	k.Job.AddLive(k.Task, 1)
+	h.Recount()
+	return s
+}
+
+// Stop marks a placement to be stopped. A placement that was never sent goes at
+// once; a second call can only shorten the grace.
+func (f *Fleet) Stop(s *Slot, grace float64) []Event {
+	if !s.On() {
+		return nil
+	}
+	if !s.Sent {
+		ev := f.remove(s.Host, s, Never)
+		s.Host.Recount()
+		return ev
+	}
+	if !s.Stopping || grace < s.Grace {
+		s.Stopping, s.Grace, s.Halted = true, grace, time.Time{}
+	}
+	return nil
+}
+
+// Result says what Observe made of a message.
+type Result struct {
+	Events []Event
+	// Fresh: the message is newer than all others of the worker.
+	Fresh bool
+	// Deposed: the worker has seen a later term than ours.
+	Deposed bool
+}
+
+// Observe takes in a message. isReport is true for check-ins, whose answers
+// renew the lease, and false for the answers to direct commands.
+func (f *Fleet) Observe(h *Host, m *wire.Report, isReport bool, now time.Time, find func(id string) *job.Job) Result {
+	if m.Token > f.Term {
+		return Result{Deposed: true}
+	}
+	// Even an older report may be the one that the worker is waiting for, when a
+	// direct answer overtook it: its answer renews the lease.
+	if isReport && m.Session >= h.Session && (!h.Lost || m.Session > h.Session) && now.After(h.heard) {
+		h.heard = now
+	}
+	if m.Session < h.Session || (m.Session == h.Session && m.Seq <= h.seq) {
+		return Result{}
+	}
+	// A held-back message of a session whose lease has certainly ended would
+	// bring its dead tasks back.
+	if h.Lost && m.Session == h.Session {
+		return Result{}
+	}
+	r := Result{Fresh: true}
+	if m.Session > h.Session {
+		if h.Session != 0 {
+			r.Events = append(r.Events, f.drop(h)...)
+			h.Images = nil
+		}
+		h.Session, h.Fenced = m.Session, false
+		h.Lost = false
+	}
+	h.seq, h.Spoke, h.Booting = m.Seq, now, false
+	if m.Token == f.Term {
+		h.Fenced = true
+	}
+	if m.Addr != "" {
+		h.Addr = m.Addr
+	}
+	h.RecallAt = time.Time{}
+	if m.Notice != nil {
+		h.RecallAt = now.Add(time.Duration(max(0.001, *m.Notice) * float64(time.Second)))
+	}
+	shown := make(map[Key]bool, len(m.Tasks))
+	for i := range m.Tasks {
+		t := &m.Tasks[i]
+		id, task, ok := job.SplitTask(t.Task)
+		if !ok {
+			continue
+		}
+		j := find(id)
+		k := Key{j, task, t.Attempt}
+		shown[k] = true
+		s := h.Slots[k]
+		if s == nil {
+			if t.Phase == wire.Exited {
+				s = &Slot{Key: k, Host: h, Sent: true, At: now, Phase: wire.Pulling}
+				h.Slots[k] = s
+				j.AddLive(task, 1)
+			} else {
+				s = f.Assign(h, k, now)
+				s.Sent = true
+			}
+		}
+		s.Sent, s.Seen, s.Direct = true, true, false
+		was := s.Phase
+		if was == wire.Exited {
+			continue
+		}
+		s.Phase, s.Cause, s.Saved = t.Phase, t.Cause, t.Saved
+		switch {
+		case t.Phase == wire.Exited:
+			j.AddLive(task, -1)
+			r.Events = append(r.Events, Event{Ended, s})
+		case t.Phase == wire.Running && was != wire.Running:
+			s.RunAt = now
+			r.Events = append(r.Events, Event{Started, s})
+		}
+	}
+	for k, s := range h.Slots {
+		switch {
+		case shown[k] || !s.Sent:
+		case s.Seen:
+			r.Events = append(r.Events, f.remove(h, s, Gone)...)
+		case s.Direct:
+			// Settled by its own answer, a new session or the lease, not by this.
+		case isReport && m.Seq > s.viaSeq:
+			// One report is in flight at a time and late answers are dropped, so the
+			// next report settles the launch. The answer to a direct command does
+			// not: it can overtake the answer that carries the launch.
+			r.Events = append(r.Events, f.remove(h, s, Never)...)
+		}
+	}
+	h.Recount()
+	return r
+}
+
+// haltEvery is how often a halt is repeated while its task is still there.
+const haltEvery = 1500 * time.Millisecond
+
+func grace(g float64) *float64 { return &g }
+
+// Compose makes the orders for a machine and marks the launches as sent. seq is
+// the report that is answered; 0: a direct command, which carries no clear.
+// Launches are left out for a stale report and while a direct command is under
+// way, whose order against this answer is not known.
+func (f *Fleet) Compose(h *Host, seq uint64, launches bool, now time.Time, limit int) (orders []wire.Order, sent []*Slot, ev []Event) {
+	orders = []wire.Order{}
+	for _, s := range h.Slots {
+		if len(orders) >= limit {
+			break
+		}
+		name := func() string { return job.TaskName(s.Job.ID, s.Task) }
+		switch {
+		case !s.Sent:
+			if s.Job.Closing != "" || s.Job.Phase != "" {
+				// The abort's commit may have been sent after the placement.
+				ev = append(ev, f.remove(h, s, Never)...)
+				continue
+			}
+			if !launches || !h.Fenced || !h.Durable || h.Lost {
+				continue
+			}
+			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
+			sent = append(sent, s)
+			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
+		case s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)):
+			s.Halted = now
+			orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
+		case seq != 0 && !s.On() && s.Settled:
+			orders = append(orders, wire.Order{Op: wire.Clear, Task: name(), Attempt: s.Attempt})
+		}
+	}
+	h.Recount()
+	return orders, sent, ev
+}
+
+// Urgent reports whether something waits that is worth a direct command.
+func (h *Host) Urgent(now time.Time) bool {
+	for _, s := range h.Slots {
+		if !s.Sent && h.Usable() {
+			return true
+		}
+		if s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Unsent settles launches of a direct command that was certainly not executed.
+func (f *Fleet) Unsent(slots []*Slot) []Event {
+	var ev []Event
+	for _, s := range slots {
+		if s.Host.Slots[s.Key] == s && s.Direct && !s.Seen {
+			ev = append(ev, f.remove(s.Host, s, Never)...)
+			s.Host.Recount()
+		}
+	}
+	return ev
+}
+
+// Expire settles what is on machines whose lease has certainly ended.
+func (f *Fleet) Expire(now time.Time) []Event {
+	var ev []Event
+	for _, h := range f.order {
+		if h.Lost || now.Sub(h.heard) < f.Lease {
+			continue
+		}
+		h.Lost, h.LostAt, h.Fenced = true, now, false
+		ev = append(ev, f.drop(h)...)
+	}
+	return ev
+}
+
+// Settled reports whether every registered machine is fenced or lost, so that
+// the ledger is whole after a takeover.
+func (f *Fleet) Settled() bool {
+	for _, h := range f.order {
+		if h.Durable && !h.Fenced && !h.Lost {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/hosts/plan.go
@@ -0,0 +1,176 @@
+package hosts
+
+import (
+	"math"
+	"time"
+
+	"vetchstream/internal/place"
+	"vetchstream/internal/wire"
+)
+
+// Offer is a machine type in one zone, ordinary or spot.
+type Offer struct {
+	Type, Zone int
+	Spot       bool
+}
+
+// Backoff remembers which offers were refused lately.
+type Backoff struct {
+	until map[Offer]time.Time
+	step  map[Offer]time.Duration
+}
+
+// NewBackoff makes an empty memory.
+func NewBackoff() *Backoff {
+	return &Backoff{until: map[Offer]time.Time{}, step: map[Offer]time.Duration{}}
+}
+
+const (
+	firstBackoff = 5 * time.Second
+	maxBackoff   = 40 * time.Second
+)
+
+// Refused notes a refusal; the pause doubles from one to the next.
+func (b *Backoff) Refused(o Offer, now time.Time) {
+	d := min(maxBackoff, max(firstBackoff, 2*b.step[o]))
+	b.step[o], b.until[o] = d, now.Add(d)
+}
+
+// Served forgets the refusals of an offer.
+func (b *Backoff) Served(o Offer) { delete(b.step, o); delete(b.until, o) }
+
+// Open reports whether the offer may be asked for.
+func (b *Backoff) Open(o Offer, now time.Time) bool { return !now.Before(b.until[o]) }
+
+// Want is waiting work of one job that found no machine.
+type Want struct {
+	Demand *place.Demand
+	Count  int
+	// TaskS is the expected run time of a task, in seconds.
+	TaskS  float64
+	Image  float64 // GB
+	Waited float64 // seconds
+	Urgent bool    // waiting costs an aim: rent without regard to the fill
+}
+
+// Coming is a machine that was rented and is not up yet.
+type Coming struct {
+	Offer
+	Free place.Amount
+}
+
+// Shop is all that a rental decision depends on.
+type Shop struct {
+	Types    []wire.MachineType
+	ZoneOf   map[string]int
+	Coming   []Coming
+	Backoff  *Backoff
+	MinFill  float64
+	Patience float64
+	Now      time.Time
+}
+
+// Rentals decides what to rent: waiting work goes first to the machines that
+// are coming, and what is left to the offer that runs it at the lowest cost, if
+// the work can fill enough of it or has waited for long.
+func Rentals(s Shop, wants []Want) map[Offer]int {
+	out := map[Offer]int{}
+	coming := append([]Coming(nil), s.Coming...)
+	for _, w := range wants {
+		d := w.Demand
+		left := w.Count
+		for i := range coming {
+			c := &coming[i]
+			if left == 0 {
+				break
+			}
+			if !allowed(d, c.Offer) {
+				continue
+			}
+			n := min(left, c.Free.Times(d.Need))
+			c.Free = minus(c.Free, d.Need, n)
+			left -= n
+		}
+		for left > 0 {
+			o, slots, ok := s.cheapest(d, left, w)
+			if !ok {
+				break
+			}
+			t := &s.Types[o.Type]
+			total := place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}
+			n := min(left, slots)
+			fill := float64(n) / float64(slots)
+			if !w.Urgent && fill < s.MinFill && w.Waited < s.Patience {
+				break
+			}
+			out[o]++
+			coming = append(coming, Coming{o, minus(total, d.Need, n)})
+			left -= n
+			if len(coming) > len(s.Coming)+20 {
+				return out // the rest at the next look, when capacity has shown itself
+			}
+		}
+	}
+	return out
+}
+
+func minus(a, need place.Amount, n int) place.Amount {
+	k := float64(n)
+	return place.Amount{CPUs: a.CPUs - k*need.CPUs, GPUs: a.GPUs - k*need.GPUs, MemGB: a.MemGB - k*need.MemGB}
+}
+
+func allowed(d *place.Demand, o Offer) bool {
+	if (d.TypeOK != nil && !d.TypeOK[o.Type]) || (d.Zone >= 0 && d.Zone != o.Zone) || (o.Spot && !d.Spot) {
+		return false
+	}
+	if d.Spread && d.InZone[o.Zone] >= (d.Total+1)/2 {
+		return false
+	}
+	if d.OneZone {
+		for z, n := range d.InZone {
+			if n > 0 && z != o.Zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// cheapest is the offer with the lowest cost per task: the machine is paid from
+// the request, so the boot time counts, and for as long as its share of the
+// tasks takes.
+func (s *Shop) cheapest(d *place.Demand, left int, w Want) (best Offer, slots int, ok bool) {
+	cost := math.Inf(1)
+	for ti := range s.Types {
+		t := &s.Types[ti]
+		n := place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}.Times(d.Need)
+		if n == 0 {
+			continue
+		}
+		for _, zn := range t.Zones {
+			z, known := s.ZoneOf[zn]
+			if !known {
+				continue
+			}
+			for _, spot := range []bool{false, true} {
+				o := Offer{ti, z, spot}
+				if !allowed(d, o) || !s.Backoff.Open(o, s.Now) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				secs := t.BootS + w.TaskS
+				if t.FetchRate > 0 {
+					secs += w.Image / t.FetchRate
+				}
+				c := price * max(60, secs) / float64(min(n, left))
+				if c < cost {
+					best, slots, cost, ok = o, n, c, true
+				}
+			}
+		}
+	}
+	return best, slots, ok
+}
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,218 @@
+package job
+
+import (
+	"encoding/base64"
+	"fmt"
+	"math/bits"
+	"time"
+
+	"vetchstream/internal/wire"
+)
+
+// Keys of the durable records: a job is under active until it is over, then
+// under final. The move is one transaction, so a job is never under neither.
+const (
+	ActivePrefix = "j/"
+	FinalPrefix  = "f/"
+	DonePrefix   = "d/"
+)
+
+// Record is a job's durable record.
+type Record struct {
+	Spec Spec `codec:"spec"`
+	// Phase is empty for an active job, then done or aborted, for ever.
+	Phase string `codec:"phase,omitempty"`
+	Done  int    `codec:"done,omitempty"`
+	// At is the time of day of the submission, in milliseconds.
+	At int64 `codec:"at"`
+}
+
+// chunkTasks is the number of tasks whose results share one key: its text is
+// well below the smallest value limit (16 KiB) that a state service has.
+const chunkTasks = 32768
+
+// Chunk is the durable set of completed tasks among chunkTasks of them.
+type Chunk struct {
+	Bits string `codec:"bits"`
+}
+
+// Job is a job that the leader looks after. Only the leader's actor touches it.
+type Job struct {
+	Spec
+	Shape     Shape
+	Rank      Rank
+	TeamIdx   int
+	ZoneIdx   int // -1: any
+	TypeOK    []bool
+	ImageIdx  int
+	Version   uint64 // of the active record
+	Submitted time.Time
+	// Phase is empty until the final record is committed.
+	Phase string
+	// Closing is the final phase whose commit has been sent: nothing is launched
+	// from that moment on, whatever becomes of the commit.
+	Closing string
+
+	done      []uint64
+	DoneCount int
+	dirty     map[int]bool
+	saved     map[int]bool // chunks that exist as keys
+
+	// Live counts, for each task, the placements that may be on a machine.
+	Live map[int32]int
+	// scan is the lowest task that may still need a placement.
+	scan int32
+
+	// GangAttempt is the attempt that members are placed with; 0: none.
+	GangAttempt uint64
+	// GangBroken: a member of the running attempt is gone; the rest must leave
+	// before there is another.
+	GangBroken bool
+	GangRan    bool
+
+	// NotBefore holds back a job that keeps failing.
+	NotBefore time.Time
+	Backoff   time.Duration
+	// ErrorHosts are the machines on which a task failed; Worked: a task of this
+	// job has completed or run for a while, so the job itself is sound.
+	ErrorHosts map[string]bool
+	Worked     bool
+
+	// LastHost is the machine of the job's previous task.
+	LastHost int
+	Waits    string // why a task waits, for the log
+	WaitFrom time.Time
+}
+
+// New makes the runtime form of a record.
+func New(r *Record, submitted time.Time) *Job {
+	return &Job{
+		Spec: r.Spec, Shape: shapes[r.Spec.ShapeName], Rank: ranks[r.Spec.RankName],
+		TeamIdx: -1, ZoneIdx: -1, ImageIdx: -1, LastHost: -1,
+		Phase: r.Phase, Submitted: submitted, WaitFrom: submitted,
+		done: make([]uint64, (r.Spec.Tasks+63)/64), dirty: map[int]bool{}, saved: map[int]bool{},
+		Live: map[int32]int{}, ErrorHosts: map[string]bool{},
+	}
+}
+
+// IsDone reports whether a task has completed.
+func (j *Job) IsDone(task int32) bool { return j.done[task/64]&(1<<(task%64)) != 0 }
+
+// SetDone records a completed task and reports whether that is news.
+func (j *Job) SetDone(task int32) bool {
+	if j.IsDone(task) {
+		return false
+	}
+	j.done[task/64] |= 1 << (task % 64)
+	j.DoneCount++
+	j.dirty[int(task)/chunkTasks] = true
+	return true
+}
+
+// Over reports whether the job's work is complete.
+func (j *Job) Over() bool {
+	return j.Shape != Service && j.DoneCount == j.Tasks
+}
+
+// Needs calls yield for each task that needs a placement, until it says stop.
+func (j *Job) Needs(yield func(task int32) bool) {
+	if j.Shape != Service {
+		for int(j.scan) < j.Tasks && j.IsDone(j.scan) {
+			j.scan++
+		}
+	}
+	for t := j.scan; int(t) < j.Tasks; t++ {
+		if j.Live[t] > 0 || (j.Shape != Service && j.IsDone(t)) {
+			continue
+		}
+		if !yield(t) {
+			return
+		}
+	}
+}
+
+// AddLive changes the number of placements that may be on a machine.
+func (j *Job) AddLive(task int32, by int) {
+	if n := j.Live[task] + by; n > 0 {
+		j.Live[task] = n
+	} else {
+		delete(j.Live, task)
+	}
+}
+
+// Dirty returns the chunks that have not been stored as they stand.
+func (j *Job) Dirty() []int {
+	var out []int
+	for c := range j.dirty {
+		out = append(out, c)
+	}
+	return out
+}
+
+// ChunkKey is the key of one chunk.
+func (j *Job) ChunkKey(c int) string { return fmt.Sprintf("%s%s/%d", DonePrefix, j.ID, c) }
+
+// TakeChunk encodes a chunk and marks it as clean; a failed write has to mark it
+// again with MarkDirty.
+func (j *Job) TakeChunk(c int) Chunk {
+	lo := c * chunkTasks / 64
+	hi := min(len(j.done), lo+chunkTasks/64)
+	b := make([]byte, 0, (hi-lo)*8)
+	for _, w := range j.done[lo:hi] {
+		for i := range 8 {
+			b = append(b, byte(w>>(8*i)))
+		}
+	}
+	delete(j.dirty, c)
+	return Chunk{Bits: base64.StdEncoding.EncodeToString(b)}
+}
+
+// MarkDirty notes that a chunk has to be stored.
+func (j *Job) MarkDirty(c int) { j.dirty[c] = true }
+
+// MarkSaved notes that a chunk exists as a key.
+func (j *Job) MarkSaved(c int) { j.saved[c] = true }
+
+// SavedChunks returns the chunks that may exist as keys.
+func (j *Job) SavedChunks() []int {
+	var out []int
+	for c := range j.saved {
+		out = append(out, c)
+	}
+	return out
+}
+
+// LoadChunk takes in a stored chunk.
+func (j *Job) LoadChunk(c int, ch Chunk) error {
+	b, err := base64.StdEncoding.DecodeString(ch.Bits)
+	if err != nil {
+		return fmt.Errorf("job %s: chunk %d: %w", j.ID, c, err)
+	}
+	lo := c * chunkTasks / 64
+	for i, x := range b {
+		if lo+i/8 < len(j.done) {
+			j.done[lo+i/8] |= uint64(x) << (8 * (i % 8))
+		}
+	}
+	if r := j.Tasks % 64; r != 0 {
+		j.done[len(j.done)-1] &= 1<<r - 1
+	}
+	j.DoneCount = 0
+	for _, w := range j.done {
+		j.DoneCount += bits.OnesCount64(w)
+	}
+	j.saved[c] = true
+	return nil
+}
+
+// Status is what the job's user is told.
+func (j *Job) Status(running int) wire.Status {
+	s := wire.Status{ID: j.ID, Phase: wire.JobPending, Done: j.DoneCount, Running: running}
+	switch {
+	case j.Phase != "":
+		s.Phase, s.Running = j.Phase, 0
+	case running > 0:
+		s.Phase = wire.JobRunning
+	}
+	return s
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,204 @@
+// Package node puts the parts of one controller together.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"vetchstream/internal/api"
+	"vetchstream/internal/config"
+	"vetchstream/internal/control"
+	"vetchstream/internal/hosts"
+	"vetchstream/internal/lead"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/state"
+)
+
+// Net is the network that a controller lives on.
+type Net struct {
+	Dial   state.DialFunc
+	Listen func(addr string) (net.Listener, error)
+}
+
+// System is the operating system's network.
+func System() Net {
+	d := &net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+	return Net{Dial: d.DialContext, Listen: func(addr string) (net.Listener, error) { return net.Listen("tcp4", addr) }}
+}
+
+// Node is one controller.
+type Node struct {
+	set     *config.Settings
+	log     *slog.Logger
+	state   *state.Client
+	elector *lead.Elector
+	ctl     *control.Controller
+	mesh    *peer.Mesh
+
+	mu      sync.Mutex
+	useless time.Time // since when users could not be served here; zero: they can
+}
+
+// Run runs a controller until the context ends.
+func Run(ctx context.Context, set *config.Settings, tun *config.Tuning, nw Net, log *slog.Logger) error {
+	log = log.With("member", set.Member)
+	// The leader makes nearly all requests; the others read for users and watch.
+	st := state.New(set.Outside.State, nw.Dial, state.Budget{
+		RPS: set.Facts.State.RPS * 0.6, WriteRPS: set.Facts.State.WriteRPS * 0.7})
+	n := &Node{set: set, log: log, state: st}
+	n.ctl = control.New(control.Deps{Settings: set, Tuning: tun, State: st,
+		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log,
+		Entitled: func(term uint64) bool { return n.elector.Entitled(term) },
+		Deposed:  func(term uint64) { n.elector.Heard("", term) }})
+	n.elector = lead.New(set.Member, time.Duration(tun.LeaderLeaseMs)*time.Millisecond, st, log, n.ctl.Lead)
+	mesh, err := peer.Dial(set.Siblings, nw.Dial)
+	if err != nil {
+		return err
+	}
+	defer mesh.Close()
+	n.mesh = mesh
+
+	pl, err := nw.Listen(set.PeerListen)
+	if err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	hl, err := nw.Listen(set.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := &http.Server{Handler: api.New(n, log).Handler(), ReadHeaderTimeout: 10 * time.Second,
+		ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
+		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	wg.Go(func() { n.elector.Run(ctx) })
+	wg.Go(func() { mesh.Pings(ctx, func(h peer.Hello) { n.elector.Heard(h.Leader, h.Term) }) })
+	wg.Go(func() {
+		if err := peer.Serve(ctx, pl, n); err != nil {
+			cancel(err)
+		}
+	})
+	wg.Go(func() {
+		if err := srv.Serve(bound(hl, set.Facts.Resources.MaxSockets/2)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			cancel(fmt.Errorf("listen: %w", err))
+		}
+	})
+	log.Info("started", "site", set.Site, "listen", set.Listen)
+	<-ctx.Done()
+	_ = srv.Close()
+	wg.Wait()
+	if err := context.Cause(ctx); !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// Hello implements peer.Handler.
+func (n *Node) Hello() peer.Hello {
+	v := n.elector.View()
+	return peer.Hello{Member: n.set.Member, Leader: v.Leader, Term: v.Term}
+}
+
+// Local implements peer.Handler: only a leader answers for others.
+func (n *Node) Local(ctx context.Context, q *peer.Request) *peer.Reply {
+	if p := n.ctl.Answer(ctx, q); p != nil {
+		return p
+	}
+	return control.Later("not the leader")
+}
+
+// Answer implements api.Backend.
+func (n *Node) Answer(ctx context.Context, q *peer.Request) *peer.Reply {
+	if p := n.ctl.Answer(ctx, q); p != nil {
+		return p
+	}
+	if l := n.Leader(); l != "" {
+		if p, err := n.mesh.Forward(ctx, l, q); err == nil && p.Status != http.StatusServiceUnavailable {
+			return p
+		}
+	}
+	if q.Kind == peer.KindStatus && ctx.Err() == nil {
+		return n.ctl.Direct(ctx, q.ID)
+	}
+	return control.Later("no leader is to be reached")
+}
+
+// Report implements api.Backend.
+func (n *Node) Report(ctx context.Context, q *peer.Request) *peer.Reply { return n.ctl.Answer(ctx, q) }
+
+// Forward implements api.Backend.
+func (n *Node) Forward(ctx context.Context, q *peer.Request) *peer.Reply {
+	p, err := n.mesh.Forward(ctx, n.Leader(), q)
+	if err != nil {
+		return control.Later("the leader is not to be reached")
+	}
+	return p
+}
+
+// Leader implements api.Backend.
+func (n *Node) Leader() string {
+	v := n.elector.View()
+	if v.Leader == n.set.Member {
+		return ""
+	}
+	return v.Leader
+}
+
+// patience is how long a node without leader and state service stays healthy:
+// being taken out and put back costs users more than a short outage, in which no
+// other node could serve them either.
+const patience = 20 * time.Second
+
+// Healthy implements api.Backend.
+func (n *Node) Healthy() bool {
+	v := n.elector.View()
+	able := n.ctl.Leading() || time.Since(v.Seen) < 8*time.Second || (v.Leader != "" && n.mesh.Reached(v.Leader))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if able {
+		n.useless = time.Time{}
+		return true
+	}
+	if n.useless.IsZero() {
+		n.useless = time.Now()
+	}
+	return time.Since(n.useless) < patience
+}
+
+// boundedListener limits the connections that are open at a time, so that the
+// sockets for the state service, the workers and the siblings are never used up.
+type boundedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func bound(l net.Listener, n int) net.Listener {
+	return &boundedListener{l, make(chan struct{}, max(8, n))}
+}
+
+func (b *boundedListener) Accept() (net.Conn, error) {
+	b.slots <- struct{}{}
+	c, err := b.Listener.Accept()
+	if err != nil {
+		<-b.slots
+		return nil, err
+	}
+	return &boundedConn{Conn: c, free: sync.OnceFunc(func() { <-b.slots })}, nil
+}
+
+type boundedConn struct {
+	net.Conn
+	free func()
+}
+
+func (c *boundedConn) Close() error {
+	c.free()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,189 @@
+// Package peer carries what controllers say to each other over gRPC: who leads,
+// and requests that are forwarded to the leader.
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/keepalive"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// codec is the form of the messages: the CBOR of the other interfaces.
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)   { return wire.Marshal(v) }
+func (codec) Unmarshal(b []byte, v any) error { return wire.Unmarshal(b, v) }
+func (codec) Name() string                    { return "cbor" }
+
+func init() { encoding.RegisterCodec(codec{}) }
+
+// Hello is the answer to a ping: what the node knows of the leadership.
+type Hello struct {
+	Member string `codec:"member"`
+	Leader string `codec:"leader"`
+	Term   uint64 `codec:"term"`
+}
+
+// Kinds of forwarded requests.
+const (
+	KindSubmit = "submit"
+	KindStatus = "status"
+	KindAbort  = "abort"
+	KindReport = "report"
+)
+
+// Request is a request that reached another node than the leader.
+type Request struct {
+	Kind string `codec:"kind"`
+	ID   string `codec:"id,omitempty"`
+	Body []byte `codec:"body,omitempty"`
+}
+
+// Reply is an HTTP answer in short: the status, the body's value encoded, and
+// the seconds after which to come back.
+type Reply struct {
+	Status     int    `codec:"status"`
+	Body       []byte `codec:"body,omitempty"`
+	RetryAfter int    `codec:"retry_after,omitempty"`
+}
+
+// Handler answers siblings.
+type Handler interface {
+	Hello() Hello
+	// Local answers a request as leader, and refuses it otherwise.
+	Local(ctx context.Context, r *Request) *Reply
+}
+
+type none struct{}
+
+func method[Req, Res any](name string, f func(Handler, context.Context, *Req) *Res) grpc.MethodDesc {
+	return grpc.MethodDesc{MethodName: name, Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		req := new(Req)
+		if err := dec(req); err != nil {
+			return nil, err
+		}
+		return f(srv.(Handler), ctx, req), nil
+	}}
+}
+
+var service = grpc.ServiceDesc{
+	ServiceName: "vetchstream.Peer",
+	HandlerType: (*Handler)(nil),
+	Methods: []grpc.MethodDesc{
+		method("Ping", func(h Handler, _ context.Context, _ *none) *Hello { v := h.Hello(); return &v }),
+		method("Forward", func(h Handler, ctx context.Context, r *Request) *Reply { return h.Local(ctx, r) }),
+	},
+}
+
+// Serve answers siblings on l until the context ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) error {
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(4*wire.MaxBody), grpc.MaxConcurrentStreams(200),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 4 * time.Second, Timeout: 3 * time.Second}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}))
+	s.RegisterService(&service, h)
+	stop := context.AfterFunc(ctx, s.Stop)
+	defer stop()
+	if err := s.Serve(l); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	return nil
+}
+
+// Mesh holds the connections to the siblings.
+type Mesh struct {
+	conns map[string]*grpc.ClientConn
+
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+// Dial prepares the connections; they are opened on first use.
+func Dial(siblings []config.Sibling, dial state.DialFunc) (*Mesh, error) {
+	m := &Mesh{conns: map[string]*grpc.ClientConn{}, heard: map[string]time.Time{}}
+	for _, s := range siblings {
+		c, err := grpc.NewClient("passthrough:///"+s.Address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) { return dial(ctx, "tcp", addr) }),
+			grpc.WithDefaultCallOptions(grpc.CallContentSubtype("cbor"), grpc.MaxCallRecvMsgSize(4*wire.MaxBody)),
+			// A sibling is back within seconds, so the pauses stay short.
+			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+				Backoff: backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second}}),
+			// A cut gives no error: without probes a dead connection would hold
+			// every forwarded request up to its deadline.
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 2 * time.Second, PermitWithoutStream: true}),
+			grpc.WithDisableServiceConfig())
+		if err != nil {
+			return nil, fmt.Errorf("peer %s: %w", s.Member, err)
+		}
+		m.conns[s.Member] = c
+	}
+	return m, nil
+}
+
+// Close closes the connections.
+func (m *Mesh) Close() {
+	for _, c := range m.conns {
+		_ = c.Close()
+	}
+}
+
+// Reached reports whether the member answered a ping lately.
+func (m *Mesh) Reached(member string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, ok := m.heard[member]
+	return ok && time.Since(t) < 2500*time.Millisecond
+}
+
+// Forward hands a request to another member.
+func (m *Mesh) Forward(ctx context.Context, member string, r *Request) (*Reply, error) {
+	c := m.conns[member]
+	if c == nil {
+		return nil, fmt.Errorf("peer %q is unknown", member)
+	}
+	out := &Reply{}
+	if err := c.Invoke(ctx, "/vetchstream.Peer/Forward", r, out); err != nil {
+		return nil, fmt.Errorf("forward to %s: %w", member, err)
+	}
+	return out, nil
+}
+
+// Pings asks every sibling once a second what it knows, until the context ends.
+func (m *Mesh) Pings(ctx context.Context, told func(Hello)) {
+	var wg sync.WaitGroup
+	for name, c := range m.conns {
+		wg.Go(func() {
+			t := time.NewTicker(time.Second)
+			defer t.Stop()
+			for {
+				pctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
+				out := &Hello{}
+				if err := c.Invoke(pctx, "/vetchstream.Peer/Ping", &none{}, out); err == nil {
+					m.mu.Lock()
+					m.heard[name] = time.Now()
+					m.mu.Unlock()
+					told(*out)
+				}
+				cancel()
+				select {
+				case <-ctx.Done():
+					return
+				case <-t.C:
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,518 @@
+// Package place decides what runs where. It is pure: machines, demands and the
+// time are passed in, and the same input gives the same plan.
+//
+// The choice among machines with room is the one of Hać and Johnson's paper:
+// the machine with the shortest vector of squared, weighted loads and unmet
+// conditions.
+package place
+
+import (
+	"math"
+	"slices"
+	"sort"
+
+	"vetchstream/internal/job"
+)
+
+// Weights scale the dimensions of the vector.
+type Weights struct {
+	Queue, Jobs, CPU                           float64
+	Image, Sticky, SameZone, Unreliable, Empty float64
+}
+
+// Amount is what a task takes, or a machine has.
+type Amount struct{ CPUs, GPUs, MemGB float64 }
+
+// slack absorbs the rounding of sums of decimal amounts.
+const slack = 1e-6
+
+// Fits reports whether a has room for b.
+func (a Amount) Fits(b Amount) bool {
+	return b.CPUs <= a.CPUs+slack && b.GPUs <= a.GPUs+slack && b.MemGB <= a.MemGB+slack
+}
+
+func (a Amount) plus(b Amount, k float64) Amount {
+	return Amount{a.CPUs + k*b.CPUs, a.GPUs + k*b.GPUs, a.MemGB + k*b.MemGB}
+}
+
+// Times is how many of b fit into a.
+func (a Amount) Times(b Amount) int {
+	n := math.Inf(1)
+	for _, p := range [][2]float64{{a.CPUs, b.CPUs}, {a.GPUs, b.GPUs}, {a.MemGB, b.MemGB}} {
+		if p[1] > 0 {
+			n = min(n, math.Floor((p[0]+slack)/p[1]))
+		}
+	}
+	return int(max(0, min(n, job.MaxTasks)))
+}
+
+// Victim is a placement that could be stopped to make room.
+type Victim struct {
+	ID   int
+	Rank job.Rank
+	Team int
+	Need Amount
+	// Loss is the work that stopping it would throw away, in CPU seconds.
+	Loss float64
+}
+
+// Machine is a machine that may get launches.
+type Machine struct {
+	ID         int
+	Type, Zone int
+	Spot       bool
+	Total      Amount
+	Free       Amount
+	// Queue and Jobs are the paper's loads, with placements that no report has
+	// covered yet already in them.
+	Queue, Jobs int
+	Images      []int
+	// Unreliable: a task failed here recently.
+	Unreliable bool
+	// Kept is the room that is kept for the demand KeptFor (0: none).
+	KeptFor int
+	Kept    Amount
+	Victims []Victim
+	// Exits are tasks whose exits the worker still reports: it would refuse
+	// another attempt of them.
+	Exits map[Task]bool
+}
+
+// Task names a task of a demand.
+type Task struct {
+	Job  int
+	Task int32
+}
+
+// Demand is a job with tasks that need a place.
+type Demand struct {
+	ID          int // above 0
+	Shape       job.Shape
+	Rank        job.Rank
+	Team        int
+	Need        Amount
+	TypeOK      []bool // nil: any
+	Zone        int    // -1: any
+	OneZone     bool
+	Spread      bool
+	Spot        bool
+	Image       int
+	LastMachine int
+	Total       int
+	Pending     []int32
+	// InZone counts, per zone, what may be running of the job.
+	InZone []int
+	// LatestStart orders demands of one rank: when the job has to start to be
+	// in time, in seconds.
+	LatestStart float64
+	// Preempts: the demand may stop others' work now.
+	Preempts bool
+}
+
+// Team is a team's guarantee, limit and use; a limit of 0 is none.
+type Team struct {
+	Guarantee, Limit, Used Amount
+}
+
+// Within reports whether need is still inside the team's guarantee.
+func (t *Team) within(need Amount) bool {
+	if t.Guarantee.CPUs == 0 && t.Guarantee.GPUs == 0 {
+		return false
+	}
+	u := t.Used.plus(need, 1)
+	return u.CPUs <= t.Guarantee.CPUs+slack && u.GPUs <= t.Guarantee.GPUs+slack
+}
+
+func (t *Team) room(need Amount) bool {
+	u := t.Used.plus(need, 1)
+	return (t.Limit.CPUs == 0 || u.CPUs <= t.Limit.CPUs+slack) && (t.Limit.GPUs == 0 || u.GPUs <= t.Limit.GPUs+slack)
+}
+
+func (t *Team) borrows() bool {
+	return t.Used.CPUs > t.Guarantee.CPUs+slack || t.Used.GPUs > t.Guarantee.GPUs+slack
+}
+
+// Input is all that a plan depends on.
+type Input struct {
+	Machines []Machine
+	Demands  []Demand
+	Teams    []Team
+	Weights  Weights
+}
+
+// Assignment places a task.
+type Assignment struct {
+	Demand  int // index into Input.Demands
+	Task    int32
+	Machine int // index into Input.Machines
+}
+
+// Preemption stops victims to keep room for a demand.
+type Preemption struct {
+	Demand  int
+	Machine int
+	Victims []int // ids
+}
+
+// Plan is the outcome.
+type Plan struct {
+	Assign  []Assignment
+	Preempt []Preemption
+	// Short counts, per demand, the tasks that found no machine although their
+	// team has room for them.
+	Short []int
+	// Limited: the team's limit stood in the way of the demand.
+	Limited []bool
+}
+
+// Length is the vector's squared length for placing d on m.
+func Length(w *Weights, m *Machine, d *Demand) float64 {
+	sq := func(x float64) float64 { return x * x }
+	l := sq(w.Queue*float64(m.Queue)) + sq(w.Jobs*float64(m.Jobs))
+	if m.Total.CPUs > 0 {
+		l += sq(w.CPU * 100 * (1 - m.Free.CPUs/m.Total.CPUs))
+	}
+	if !slices.Contains(m.Images, d.Image) {
+		l += sq(w.Image)
+	}
+	if d.Shape == job.Service {
+		l += sq(w.SameZone) * float64(d.InZone[m.Zone])
+	} else if d.LastMachine != m.ID {
+		l += sq(w.Sticky)
+	}
+	if m.Unreliable {
+		l += sq(w.Unreliable)
+	}
+	if m.Jobs == 0 {
+		l += sq(w.Empty)
+	}
+	return l
+}
+
+type planner struct {
+	Input
+	plan Plan
+}
+
+// Make makes a plan.
+func Make(in Input) Plan {
+	p := &planner{Input: in}
+	p.plan.Short = make([]int, len(in.Demands))
+	p.plan.Limited = make([]bool, len(in.Demands))
+	order := make([]int, len(in.Demands))
+	for i := range order {
+		order[i] = i
+	}
+	inside := make([]bool, len(in.Demands))
+	for i := range in.Demands {
+		d := &in.Demands[i]
+		if d.Team >= 0 {
+			inside[i] = in.Teams[d.Team].within(d.Need)
+		}
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		x, y := &in.Demands[order[a]], &in.Demands[order[b]]
+		if x.Rank != y.Rank {
+			return x.Rank > y.Rank
+		}
+		if inside[order[a]] != inside[order[b]] {
+			return inside[order[a]]
+		}
+		if x.LatestStart != y.LatestStart {
+			return x.LatestStart < y.LatestStart
+		}
+		return x.ID < y.ID
+	})
+	for _, i := range order {
+		if in.Demands[i].Shape == job.Gang {
+			p.gang(i)
+		} else {
+			p.tasks(i)
+		}
+	}
+	return p.plan
+}
+
+// allowed holds the conditions that no length can outweigh.
+func (p *planner) allowed(m *Machine, d *Demand) bool {
+	return (d.TypeOK == nil || d.TypeOK[m.Type]) && (d.Zone < 0 || d.Zone == m.Zone) &&
+		(d.Spot || !m.Spot) && p.zoneOK(d, m.Zone)
+}
+
+func (p *planner) zoneOK(d *Demand, zone int) bool {
+	if d.Spread && d.InZone[zone] >= (d.Total+1)/2 {
+		return false
+	}
+	if d.OneZone {
+		for z, n := range d.InZone {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func free(m *Machine, d *Demand) Amount {
+	if m.KeptFor != 0 && m.KeptFor != d.ID {
+		return m.Free.plus(m.Kept, -1)
+	}
+	return m.Free
+}
+
+func (p *planner) best(d *Demand, task int32, zone int) int {
+	best, length := -1, math.Inf(1)
+	for i := range p.Machines {
+		m := &p.Machines[i]
+		if (zone >= 0 && m.Zone != zone) || !free(m, d).Fits(d.Need) || !p.allowed(m, d) || m.Exits[Task{d.ID, task}] {
+			continue
+		}
+		if l := Length(&p.Weights, m, d); l < length {
+			best, length = i, l
+		}
+	}
+	return best
+}
+
+// take debits a placement, so that a burst does not pile up on one machine.
+func (p *planner) take(d *Demand, i int, k float64) {
+	m := &p.Machines[i]
+	m.Free = m.Free.plus(d.Need, -k)
+	if m.KeptFor == d.ID && k > 0 {
+		m.Kept = m.Kept.plus(d.Need, -1)
+		if m.Kept.CPUs < slack && m.Kept.GPUs < slack && m.Kept.MemGB < slack {
+			m.KeptFor, m.Kept = 0, Amount{}
+		}
+	}
+	m.Jobs += int(k)
+	m.Queue += int(k)
+	d.InZone[m.Zone] += int(k)
+	if d.Team >= 0 {
+		t := &p.Teams[d.Team]
+		t.Used = t.Used.plus(d.Need, k)
+	}
+}
+
+func (p *planner) tasks(i int) {
+	d := &p.Demands[i]
+	zone := d.Zone
+	if d.OneZone && zone < 0 {
+		zone = p.roomiest(d)
+	}
+	for n, t := range d.Pending {
+		if d.Team >= 0 && !p.Teams[d.Team].room(d.Need) {
+			p.plan.Limited[i] = true
+			return
+		}
+		m := p.best(d, t, zone)
+		if m < 0 {
+			p.plan.Short[i] = p.within(d, len(d.Pending)-n)
+			if d.Preempts {
+				for range max(0, p.plan.Short[i]-p.keptFor(d)) {
+					if !p.preempt(i) {
+						break
+					}
+				}
+			}
+			return
+		}
+		p.take(d, m, 1)
+		p.plan.Assign = append(p.plan.Assign, Assignment{i, t, m})
+	}
+}
+
+// within cuts a number of waiting tasks to what the team's limit lets run.
+func (p *planner) within(d *Demand, n int) int {
+	if d.Team < 0 {
+		return n
+	}
+	t := &p.Teams[d.Team]
+	left := Amount{math.Inf(1), math.Inf(1), math.Inf(1)}
+	if t.Limit.CPUs > 0 {
+		left.CPUs = t.Limit.CPUs - t.Used.CPUs
+	}
+	if t.Limit.GPUs > 0 {
+		left.GPUs = t.Limit.GPUs - t.Used.GPUs
+	}
+	return min(n, left.Times(d.Need))
+}
+
+// roomiest is the zone in which most tasks of the demand fit.
+func (p *planner) roomiest(d *Demand) int {
+	fit := make([]int, len(d.InZone))
+	for i := range p.Machines {
+		m := &p.Machines[i]
+		if p.allowed(m, d) {
+			fit[m.Zone] += free(m, d).Times(d.Need)
+		}
+	}
+	for z, n := range d.InZone {
+		if n > 0 {
+			return z
+		}
+	}
+	best := 0
+	for z, n := range fit {
+		if n > fit[best] {
+			best = z
+		}
+	}
+	return best
+}
+
+// gang places all pending members or none.
+func (p *planner) gang(i int) {
+	d := &p.Demands[i]
+	zones := []int{-1}
+	if d.OneZone {
+		zones = zones[:0]
+		for z := range d.InZone {
+			zones = append(zones, z)
+		}
+	}
+	var best []Assignment
+	length := math.Inf(1)
+	for _, z := range zones {
+		if set, l, ok := p.tryGang(i, z); ok && l < length {
+			best, length = set, l
+		}
+	}
+	if best == nil {
+		if d.Team >= 0 {
+			t := &p.Teams[d.Team]
+			all := Amount{}.plus(d.Need, float64(len(d.Pending)))
+			if !t.room(all) {
+				p.plan.Limited[i] = true
+				return
+			}
+		}
+		p.plan.Short[i] = len(d.Pending)
+		if d.Preempts && p.keptFor(d) == 0 {
+			p.preemptGang(i, zones)
+		}
+		return
+	}
+	for _, a := range best {
+		p.take(d, a.Machine, 1)
+	}
+	p.plan.Assign = append(p.plan.Assign, best...)
+}
+
+func (p *planner) tryGang(i, zone int) (set []Assignment, length float64, ok bool) {
+	d := &p.Demands[i]
+	kept := slices.Clone(p.Machines)
+	defer func() {
+		for _, a := range set {
+			p.take(d, a.Machine, -1)
+		}
+		p.Machines = kept
+	}()
+	for _, t := range d.Pending {
+		if d.Team >= 0 && !p.Teams[d.Team].room(d.Need) {
+			return set, 0, false
+		}
+		m := p.best(d, t, zone)
+		if m < 0 {
+			return set, 0, false
+		}
+		length += Length(&p.Weights, &p.Machines[m], d)
+		p.take(d, m, 1)
+		set = append(set, Assignment{i, t, m})
+	}
+	return set, length, true
+}
+
+// may reports whether a demand may stop a victim: lower rank, or borrowed work
+// of another team when the demand is within its own team's guarantee.
+func (p *planner) may(d *Demand, v *Victim) bool {
+	if v.Rank < d.Rank {
+		return true
+	}
+	return d.Team >= 0 && v.Team >= 0 && v.Team != d.Team &&
+		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows()
+}
+
+// keptFor counts the machines on which room is being made for the demand.
+func (p *planner) keptFor(d *Demand) (n int) {
+	for i := range p.Machines {
+		if p.Machines[i].KeptFor == d.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// preempt keeps room for one task of the demand on the machine where that
+// throws away the least work.
+func (p *planner) preempt(i int) bool { return p.preemptIn(i, -1) }
+
+func (p *planner) preemptIn(i, zone int) bool {
+	d := &p.Demands[i]
+	best, loss := -1, math.Inf(1)
+	var victims []int
+	for mi := range p.Machines {
+		m := &p.Machines[mi]
+		if (zone >= 0 && m.Zone != zone) || m.KeptFor != 0 || m.Unreliable || !p.allowed(m, d) || !m.Total.Fits(d.Need) {
+			continue
+		}
+		room, sum := m.Free, 0.0
+		var ids []int
+		vs := slices.Clone(m.Victims)
+		sort.SliceStable(vs, func(a, b int) bool {
+			if vs[a].Rank != vs[b].Rank {
+				return vs[a].Rank < vs[b].Rank
+			}
+			return vs[a].Loss < vs[b].Loss
+		})
+		for _, v := range vs {
+			if room.Fits(d.Need) {
+				break
+			}
+			if !p.may(d, &v) {
+				continue
+			}
+			room = room.plus(v.Need, 1)
+			sum += v.Loss
+			ids = append(ids, v.ID)
+		}
+		if room.Fits(d.Need) && sum < loss {
+			best, loss, victims = mi, sum, ids
+		}
+	}
+	if best < 0 || len(victims) == 0 {
+		return false
+	}
+	m := &p.Machines[best]
+	m.KeptFor, m.Kept = d.ID, d.Need
+	m.Victims = slices.DeleteFunc(slices.Clone(m.Victims), func(v Victim) bool { return slices.Contains(victims, v.ID) })
+	p.plan.Preempt = append(p.plan.Preempt, Preemption{i, best, victims})
+	return true
+}
+
+// preemptGang stops work for a gang only where that makes room for all of it.
+func (p *planner) preemptGang(i int, zones []int) {
+	d := &p.Demands[i]
+	for _, z := range zones {
+		kept, planned := slices.Clone(p.Machines), len(p.plan.Preempt)
+		need := 0
+		for range d.Pending {
+			if m := p.best(d, -1, z); m >= 0 {
+				mm := &p.Machines[m]
+				mm.Free = mm.Free.plus(d.Need, -1)
+				continue
+			}
+			need++
+		}
+		ok := true
+		for range need {
+			if !p.preemptIn(i, z) {
+				ok = false
+				break
+			}
+		}
+		if ok {
+			return
+		}
+		p.Machines, p.plan.Preempt = kept, p.plan.Preempt[:planned]
+	}
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,133 @@
+package place
+
+import (
+	"reflect"
+	"testing"
+
+	"vetchstream/internal/job"
+)
+
+func machine(id, zone int, cpus float64) Machine {
+	a := Amount{CPUs: cpus, MemGB: 4 * cpus}
+	return Machine{ID: id, Zone: zone, Total: a, Free: a}
+}
+
+func demand(id int, shape job.Shape, cpus float64, pending ...int32) Demand {
+	return Demand{ID: id, Shape: shape, Need: Amount{CPUs: cpus, MemGB: 1}, Zone: -1, LastMachine: -1, Total: len(pending),
+		Pending: pending, InZone: make([]int, 3), Spot: true}
+}
+
+var paper = Weights{Queue: 13, Jobs: 7, CPU: 1, Image: 150, Sticky: 100, SameZone: 100, Unreliable: 400}
+
+func TestMake(t *testing.T) {
+	with := func(d Demand, f func(*Demand)) Demand { f(&d); return d }
+	mwith := func(m Machine, f func(*Machine)) Machine { f(&m); return m }
+	open := []Team{{}}
+	tests := []struct {
+		name  string
+		in    Input
+		want  map[int32]int // task of demand 0 -> machine
+		short []int
+	}{
+		{"the least loaded machine", Input{Machines: []Machine{
+			mwith(machine(0, 0, 8), func(m *Machine) { m.Queue, m.Jobs = 2, 2 }), machine(1, 0, 8)},
+			Demands: []Demand{demand(1, job.Array, 1, 0)}}, map[int32]int{0: 1}, []int{0}},
+		{"a cached image outweighs a few jobs", Input{Machines: []Machine{
+			mwith(machine(0, 0, 8), func(m *Machine) { m.Jobs, m.Images = 3, []int{0} }), mwith(machine(1, 0, 8), func(m *Machine) { m.Images = []int{5} })},
+			Demands: []Demand{demand(1, job.Array, 1, 0)}}, map[int32]int{0: 0}, []int{0}},
+		{"a burst is spread, because placements are debited", Input{Machines: []Machine{machine(0, 0, 8), machine(1, 0, 8)},
+			Demands: []Demand{demand(1, job.Array, 1, 0, 1)}}, map[int32]int{0: 0, 1: 1}, []int{0}},
+		{"no spot machine for a job that does not allow it", Input{Machines: []Machine{mwith(machine(0, 0, 8), func(m *Machine) { m.Spot = true })},
+			Demands: []Demand{with(demand(1, job.Array, 1, 0), func(d *Demand) { d.Spot = false })}}, map[int32]int{}, []int{1}},
+		{"only allowed types", Input{Machines: []Machine{machine(0, 0, 8), mwith(machine(1, 0, 8), func(m *Machine) { m.Type = 1; m.Jobs = 5 })},
+			Demands: []Demand{with(demand(1, job.Array, 1, 0), func(d *Demand) { d.TypeOK = []bool{false, true} })}}, map[int32]int{0: 1}, []int{0}},
+		{"one zone holds for tasks that may still run", Input{Machines: []Machine{machine(0, 0, 8), machine(1, 1, 8)},
+			Demands: []Demand{with(demand(1, job.Array, 1, 1), func(d *Demand) { d.OneZone, d.InZone = true, []int{0, 1, 0} })}}, map[int32]int{1: 1}, []int{0}},
+		{"at most half in one zone", Input{Machines: []Machine{machine(0, 0, 8), machine(1, 1, 2)},
+			Demands: []Demand{with(demand(1, job.Service, 1, 0, 1, 2, 3, 4), func(d *Demand) { d.Spread = true })}},
+			map[int32]int{0: 0, 1: 1, 2: 0, 3: 1, 4: 0}, []int{0}},
+		{"a gang is placed whole or not at all", Input{Machines: []Machine{machine(0, 0, 4), machine(1, 1, 4)},
+			Demands: []Demand{demand(1, job.Gang, 4, 0, 1, 2)}}, map[int32]int{}, []int{3}},
+		{"a gang in one zone takes the zone with room", Input{Machines: []Machine{machine(0, 0, 4), machine(1, 1, 8)},
+			Demands: []Demand{with(demand(1, job.Gang, 4, 0, 1), func(d *Demand) { d.OneZone = true })}}, map[int32]int{0: 1, 1: 1}, []int{0}},
+		{"a team stays below its limit", Input{Machines: []Machine{machine(0, 0, 8)},
+			Teams:   []Team{{Limit: Amount{CPUs: 3}, Used: Amount{CPUs: 1}}},
+			Demands: []Demand{demand(1, job.Array, 1, 0, 1, 2, 3)}}, map[int32]int{0: 0, 1: 0}, []int{0}},
+		{"a gang over its team's limit rents nothing", Input{Machines: []Machine{machine(0, 0, 8)},
+			Teams:   []Team{{Limit: Amount{CPUs: 3}, Used: Amount{CPUs: 1}}},
+			Demands: []Demand{demand(1, job.Gang, 1.5, 0, 1)}}, map[int32]int{}, []int{0}},
+		{"room kept for another job is not taken", Input{Machines: []Machine{mwith(machine(0, 0, 8), func(m *Machine) { m.KeptFor, m.Kept = 9, Amount{CPUs: 7.5} })},
+			Demands: []Demand{demand(1, job.Array, 1, 0)}}, map[int32]int{}, []int{1}},
+		{"a machine that still reports the task's exit is passed over", Input{Machines: []Machine{
+			mwith(machine(0, 0, 8), func(m *Machine) { m.Exits = map[Task]bool{{1, 0}: true} })},
+			Demands: []Demand{demand(1, job.Array, 1, 0)}}, map[int32]int{}, []int{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tt.in.Weights = paper
+			if tt.in.Teams == nil {
+				tt.in.Teams = open
+			}
+			p := Make(tt.in)
+			got := map[int32]int{}
+			for _, a := range p.Assign {
+				got[a.Task] = tt.in.Machines[a.Machine].ID
+			}
+			if !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("assigned %v, want %v", got, tt.want)
+			}
+			if !reflect.DeepEqual(p.Short, tt.short) {
+				t.Errorf("short %v, want %v", p.Short, tt.short)
+			}
+		})
+	}
+}
+
+func TestPreempt(t *testing.T) {
+	base := func() Input {
+		m := machine(0, 0, 8)
+		m.Free = Amount{CPUs: 1, MemGB: 30}
+		m.Victims = []Victim{
+			{ID: 0, Rank: job.Standard, Team: 1, Need: Amount{CPUs: 4}, Loss: 40},
+			{ID: 1, Rank: job.Standard, Team: 1, Need: Amount{CPUs: 3}, Loss: 5},
+		}
+		d := demand(1, job.Gang, 4, 0)
+		d.Rank, d.Preempts = job.Urgent, true
+		return Input{Machines: []Machine{m}, Demands: []Demand{d}, Teams: []Team{{}, {Used: Amount{CPUs: 7}}}, Weights: paper}
+	}
+	tests := []struct {
+		name string
+		edit func(*Input)
+		want []int
+	}{
+		{"the cheapest victims that make room", func(*Input) {}, []int{1}},
+		{"not the same rank", func(in *Input) { in.Demands[0].Rank = job.Standard }, nil},
+		{"borrowed work yields to a guarantee", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 2}
+		}, []int{1}},
+		{"guaranteed work does not yield to a guarantee", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 7}
+		}, nil},
+		{"nothing is stopped twice for one demand", func(in *Input) {
+			in.Machines[0].KeptFor, in.Machines[0].Kept = 1, Amount{CPUs: 4}
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			in := base()
+			tt.edit(&in)
+			p := Make(in)
+			var got []int
+			for _, e := range p.Preempt {
+				got = append(got, e.Victims...)
+			}
+			if !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("stopped %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,249 @@
+// Package state is the client of the state service: keys, transactions, leases
+// and watches, within the request and write budgets of the settings.
+package state
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"vetchstream/internal/wire"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
+var (
+	// ErrNotFound: there is no such key or lease.
+	ErrNotFound = errors.New("not found")
+	// ErrRefused: the request was certainly not executed.
+	ErrRefused = errors.New("state service refused")
+	// ErrUnknown: no clear answer came; the request may be executed now or later.
+	ErrUnknown = errors.New("state service did not answer")
+	// ErrConflict: a condition of the transaction does not hold.
+	ErrConflict = errors.New("condition failed")
+)
+
+// Entry is a key with its value.
+type Entry struct {
+	Key     string   `codec:"key"`
+	Value   wire.Raw `codec:"data"`
+	Version uint64   `codec:"stamp"`
+	Lease   uint64   `codec:"tenure"`
+}
+
+// Cond is a condition of a transaction; version 0 means that the key is absent.
+type Cond struct {
+	Key     string `codec:"key"`
+	Version uint64 `codec:"stamp"`
+}
+
+// Write is a put or a delete.
+type Write struct {
+	Put    string   `codec:"put,omitempty"`
+	Value  wire.Raw `codec:"data,omitempty"`
+	Lease  uint64   `codec:"tenure,omitempty"`
+	Delete string   `codec:"drop,omitempty"`
+}
+
+// Put makes a write that stores v under key.
+func Put(key string, v any) (Write, error) {
+	b, err := wire.Marshal(v)
+	if err != nil {
+		return Write{}, err
+	}
+	return Write{Put: key, Value: b}, nil
+}
+
+// Txn is a transaction.
+type Txn struct {
+	If     []Cond  `codec:"if"`
+	Writes []Write `codec:"writes"`
+}
+
+// Client talks to the state service.
+type Client struct {
+	base   string
+	http   *http.Client
+	watch  *http.Client
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+// Budget is this node's share of the service's limits.
+type Budget struct{ RPS, WriteRPS float64 }
+
+// New makes a client for the service at addr.
+func New(addr string, dial DialFunc, b Budget) *Client {
+	tr := func(n int) *http.Transport {
+		return &http.Transport{DialContext: dial, MaxConnsPerHost: n, MaxIdleConnsPerHost: n,
+			IdleConnTimeout: 30 * time.Second, DisableCompression: true}
+	}
+	return &Client{
+		base:   "http://" + addr,
+		http:   &http.Client{Transport: tr(12)},
+		watch:  &http.Client{Transport: tr(2)},
+		reads:  rate.NewLimiter(rate.Limit(b.RPS), max(1, int(b.RPS/2))),
+		writes: rate.NewLimiter(rate.Limit(b.WriteRPS), max(12, int(b.WriteRPS/2))),
+	}
+}
+
+// callTimeout bounds every call but watches. It is short, so that a held-back
+// packet costs one retry and not the leader's lease.
+const callTimeout = 1200 * time.Millisecond
+
+func (c *Client) do(ctx context.Context, hc *http.Client, method, path string, body, out any, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var rd io.Reader
+	if body != nil {
+		b, err := wire.Marshal(body)
+		if err != nil {
+			return err
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return fmt.Errorf("state request: %w", err)
+	}
+	// Never repeated by the transport itself: a commit that was sent twice is
+	// for the caller to settle.
+	req.GetBody = nil
+	if body != nil {
+		req.Header.Set("Content-Type", wire.ContentType)
+	}
+	res, err := hc.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, 8<<20))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		if out == nil {
+			return nil
+		}
+		return wire.Unmarshal(b, out)
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: status %d", ErrRefused, res.StatusCode)
+	case http.StatusGone:
+		return errGone
+	default:
+		return fmt.Errorf("state service: status %d: %s %s", res.StatusCode, method, path)
+	}
+}
+
+var errGone = errors.New("history is gone")
+
+// Get reads a key afresh.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var e Entry
+	if err := c.reads.Wait(ctx); err != nil {
+		return e, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	err := c.do(ctx, c.http, http.MethodGet, "/kv/"+key, nil, &e, callTimeout)
+	return e, err
+}
+
+// List reads every key below a prefix, and the revision of the first page: a
+// watch after it misses nothing.
+func (c *Client) List(ctx context.Context, under string) (all []Entry, epoch uint64, err error) {
+	after := ""
+	for {
+		if err := c.reads.Wait(ctx); err != nil {
+			return nil, 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		q := url.Values{"under": {under}, "page": {"500"}}
+		if after != "" {
+			q.Set("after", after)
+		}
+		var page struct {
+			Entries []Entry `codec:"entries"`
+			More    bool    `codec:"more"`
+			Epoch   uint64  `codec:"epoch"`
+		}
+		if err := c.do(ctx, c.http, http.MethodGet, "/kv?"+q.Encode(), nil, &page, 3*time.Second); err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			epoch = page.Epoch
+		}
+		all = append(all, page.Entries...)
+		if !page.More || len(page.Entries) == 0 {
+			return all, epoch, nil
+		}
+		after = page.Entries[len(page.Entries)-1].Key
+	}
+}
+
+// Commit runs a transaction once and returns the revision of its changes.
+func (c *Client) Commit(ctx context.Context, t Txn) (uint64, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if n := len(t.Writes); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+	}
+	if t.If == nil {
+		t.If = []Cond{}
+	}
+	if t.Writes == nil {
+		t.Writes = []Write{}
+	}
+	var out struct {
+		Epoch uint64 `codec:"epoch"`
+	}
+	err := c.do(ctx, c.http, http.MethodPost, "/commit", t, &out, callTimeout)
+	return out.Epoch, err
+}
+
+// Grant opens a lease. Leases are never held up by the budget: everything else
+// depends on them.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var out struct {
+		Lease uint64 `codec:"tenure"`
+	}
+	err := c.do(ctx, c.http, http.MethodPost, "/leases", map[string]int64{"ttl_ms": ttl.Milliseconds()}, &out, callTimeout)
+	return out.Lease, err
+}
+
+// Extend renews a lease; ErrNotFound means that it has ended.
+func (c *Client) Extend(ctx context.Context, lease uint64) error {
+	return c.do(ctx, c.http, http.MethodPost, "/leases/"+strconv.FormatUint(lease, 10)+"/extend", struct{}{}, nil, callTimeout)
+}
+
+// Revoke ends a lease.
+func (c *Client) Revoke(ctx context.Context, lease uint64) error {
+	return c.do(ctx, c.http, http.MethodDelete, "/leases/"+strconv.FormatUint(lease, 10), nil, nil, callTimeout)
+}
+
+// Watch waits until a key below the prefix has changed after the revision, or
+// the time is over. The caller reads the keys again in either case.
+func (c *Client) Watch(ctx context.Context, under string, after uint64, wait time.Duration) error {
+	q := url.Values{"under": {under}, "after": {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	err := c.do(ctx, c.watch, http.MethodGet, "/changes?"+q.Encode(), nil, nil, wait+callTimeout)
+	if errors.Is(err, errGone) {
+		return nil
+	}
+	return err
+}
