--- /dev/null
+++ b/internal/node/net_test.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// simNet is a network in memory with cuts. Packets that meet a cut are held and
+// delivered in order once it ends, even when the sender has closed meanwhile.
+type simNet struct {
+	mu        sync.Mutex
+	listeners map[string]*simListener
+	conns     map[*simConn]bool
+	cut       func(from, to string) bool
+}
+
+func newSimNet() *simNet {
+	return &simNet{listeners: map[string]*simListener{}, conns: map[*simConn]bool{}, cut: func(string, string) bool { return false }}
+}
+
+func (n *simNet) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut(from, to) || n.cut(to, from)
+}
+
+func (n *simNet) setCut(f func(from, to string) bool) {
+	n.mu.Lock()
+	n.cut = f
+	n.mu.Unlock()
+}
+
+type simListener struct {
+	n     *simNet
+	addr  string
+	ch    chan net.Conn
+	once  sync.Once
+	ended chan struct{}
+}
+
+type simAddr string
+
+func (a simAddr) Network() string { return "sim" }
+func (a simAddr) String() string  { return string(a) }
+
+func (l *simListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.ch:
+		return c, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *simListener) Close() error {
+	l.once.Do(func() {
+		close(l.ended)
+		l.n.mu.Lock()
+		if l.n.listeners[l.addr] == l {
+			delete(l.n.listeners, l.addr)
+		}
+		l.n.mu.Unlock()
+	})
+	return nil
+}
+
+func (l *simListener) Addr() net.Addr { return simAddr(l.addr) }
+
+func (n *simNet) listen(addr string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[addr] != nil {
+		return nil, errors.New("address in use")
+	}
+	l := &simListener{n: n, addr: addr, ch: make(chan net.Conn, 64), ended: make(chan struct{})}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+// simConn is one end; out carries what it writes to the other end's pump.
+type simConn struct {
+	net.Conn
+	from, to string
+	stop     func()
+}
+
+func (c *simConn) RemoteAddr() net.Addr { return simAddr(c.to) }
+func (c *simConn) LocalAddr() net.Addr  { return simAddr(c.from) }
+
+const simDelay = 2 * time.Millisecond
+
+func (n *simNet) dialer(from string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		to, _, _ := net.SplitHostPort(addr)
+		for n.isCut(from, to) {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		n.mu.Lock()
+		l := n.listeners[addr]
+		n.mu.Unlock()
+		if l == nil {
+			return nil, errors.New("connection refused")
+		}
+		a, ap := net.Pipe()
+		bp, b := net.Pipe()
+		ca, cb := &simConn{Conn: a, from: from + ":1", to: addr}, &simConn{Conn: b, from: addr, to: from + ":1"}
+		dead := make(chan struct{})
+		var once sync.Once
+		reset := func() {
+			once.Do(func() {
+				close(dead)
+				for _, c := range []net.Conn{a, ap, bp, b} {
+					_ = c.Close()
+				}
+				n.mu.Lock()
+				delete(n.conns, ca)
+				n.mu.Unlock()
+			})
+		}
+		ca.stop, cb.stop = reset, reset
+		n.mu.Lock()
+		n.conns[ca] = true
+		n.mu.Unlock()
+		go n.pump(ap, bp, from, to, dead)
+		go n.pump(bp, ap, to, from, dead)
+		select {
+		case l.ch <- cb:
+		case <-l.ended:
+			reset()
+			return nil, errors.New("connection refused")
+		}
+		return ca, nil
+	}
+}
+
+type packet struct {
+	at time.Time
+	b  []byte
+}
+
+func (n *simNet) pump(src, dst net.Conn, from, to string, dead chan struct{}) {
+	q := make(chan packet, 4096)
+	go func() {
+		defer close(q)
+		buf := make([]byte, 32<<10)
+		for {
+			k, err := src.Read(buf)
+			if k > 0 {
+				select {
+				case q <- packet{time.Now().Add(simDelay), append([]byte(nil), buf[:k]...)}:
+				case <-dead:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for p := range q {
+		time.Sleep(time.Until(p.at))
+		for n.isCut(from, to) {
+			select {
+			case <-dead:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		if _, err := dst.Write(p.b); err != nil {
+			break
+		}
+	}
+	_ = dst.Close()
+}
+
+// reset breaks every connection of a host, as when its process ends.
+func (n *simNet) reset(match func(from, to string) bool) {
+	n.mu.Lock()
+	var hit []*simConn
+	for c := range n.conns {
+		f, _, _ := net.SplitHostPort(c.from)
+		t, _, _ := net.SplitHostPort(c.to)
+		if match(f, t) || match(t, f) {
+			hit = append(hit, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range hit {
+		c.stop()
+	}
+}
--- /dev/null
+++ b/internal/node/sim_test.go
@@ -0,0 +1,514 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+func settings(t *testing.T, i int) *config.Settings {
+	t.Helper()
+	text := fmt.Sprintf("member = \"n%d\"\nsite = \"a\"\nlisten = \"n%d:80\"\npeer_listen = \"n%d:81\"\n", i, i, i)
+	for j := range 3 {
+		if j != i {
+			text += fmt.Sprintf("[[siblings]]\nmember = \"n%d\"\nsite = \"b\"\naddress = \"n%d:81\"\n", j, j)
+		}
+	}
+	text += `
+[outside]
+cloud = "cloud:1"
+state = "state:1"
+[facts]
+nodes = 3
+zones = ["a", "b", "c"]
+skew_ms = 100.0
+[[facts.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 14.0
+[[facts.teams]]
+name = "blue"
+[facts.workers]
+report_s = 2.0
+lease_s = 10.0
+gang_wait_s = 20.0
+gang_peer_s = 6.0
+cancel_s = 25.0
+[facts.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 16.0
+txn_ops = 12
+[facts.cloud]
+rps = 5.0
+list_lag_s = 4.0
+[facts.resources]
+core_share = 0.2
+ram_mb = 100.0
+max_sockets = 800
+`
+	s, err := config.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+type sim struct {
+	*world
+	t     *testing.T
+	nodes [3]context.CancelFunc
+	ended [3]chan struct{}
+	cuts  map[string]func(from, to string) bool
+}
+
+func (s *sim) startNode(i int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	tun, err := config.LoadTuning("")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	dial := s.net.dialer(fmt.Sprintf("n%d", i))
+	nw := Net{Listen: s.net.listen, Dial: func(c context.Context, network, addr string) (net.Conn, error) {
+		if ctx.Err() != nil {
+			return nil, ctx.Err() // a killed process sends nothing more
+		}
+		return dial(c, network, addr)
+	}}
+	set := settings(s.t, i)
+	ended := make(chan struct{})
+	s.nodes[i], s.ended[i] = cancel, ended
+	go func() {
+		defer close(ended)
+		_ = Run(ctx, set, tun, nw, slog.New(slog.DiscardHandler))
+	}()
+}
+
+func (s *sim) kill(i int) {
+	s.nodes[i]()
+	name := fmt.Sprintf("n%d", i)
+	s.net.reset(func(f, _ string) bool { return f == name })
+	<-s.ended[i]
+}
+
+func (s *sim) leader() int {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	var h struct {
+		Member string `codec:"member"`
+	}
+	if e, ok := s.store.kv["lead/holder"]; ok && wire.Unmarshal(e.Value, &h) == nil && len(h.Member) == 2 {
+		return int(h.Member[1] - '0')
+	}
+	return 0
+}
+
+func (s *sim) cutLinks(name string, f func(from, to string) bool) {
+	if f == nil {
+		delete(s.cuts, name)
+	} else {
+		s.cuts[name] = f
+	}
+	all := make([]func(string, string) bool, 0, len(s.cuts))
+	for _, c := range s.cuts {
+		all = append(all, c)
+	}
+	s.net.setCut(func(a, b string) bool {
+		for _, c := range all {
+			if c(a, b) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// user repeats a request until it has a clear answer, and judges the answers.
+func (s *sim) user(hc *http.Client, method, path string, body []byte, want func(status int, st wire.Status) bool) bool {
+	for try := range 90 {
+		select {
+		case <-s.end:
+			return false
+		default:
+		}
+		req, err := http.NewRequest(method, "http://"+s.ctlAddr[try%3]+path, bytes.NewReader(body))
+		if err != nil {
+			panic(err)
+		}
+		res, err := hc.Do(req)
+		if err == nil {
+			b, rerr := io.ReadAll(res.Body)
+			res.Body.Close()
+			var st wire.Status
+			if rerr == nil && (res.StatusCode != 200 && res.StatusCode != 201 || wire.Unmarshal(b, &st) == nil) && want(res.StatusCode, st) {
+				return true
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	return false
+}
+
+func (s *sim) live(spec *job.Spec, at, abort time.Duration) {
+	select {
+	case <-s.end:
+		return
+	case <-time.After(at):
+	}
+	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.dialer("user"), DisableKeepAlives: true}}
+	s.mu.Lock()
+	s.specs[spec.ID] = spec
+	s.mu.Unlock()
+	m := map[string]any{"uid": spec.ID, "breed": "c", "owner": spec.Team, "shape": spec.ShapeName, "rank": spec.RankName, "pieces": spec.Tasks,
+		"cpus": spec.CPUs, "accelerators": 0.0, "mem_gb": spec.MemGB, "reel": "i", "image_gb": 0.5, "same_place": spec.OneZone, "apart": false,
+		"loaners": spec.Spot, "guess_s": spec.EstimateS, "mark_s": spec.Checkpoint, "stash_s": spec.SaveS}
+	body, err := wire.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	if !s.user(hc, "POST", "/api/jobs", body, func(status int, _ wire.Status) bool {
+		if status == 400 || status == 422 || status == 404 {
+			s.fail("refused: %s got %d", spec.ID, status)
+		}
+		return status == 200 || status == 201
+	}) {
+		return
+	}
+	s.mu.Lock()
+	s.told[spec.ID] = "accepted"
+	s.mu.Unlock()
+	if abort > 0 {
+		time.Sleep(abort)
+		s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
+			if status == 404 {
+				s.fail("forgotten: abort of %s got 404", spec.ID)
+			}
+			if status != 200 {
+				return false
+			}
+			s.mu.Lock()
+			s.told[spec.ID] = st.Phase
+			if st.Phase == wire.JobAborted {
+				s.aborted[spec.ID] = time.Now()
+			}
+			s.mu.Unlock()
+			return true
+		})
+	}
+	final := ""
+	for range 200 {
+		if !s.user(hc, "GET", "/api/jobs/"+spec.ID, nil, func(status int, st wire.Status) bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if status == 404 {
+				s.break_("forgotten: %s got 404", spec.ID)
+			}
+			if status != 200 {
+				return false
+			}
+			if final != "" && st.Phase != final {
+				s.break_("went_back: %s was %s, is %s", spec.ID, final, st.Phase)
+			}
+			if st.Phase == wire.JobDone {
+				if n := len(s.doneSet[spec.ID]); n != spec.Tasks {
+					s.break_("not_done: %s has %d of %d tasks", spec.ID, n, spec.Tasks)
+				}
+			}
+			if st.Phase == wire.JobAborted && abort == 0 {
+				s.break_("went_back: %s was not cancelled by its user", spec.ID)
+			}
+			if st.Phase == wire.JobDone || st.Phase == wire.JobAborted {
+				final = st.Phase
+				s.told[spec.ID] = final
+			}
+			return true
+		}) {
+			return
+		}
+		select {
+		case <-s.end:
+			return
+		case <-time.After(3 * time.Second):
+		}
+	}
+}
+
+func (s *sim) fail(format string, a ...any) {
+	s.mu.Lock()
+	s.break_(format, a...)
+	s.mu.Unlock()
+}
+
+type fault struct {
+	at time.Duration
+	do func(s *sim)
+}
+
+func isWorker(h string) bool { return strings.HasPrefix(h, "w") }
+
+func (s *sim) anyWorker(r *rand.Rand, n int) (out []*worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for n := range s.workers {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for range min(n, len(names)) {
+		i := r.IntN(len(names))
+		out = append(out, s.workers[names[i]])
+		names = slices.Delete(names, i, i+1)
+	}
+	return out
+}
+
+// The faults. Each undoes itself.
+func crash(n int) func(*sim) {
+	return func(s *sim) {
+		first := s.leader()
+		for i := range n {
+			s.kill((first + i) % 3)
+		}
+		time.Sleep(5 * time.Second)
+		for i := range n {
+			s.startNode((first + i) % 3)
+		}
+	}
+}
+
+func outage(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		s.store.outage(true)
+		time.Sleep(d)
+		s.store.outage(false)
+	}
+}
+
+func refuseLeader(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		l := fmt.Sprintf("n%d", s.leader())
+		s.store.mu.Lock()
+		s.store.refuse = func(from string) bool { return from == l }
+		s.store.mu.Unlock()
+		time.Sleep(d)
+		s.store.mu.Lock()
+		s.store.refuse = func(string) bool { return false }
+		s.store.mu.Unlock()
+	}
+}
+
+func cutLeader(from func(other string) bool, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		l := fmt.Sprintf("n%d", s.leader())
+		s.cutLinks("leader", func(a, b string) bool { return a == l && from(b) })
+		time.Sleep(d)
+		s.cutLinks("leader", nil)
+	}
+}
+
+func cutWorkers(r *rand.Rand, n int, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		hit := map[string]bool{}
+		for _, k := range s.anyWorker(r, n) {
+			hit[k.host()] = true
+		}
+		s.cutLinks("workers", func(a, b string) bool { return hit[a] })
+		time.Sleep(d)
+		s.cutLinks("workers", nil)
+	}
+}
+
+func hang(r *rand.Rand, n int, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		ks := s.anyWorker(r, n)
+		s.mu.Lock()
+		for _, k := range ks {
+			k.hung = true
+		}
+		s.mu.Unlock()
+		time.Sleep(d)
+		s.mu.Lock()
+		for _, k := range ks {
+			k.hung = false
+		}
+		s.mu.Unlock()
+	}
+}
+
+func sick(r *rand.Rand) func(*sim) {
+	return func(s *sim) {
+		ks := s.anyWorker(r, 1)
+		s.mu.Lock()
+		for _, k := range ks {
+			s.faulty[k.name] = true
+		}
+		s.mu.Unlock()
+	}
+}
+
+// TestRules plays days of several controllers against the stand-ins, in
+// simulated time. The judge is the world; the numbers are those of
+// docs/safety.md that each day reaches.
+func TestRules(t *testing.T) {
+	rng := func(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+	days := []struct {
+		name   string
+		faults []fault
+	}{
+		{"quiet (10, 13, 16)", nil},
+		{"leader crashes, twice (1, 4, 5, 6, 11)", []fault{{14 * time.Second, crash(1)}, {32 * time.Second, crash(1)}}},
+		{"all controllers crash (6, 11, 13)", []fault{{20 * time.Second, crash(3)}}},
+		{"state service out, short and long (2, 17)", []fault{{12 * time.Second, outage(8 * time.Second)}, {45 * time.Second, outage(25 * time.Second)}}},
+		{"leader refused by the state service alone (2, 3, 17)", []fault{{15 * time.Second, refuseLeader(20 * time.Second)}}},
+		{"leader cut from the state service, held (2, 3)", []fault{{15 * time.Second, cutLeader(func(o string) bool { return o == "state" }, 20*time.Second)}}},
+		{"leader cut from the workers, held (7, 8, 9)", []fault{{15 * time.Second, cutLeader(isWorker, 25*time.Second)}}},
+		{"leader cut from everything, held (2, 4, 7)", []fault{{15 * time.Second, cutLeader(func(string) bool { return true }, 20*time.Second)}}},
+		{"workers cut past their lease, held (7, 8, 9)", []fault{{15 * time.Second, cutWorkers(rng(3), 3, 18*time.Second)}}},
+		{"workers hang inside and past their lease (8, 9)", []fault{{13 * time.Second, hang(rng(4), 3, 8*time.Second)}, {35 * time.Second, hang(rng(5), 3, 20*time.Second)}}},
+		{"workers cut while the leader changes (4, 6, 9, 15)", []fault{{14 * time.Second, cutWorkers(rng(6), 3, 20*time.Second)}, {16 * time.Second, crash(1)}}},
+		{"workers hang while all controllers crash (6, 8)", []fault{{14 * time.Second, hang(rng(7), 3, 9*time.Second)}, {15 * time.Second, crash(3)}}},
+		{"a machine that fails everything (12)", []fault{{12 * time.Second, sick(rng(8))}}},
+	}
+	for seed := range uint64(4) {
+		r := rng(100 + seed)
+		var fs []fault
+		pick := []func() func(*sim){
+			func() func(*sim) { return crash(1 + r.IntN(3)) },
+			func() func(*sim) { return cutWorkers(r, 2, time.Duration(5+r.IntN(15))*time.Second) },
+			func() func(*sim) { return hang(r, 2, time.Duration(5+r.IntN(10))*time.Second) },
+			func() func(*sim) { return cutLeader(isWorker, 12*time.Second) },
+		}
+		for at := 10; at < 60; at += 8 + r.IntN(8) {
+			fs = append(fs, fault{time.Duration(at) * time.Second, pick[int(seed+uint64(len(fs)))%len(pick)]()})
+		}
+		days = append(days, struct {
+			name   string
+			faults []fault
+		}{fmt.Sprintf("storm %d", seed), fs})
+	}
+	for _, day := range days {
+		t.Run(day.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playDay(t, day.faults) })
+		})
+	}
+}
+
+func playDay(t *testing.T, faults []fault) {
+	n := newSimNet()
+	w := &world{net: n, store: newStore(), specs: map[string]*job.Spec{}, workers: map[string]*worker{}, hires: map[string][]string{},
+		told: map[string]string{}, aborted: map[string]time.Time{}, doneSet: map[string]map[int32]bool{}, faulty: map[string]bool{},
+		lease: 10 * time.Second, cancel: 25 * time.Second, limit: map[string]float64{"red": 14},
+		ctlAddr: []string{"n0:80", "n1:80", "n2:80"}, end: make(chan struct{})}
+	s := &sim{world: w, t: t, cuts: map[string]func(string, string) bool{}}
+	var servers []*http.Server
+	for addr, h := range map[string]http.Handler{"state:1": w.store, "cloud:1": w} {
+		l, err := n.listen(addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := &http.Server{Handler: h}
+		servers = append(servers, srv)
+		go func() { _ = srv.Serve(l) }()
+	}
+	w.mu.Lock()
+	w.boot("large", "a", false, 0)
+	w.boot("small", "b", false, 0)
+	w.boot("small", "c", true, 0)
+	w.mu.Unlock()
+	for i := range 3 {
+		s.startNode(i)
+	}
+	id := 0
+	add := func(shape, team string, tasks int, cpus, secs float64, at, abort time.Duration, edit func(*job.Spec)) {
+		id++
+		sp := &job.Spec{ID: fmt.Sprintf("run-%06d", id), Team: team, ShapeName: shape, RankName: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, EstimateS: secs, Spot: true}
+		if edit != nil {
+			edit(sp)
+		}
+		w.wg.Go(func() { s.live(sp, at, abort) })
+	}
+	sec := time.Second
+	for i := range 5 {
+		at := time.Duration(1+9*i) * sec
+		add("array", "red", 12, 1, 5, at, 0, nil)
+		add("array", "blue", 10, 2, 8, at+sec, 0, func(j *job.Spec) { j.Checkpoint, j.SaveS, j.Spot = 2, 1, false })
+		add("ensemble", "blue", 3, 2, 10, at+2*sec, 0, func(j *job.Spec) { j.OneZone, j.RankName = true, "urgent" })
+		add("array", "red", 8, 2, 30, at+3*sec, 9*sec, nil)
+	}
+	add("daemon", "blue", 3, 1, 0, 2*sec, 60*sec, nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var ends []chan struct{}
+		begun := time.Now()
+		for _, f := range faults {
+			time.Sleep(f.at - time.Since(begun))
+			e := make(chan struct{})
+			ends = append(ends, e)
+			// Faults that overlap must not fight over the same processes.
+			run := func() { defer close(e); f.do(s) }
+			if len(faults) > 2 {
+				run()
+			} else {
+				go run()
+			}
+		}
+		for _, e := range ends {
+			<-e
+		}
+	}()
+	time.Sleep(100 * sec)
+	<-done
+	for range 150 {
+		time.Sleep(2 * sec)
+		if s.settled() == 0 {
+			break
+		}
+	}
+	left := s.settled()
+	close(w.end)
+	for i := range 3 {
+		s.kill(i)
+	}
+	for _, srv := range servers {
+		_ = srv.Close()
+	}
+	n.reset(func(string, string) bool { return true })
+	w.wg.Wait()
+	time.Sleep(30 * sec)
+	if len(w.broken) > 0 {
+		t.Errorf("rules broken: %s", strings.Join(w.broken, "\n"))
+	}
+	if left > 0 {
+		t.Errorf("%d jobs are not over: %v", left, w.told)
+	}
+	if w.starts < 100 {
+		t.Errorf("only %d tasks were started", w.starts)
+	}
+}
+
+// settled counts the jobs whose users have not been told that they are over.
+func (s *sim) settled() (left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.specs {
+		if p := s.told[id]; p != wire.JobDone && p != wire.JobAborted {
+			left++
+		}
+	}
+	return left
+}
