--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -198,6 +198,7 @@
 		Queue      float64 `json:"queue"`
 		Jobs       float64 `json:"jobs"`
 		CPU        float64 `json:"cpu"`
+		Price      float64 `json:"price"`
 		Image      float64 `json:"image"`
 		Sticky     float64 `json:"sticky"`
 		SameZone   float64 `json:"same_zone"`
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"sort"
@@ -531,6 +532,16 @@
 	}
 }
 
+// cpuPrice is what a CPU of the type costs an hour. It is never 0, so that it
+// can be compared.
+func cpuPrice(t *wire.MachineType, spot bool) float64 {
+	p := t.Price
+	if spot {
+		p = t.SpotPrice
+	}
+	return max(p, 1e-6) / max(t.CPUs, 1e-6)
+}
+
 // maxPending bounds the tasks of one job that one plan looks at.
 const maxPending = 600
 
@@ -538,7 +549,7 @@
 func (r *reign) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
 	w := r.c.Tuning.Weights
 	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
-		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty}
+		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price}
 	for _, t := range r.c.Settings.Facts.Teams {
 		in.Teams = append(in.Teams, place.Team{
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
@@ -607,6 +618,12 @@
 	if len(in.Demands) == 0 {
 		return in, nil, nil
 	}
+	smallest, cheapest := math.Inf(1), math.Inf(1)
+	for i := range r.types {
+		t := &r.types[i]
+		smallest = min(smallest, t.CPUs)
+		cheapest = min(cheapest, cpuPrice(t, false), cpuPrice(t, true))
+	}
 	for _, h := range r.fleet.All() {
 		if !h.Usable() || h.Type >= len(r.types) {
 			continue
@@ -615,7 +632,8 @@
 		m := place.Machine{ID: h.Idx, Type: h.Type, Zone: h.Zone, Spot: h.Spot,
 			Total: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB},
 			Free:  place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB},
-			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: exits[h]}
+			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: exits[h],
+			Scale: smallest / t.CPUs, Price: cpuPrice(t, h.Spot) / cheapest}
 		for _, im := range h.Images {
 			m.Images = append(m.Images, im.Idx)
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -16,7 +16,7 @@
 
 // Weights scale the dimensions of the vector.
 type Weights struct {
-	Queue, Jobs, CPU                           float64
+	Queue, Jobs, CPU, Price                    float64
 	Image, Sticky, SameZone, Unreliable, Empty float64
 }
 
@@ -66,7 +66,12 @@
 	// Queue and Jobs are the paper's loads, with placements that no report has
 	// covered yet already in them.
 	Queue, Jobs int
-	Images      []int
+	// Scale brings Queue and Jobs to a common size: the CPUs of the smallest
+	// machine over those of this one. The paper's hosts are alike, ours are not.
+	Scale float64
+	// Price is what a CPU costs here, in multiples of the cheapest.
+	Price  float64
+	Images []int
 	// Unreliable: a task failed here recently.
 	Unreliable bool
 	// Kept is the room that is kept for the demand KeptFor (0: none).
@@ -168,7 +173,7 @@
 // Length is the vector's squared length for placing d on m.
 func Length(w *Weights, m *Machine, d *Demand) float64 {
 	sq := func(x float64) float64 { return x * x }
-	l := sq(w.Queue*float64(m.Queue)) + sq(w.Jobs*float64(m.Jobs))
+	l := sq(w.Queue*m.Scale*float64(m.Queue)) + sq(w.Jobs*m.Scale*float64(m.Jobs)) + sq(w.Price*m.Price)
 	if m.Total.CPUs > 0 {
 		l += sq(w.CPU * 100 * (1 - m.Free.CPUs/m.Total.CPUs))
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -9,7 +9,7 @@
 
 func machine(id, zone int, cpus float64) Machine {
 	a := Amount{CPUs: cpus, MemGB: 4 * cpus}
-	return Machine{ID: id, Zone: zone, Total: a, Free: a}
+	return Machine{ID: id, Zone: zone, Total: a, Free: a, Scale: 1, Price: 1}
 }
 
 func demand(id int, shape job.Shape, cpus float64, pending ...int32) Demand {
