--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -222,16 +222,21 @@
 //go:embed schema.json
 var schemaJSON []byte
 
-//go:embed defaults.json
-var defaultsJSON []byte
+// Defaults are the operators' settings where they say nothing.
+func Defaults() *Tuning {
+	t := &Tuning{LeaderLeaseMs: 3000}
+	w := &t.Weights
+	w.Queue, w.Jobs, w.CPU, w.Price = 13, 7, 1, 30
+	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
+	h := &t.Hosts
+	h.IdleBoots, h.GiveUpBoots, h.MinFill, h.PatienceS, h.SickErrors = 1, 4, 0.5, 15, 3
+	return t
+}
 
-// LoadTuning reads the operators' settings over the embedded defaults; an empty
-// path gives the defaults.
+// LoadTuning reads the operators' settings over the defaults; an empty path
+// gives the defaults.
 func LoadTuning(path string) (*Tuning, error) {
-	t := &Tuning{}
-	if err := json.Unmarshal(defaultsJSON, t); err != nil {
-		return nil, fmt.Errorf("default tuning: %w", err)
-	}
+	t := Defaults()
 	if path == "" {
 		return t, nil
 	}
