Ledger: a new session has its lease from its own begin

After a cut across a takeover a machine came back with a new session and was met by direct commands first; its lease was counted from the takeover, so tasks just launched on it were called gone and placed again. Ruled out: a release that was answered too early, a late direct command (session and term matched). Fix: meeting a new session restarts the count. Table test of the ledger added; it fails without the fix.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -307,6 +307,11 @@
 		}
 		h.Session, h.Fenced = m.Session, false
 		h.Lost = false
+		// A new session has its full lease from its own begin, which may be as late
+		// as this message, whether or not a report was ever answered in it. Counting
+		// from the last report alone would call tasks gone that a direct command has
+		// just started.
+		h.heard = now
 	}
 	h.seq, h.Spoke, h.Booting = m.Seq, now, false
 	if m.Token == f.Term {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+const term = 7
+
+// bed is a fleet with one machine and one job, driven step by step.
+type bed struct {
+	t    *testing.T
+	now  time.Time
+	f    *Fleet
+	h    *Host
+	j    *job.Job
+	sent []*Slot
+}
+
+func newBed(t *testing.T) *bed {
+	now := time.Unix(1000, 0)
+	b := &bed{t: t, now: now, f: New(term, 10*time.Second),
+		j: job.New(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "array", RankName: "standard", Tasks: 4, CPUs: 1}}, now)}
+	b.h = b.f.Add("host-1", now)
+	b.h.Known, b.h.Durable, b.h.Type, b.h.Zone = true, true, 0, 0
+	return b
+}
+
+// msg lets the worker speak; phases maps attempts of task 0 to their phases.
+func (b *bed) msg(report bool, session, seq, token uint64, phases map[uint64]string) Result {
+	m := &wire.Report{Host: "host-1", Session: session, Seq: seq, Token: token}
+	for a, p := range phases {
+		tr := wire.TaskReport{Task: "run-1/0", Attempt: a, Phase: p}
+		if p == wire.Exited {
+			tr.Cause = wire.CauseDone
+		}
+		m.Tasks = append(m.Tasks, tr)
+	}
+	return b.f.Observe(b.h, m, report, b.now, func(string) *job.Job { return b.j })
+}
+
+func (b *bed) assign(attempt uint64) { b.f.Assign(b.h, Key{b.j, 0, attempt}, b.now) }
+
+func (b *bed) compose(seq uint64, launches bool) []wire.Order {
+	o, sent, _ := b.f.Compose(b.h, seq, launches, b.now, 100)
+	b.sent = sent
+	return o
+}
+
+func (b *bed) live(want int, when string) {
+	b.t.Helper()
+	if got := b.j.Live[0]; got != want {
+		b.t.Errorf("%s: %d placements may be on a machine, want %d", when, got, want)
+	}
+}
+
+func (b *bed) orders(o []wire.Order, want string) {
+	b.t.Helper()
+	got := ""
+	for _, x := range o {
+		got += fmt.Sprintf("%s %d;", x.Op, x.Attempt)
+	}
+	if got != want {
+		b.t.Errorf("orders %q, want %q", got, want)
+	}
+}
+
+// TestLedger holds what may be on a machine through the messages that settle it.
+// The numbers are the points of docs/safety.md.
+func TestLedger(t *testing.T) {
+	run := map[uint64]string{1: wire.Running}
+	tests := []struct {
+		name string
+		do   func(b *bed)
+	}{
+		{"5: nothing is launched on a machine that is not fenced", func(b *bed) {
+			b.msg(true, 1, 1, term-1, nil)
+			b.assign(1)
+			b.orders(b.compose(1, true), "")
+			b.msg(true, 1, 2, term, nil)
+			b.orders(b.compose(2, true), "launch 1;")
+		}},
+		{"7: an older message changes nothing and its answer has no launch", func(b *bed) {
+			b.msg(true, 1, 5, term, run)
+			if r := b.msg(true, 1, 4, term, nil); r.Fresh {
+				b.t.Error("an older report is fresh")
+			}
+			b.live(1, "after an older report")
+		}},
+		{"8: a launch in an answer is settled by the next report", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(1, true)
+			b.msg(true, 1, 2, term, nil)
+			b.live(0, "after the next report")
+		}},
+		{"8: the answer to a direct command does not settle it", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(1, true)
+			b.msg(false, 1, 2, term, nil)
+			b.live(1, "after a direct answer that overtook it")
+			b.msg(true, 1, 3, term, run)
+			b.live(1, "once it is seen")
+		}},
+		{"8: an unanswered direct launch outlives reports without it", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.orders(b.compose(0, true), "launch 1;")
+			b.msg(true, 1, 2, term, nil)
+			b.msg(true, 1, 3, term, nil)
+			b.live(1, "after two reports")
+			b.msg(true, 2, 1, term, nil)
+			b.live(0, "after a new session")
+		}},
+		{"8: a direct launch that was certainly not sent is gone", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			b.f.Unsent(b.sent)
+			b.live(0, "after a refused connection")
+		}},
+		{"9: the lease ends what is on a silent machine, and not a moment earlier", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.now = b.now.Add(10 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "at the bare lease")
+			b.now = b.now.Add(600 * time.Millisecond)
+			b.f.Expire(b.now)
+			b.live(0, "after the margin")
+		}},
+		{"9: an older report renews the lease too, when a direct answer overtook it", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.now = b.now.Add(8 * time.Second)
+			b.msg(false, 1, 3, term, run)
+			b.msg(true, 1, 2, term, run)
+			b.now = b.now.Add(8 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "8 s after the overtaken report")
+		}},
+		{"9: direct answers do not renew the lease", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.now = b.now.Add(8 * time.Second)
+			b.msg(false, 1, 2, term, run)
+			b.now = b.now.Add(3 * time.Second)
+			b.f.Expire(b.now)
+			b.live(0, "11 s after the only report")
+		}},
+		{"9: a new session has its lease from its own begin", func(b *bed) {
+			b.now = b.now.Add(9 * time.Second) // after a takeover, by a direct command only
+			b.msg(false, 2, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			b.msg(false, 2, 2, term, run)
+			b.now = b.now.Add(5 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "14 s after the takeover, 5 s after the session was met")
+			b.now = b.now.Add(6 * time.Second)
+			b.f.Expire(b.now)
+			b.live(0, "11 s after the session was met")
+		}},
+		{"9: a held message of a dead session does not come back", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.now = b.now.Add(11 * time.Second)
+			b.f.Expire(b.now)
+			if r := b.msg(true, 1, 2, term, run); r.Fresh {
+				b.t.Error("a dead session is fresh")
+			}
+			b.live(0, "after a message of the dead session")
+		}},
+		{"11: clear is sent once the exit is settled", func(b *bed) {
+			r := b.msg(true, 1, 1, term, map[uint64]string{1: wire.Exited})
+			b.orders(b.compose(1, true), "")
+			r.Events[0].Slot.Settled = true
+			b.orders(b.compose(0, true), "")
+			b.orders(b.compose(1, true), "clear 1;")
+		}},
+		{"12: a released machine takes everything with it", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.f.Remove(b.h)
+			b.live(0, "after the release")
+		}},
+		{"15: nothing is launched once an abort was sent, halts are repeated", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.f.Assign(b.h, Key{b.j, 1, 1}, b.now)
+			b.j.Closing = wire.JobAborted
+			for _, s := range b.h.Slots {
+				b.f.Stop(s, 0)
+			}
+			b.orders(b.compose(1, true), "halt 1;")
+			b.orders(b.compose(1, true), "")
+			b.now = b.now.Add(2 * time.Second)
+			b.orders(b.compose(1, true), "halt 1;")
+		}},
+		{"a worker that has seen a later term deposes the leader", func(b *bed) {
+			if r := b.msg(true, 1, 1, term+1, run); !r.Deposed {
+				b.t.Error("not deposed")
+			}
+			b.live(0, "after a message of a later term")
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.do(newBed(t)) })
+	}
+}
