--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -315,6 +315,7 @@
 	r.ids[j], r.byID[r.nextID] = r.nextID, j
 	r.bind(j)
 	r.dirty = true
+	r.log.Info("job is taken in", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "estimate", j.EstimateS)
 	return j
 }
 
@@ -451,7 +452,10 @@
 		case "wait":
 			best = min(best, at+o.WithinS)
 		case "finished":
-			best = min(best, at+max(0, o.WithinS-estimate(j)))
+			// An aim that the job's own run time rules out gives no reason to hurry.
+			if o.WithinS > estimate(j) {
+				best = min(best, at+o.WithinS-estimate(j))
+			}
 		}
 	}
 	if math.IsInf(best, 1) {
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -177,6 +177,7 @@
 				cache = r.types[h.Type].CacheGB
 			}
 			h.Touch(j.ImageIdx, j.ImageGB, cache)
+			r.log.Debug("task runs", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "after", now.Sub(s.At))
 			if j.Shape == job.Gang {
 				j.GangRan = true
 			}
@@ -494,6 +495,7 @@
 			n = r.attempt()
 			attempts[j] = n
 		}
+		r.log.Debug("task is placed", "task", job.TaskName(j.ID, a.Task), "host", h.Name, "waited", now.Sub(j.WaitFrom))
 		r.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
 		j.LastHost = h.Idx
 		j.WaitFrom = now
