Blame with proof, slow machines, rentals spread over zones, no wait for a silent leader

Errors of one unproven job no longer condemn a machine; a job that has only failed is retried with two tasks; a machine on which tasks run twice as long as elsewhere is returned; equal offers are spread over zones; a leader that does not answer pings is not waited for.

--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -198,7 +198,11 @@
 		t := &r.types[o.Type]
 		shop.Coming = append(shop.Coming, hosts.Coming{Offer: o, Free: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}})
 	}
+	shop.InZone = make([]int, len(r.zones))
 	for _, h := range r.fleet.All() {
+		if h.Zone >= 0 {
+			shop.InZone[h.Zone]++
+		}
 		if !h.Releasing && h.Known && (h.Booting && now.Sub(h.Born) < 2*r.boot(h) || !h.Booting && !h.Lost && !h.Durable) {
 			coming(hosts.Offer{Type: h.Type, Zone: h.Zone, Spot: h.Spot})
 		}
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -205,7 +205,15 @@
 	case wire.CauseDone:
 		h.Errors = 0
 		clear(h.ErrorJobs)
-		j.Worked, j.Backoff = true, 0
+		if !j.Worked {
+			j.Worked, j.Backoff, j.NotBefore = true, 0, time.Time{}
+			for _, o := range r.fleet.All() {
+				if o.ErrorJobs[j] {
+					r.judge(o)
+				}
+			}
+		}
+		r.pace(s, j, h, now)
 		s.Settled = false
 		r.unstored[j] = append(r.unstored[j], s)
 		if j.Shape == job.Service {
@@ -244,10 +252,56 @@
 	}
 	h.Errors++
 	h.ErrorJobs[j] = true
-	if h.Errors >= r.c.Tuning.Hosts.SickErrors && !h.Draining {
-		r.log.Info("machine fails what it starts, returning it", "host", h.Name, "errors", h.Errors, "jobs", len(h.ErrorJobs))
-		h.Draining = true
+	r.judge(h)
+}
+
+// judge condemns a machine on which sound work keeps failing: several jobs, or
+// one that works elsewhere. One job alone may be at fault itself; until another
+// machine has shown that, this one is only avoided.
+func (r *reign) judge(h *fleet.Host) {
+	sound, jobs := false, 0
+	for j := range h.ErrorJobs {
+		if j.Worked {
+			sound = true
+		}
+		if j.Worked || len(j.ErrorHosts) < 2 {
+			jobs++
+		}
 	}
+	if h.Draining || h.Errors < r.c.Tuning.Hosts.SickErrors || (!sound && jobs < 2) {
+		return
+	}
+	r.log.Info("machine fails what it starts, returning it", "host", h.Name, "errors", h.Errors, "jobs", len(h.ErrorJobs))
+	h.Draining = true
+}
+
+const (
+	// slowTasks is how many tasks must have run slowly before a machine is held
+	// to be faulty, and slowFactor how much longer than elsewhere they took.
+	// Machines of a type differ by a tenth; a faulty one can be much slower.
+	slowTasks  = 6
+	slowFactor = 2.0
+)
+
+// pace compares a completed task with its job's others on other machines.
+func (r *reign) pace(s *fleet.Slot, j *job.Job, h *fleet.Host, now time.Time) {
+	if s.RunAt.IsZero() {
+		return
+	}
+	ran := now.Sub(s.RunAt).Seconds()
+	if n := j.RunCount - j.RunsOn[h.Name].Count; n >= slowTasks {
+		mean := (j.RunSum - j.RunsOn[h.Name].Sum) / float64(n)
+		if mean > 1 && ran > slowFactor*mean {
+			h.Slow++
+		} else {
+			h.Slow = 0
+		}
+		if h.Slow >= slowTasks && !h.Draining {
+			r.log.Info("machine is far slower than others, returning it", "host", h.Name, "ran", ran, "elsewhere", mean)
+			h.Draining = true
+		}
+	}
+	j.Ran(h.Name, ran)
 }
 
 // holdBack makes a job that keeps failing wait, longer each time.
@@ -596,6 +650,9 @@
 			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
 			Total: j.Tasks, InZone: inZone[j], LatestStart: r.latestStart(j)}
 		limit := maxPending
+		if !j.Worked && j.Backoff > 0 {
+			limit = 2 // a job that has only failed so far is tried with little
+		}
 		if j.Shape == job.Gang {
 			limit = j.Tasks
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,8 @@
 	// Errors counts unexplained failures in a row; ErrorJobs their jobs.
 	Errors    int
 	ErrorJobs map[*job.Job]bool
+	// Slow counts tasks in a row that ran far longer than elsewhere.
+	Slow int
 	// Images is the cache as far as it can be told, most recent last.
 	Images []Image
 
--- a/internal/hosts/plan.go
+++ b/internal/hosts/plan.go
@@ -61,10 +61,13 @@
 
 // Shop is all that a rental decision depends on.
 type Shop struct {
-	Types    []wire.MachineType
-	ZoneOf   map[string]int
-	Coming   []Coming
-	Backoff  *Backoff
+	Types   []wire.MachineType
+	ZoneOf  map[string]int
+	Coming  []Coming
+	Backoff *Backoff
+	// InZone counts the machines of each zone: what costs the same is spread, so
+	// that a wave of notices or a cut in one zone takes few.
+	InZone   []int
 	MinFill  float64
 	Patience float64
 	Now      time.Time
@@ -166,6 +169,9 @@
 					secs += w.Image / t.FetchRate
 				}
 				c := price * max(60, secs) / float64(min(n, left))
+				if z < len(s.InZone) {
+					c *= 1 + 0.001*float64(s.InZone[z])
+				}
 				if c < cost {
 					best, slots, cost, ok = o, n, c, true
 				}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"math"
 	"math/bits"
 	"time"
 
@@ -78,6 +79,12 @@
 	ErrorHosts map[string]bool
 	Worked     bool
 
+	// RunSum, RunCount and RunsOn tell how long completed tasks ran, in all and
+	// by machine: a faulty machine shows as far slower than the others.
+	RunSum   float64
+	RunCount int
+	RunsOn   map[string]Runs
+
 	// LastHost is the machine of the job's previous task.
 	LastHost int
 	Waits    string // why a task waits, for the log
@@ -91,10 +98,26 @@
 		TeamIdx: -1, ZoneIdx: -1, ImageIdx: -1, LastHost: -1,
 		Phase: r.Phase, Submitted: submitted, WaitFrom: submitted,
 		done: make([]uint64, (r.Spec.Tasks+63)/64), dirty: map[int]bool{}, saved: map[int]bool{},
-		Live: map[int32]int{}, ErrorHosts: map[string]bool{},
+		Live: map[int32]int{}, ErrorHosts: map[string]bool{}, RunsOn: map[string]Runs{},
 	}
 }
 
+// Runs sums up run times.
+type Runs struct {
+	Sum   float64
+	Count int
+}
+
+// Ran notes the run time of a completed task.
+func (j *Job) Ran(host string, secs float64) {
+	j.RunSum += secs
+	j.RunCount++
+	x := j.RunsOn[host]
+	x.Sum += secs
+	x.Count++
+	j.RunsOn[host] = x
+}
+
 // IsDone reports whether a task has completed.
 func (j *Job) IsDone(task int32) bool { return j.done[task/64]&(1<<(task%64)) != 0 }
 
@@ -122,6 +145,10 @@
 		}
 	}
 	for t := j.scan; int(t) < j.Tasks; t++ {
+		if t%64 == 0 && j.Shape != Service && j.done[t/64] == math.MaxUint64 {
+			t += 63 // a large job that is nearly over must not cost a look at each task
+			continue
+		}
 		if j.Live[t] > 0 || (j.Shape != Service && j.IsDone(t)) {
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -119,8 +119,11 @@
 	if p := n.ctl.Answer(ctx, q); p != nil {
 		return p
 	}
-	if l := n.Leader(); l != "" {
-		if p, err := n.mesh.Forward(ctx, l, q); err == nil && p.Status != http.StatusServiceUnavailable {
+	// A leader that does not answer pings would only use up the user's patience.
+	if l := n.Leader(); l != "" && n.mesh.Reached(l) {
+		fctx, cancel := context.WithTimeout(ctx, forwardTime)
+		defer cancel()
+		if p, err := n.mesh.Forward(fctx, l, q); err == nil && p.Status != http.StatusServiceUnavailable {
 			return p
 		}
 	}
@@ -130,6 +133,10 @@
 	return control.Later("no leader is to be reached")
 }
 
+// forwardTime bounds the wait for the leader, so that time is left for a read of
+// the state service.
+const forwardTime = 1200 * time.Millisecond
+
 // Report implements api.Backend.
 func (n *Node) Report(ctx context.Context, q *peer.Request) *peer.Reply { return n.ctl.Answer(ctx, q) }
 
