--- /dev/null
+++ b/internal/hosts/plan_test.go
@@ -0,0 +1,80 @@
+package hosts
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"vetchstream/internal/place"
+	"vetchstream/internal/wire"
+)
+
+func TestRentals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	types := []wire.MachineType{
+		{Name: "small", CPUs: 4, MemGB: 16, Price: 0.2, SpotPrice: 0.05, BootS: 50, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 64, MemGB: 128, Price: 2.8, SpotPrice: 0.7, BootS: 20, Zones: []string{"a", "b"}},
+	}
+	want := func(cpus float64, n int, edit func(*Want)) Want {
+		w := Want{Demand: &place.Demand{ID: 1, Need: place.Amount{CPUs: cpus, MemGB: 1}, Zone: -1, InZone: make([]int, 2), Spot: true, Total: n}, Count: n, TaskS: 60}
+		if edit != nil {
+			edit(&w)
+		}
+		return w
+	}
+	smallSpot, largeSpot, largeA := Offer{0, 0, true}, Offer{1, 0, true}, Offer{1, 0, false}
+	tests := []struct {
+		name  string
+		wants []Want
+		edit  func(*Shop)
+		want  map[Offer]int
+	}{
+		{"little work, a small machine", []Want{want(1, 4, nil)}, nil, map[Offer]int{smallSpot: 1}},
+		{"much work, a large one", []Want{want(1, 64, nil)}, nil, map[Offer]int{largeSpot: 1}},
+		{"no spot machine where the job forbids it", []Want{want(60, 1, func(w *Want) { w.Demand.Spot = false })}, nil, map[Offer]int{largeA: 1}},
+		{"a refused offer is passed over", []Want{want(1, 4, nil)}, func(s *Shop) { s.Backoff.Refused(smallSpot, now) }, map[Offer]int{{0, 1, true}: 1}},
+		{"what comes is filled first", []Want{want(1, 4, nil)}, func(s *Shop) {
+			s.Coming = []Coming{{smallSpot, place.Amount{CPUs: 4, MemGB: 16}}}
+		}, map[Offer]int{}},
+		{"too little work waits", []Want{want(1, 1, nil)}, nil, map[Offer]int{}},
+		{"but not for ever", []Want{want(1, 1, func(w *Want) { w.Waited = 20 })}, nil, map[Offer]int{smallSpot: 1}},
+		{"an urgent gang does not wait", []Want{want(1, 1, func(w *Want) { w.Urgent = true })}, nil, map[Offer]int{smallSpot: 1}},
+		{"only the allowed zone", []Want{want(1, 4, func(w *Want) { w.Demand.Zone = 1 })}, nil, map[Offer]int{{0, 1, true}: 1}},
+		{"a job in one zone stays there", []Want{want(1, 4, func(w *Want) { w.Demand.OneZone, w.Demand.InZone = true, []int{0, 2} })}, nil, map[Offer]int{{0, 1, true}: 1}},
+		{"equal offers are spread over zones", []Want{want(1, 4, nil)}, func(s *Shop) { s.InZone = []int{3, 1} }, map[Offer]int{{0, 1, true}: 1}},
+		{"what fits nowhere rents nothing", []Want{want(99, 1, nil)}, nil, map[Offer]int{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := Shop{Types: types, ZoneOf: map[string]int{"a": 0, "b": 1}, Backoff: NewBackoff(), MinFill: 0.5, Patience: 15, Now: now}
+			if tt.edit != nil {
+				tt.edit(&s)
+			}
+			if got := Rentals(s, tt.wants); !maps.Equal(got, tt.want) {
+				t.Errorf("rents %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestBackoff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := Offer{}
+	b := NewBackoff()
+	wait := func() (d time.Duration) {
+		for !b.Open(o, now.Add(d)) {
+			d += time.Second
+		}
+		return d
+	}
+	for i, want := range []time.Duration{0, 5 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second, 40 * time.Second} {
+		if got := wait(); got != want {
+			t.Errorf("after %d refusals closed for %v, want %v", i, got, want)
+		}
+		b.Refused(o, now)
+	}
+	b.Served(o)
+	if !b.Open(o, now) {
+		t.Error("closed after it was served")
+	}
+}
