--- a/cmd/vetchstream/client.go
+++ b/cmd/vetchstream/client.go
@@ -19,7 +19,7 @@
 )
 
 // clientCommands are the subcommands that talk to a running service.
-func clientCommands(tuning *string) []*cobra.Command {
+func clientCommands(tuning *string, pause func(time.Duration)) []*cobra.Command {
 	var server string
 	one := func(cmd *cobra.Command, args []string) error {
 		if err := cobra.ExactArgs(1)(cmd, args); err != nil {
@@ -41,7 +41,7 @@
 			if _, err := job.ParseSpec(body); err != nil {
 				return err
 			}
-			return call(cmd, http.MethodPost, server, "/api/jobs", body)
+			return call(cmd, pause, http.MethodPost, server, "/api/jobs", body)
 		},
 	}
 	get := &cobra.Command{
@@ -50,7 +50,7 @@
 			if !job.ValidID(args[0]) {
 				return usageError{fmt.Errorf("%q is not a job id", args[0])}
 			}
-			return call(cmd, http.MethodGet, server, "/api/jobs/"+args[0], nil)
+			return call(cmd, pause, http.MethodGet, server, "/api/jobs/"+args[0], nil)
 		},
 	}
 	abort := &cobra.Command{
@@ -59,7 +59,7 @@
 			if !job.ValidID(args[0]) {
 				return usageError{fmt.Errorf("%q is not a job id", args[0])}
 			}
-			return call(cmd, http.MethodPost, server, "/api/jobs/"+args[0]+"/abort", nil)
+			return call(cmd, pause, http.MethodPost, server, "/api/jobs/"+args[0]+"/abort", nil)
 		},
 	}
 	for _, c := range []*cobra.Command{submit, get, abort} {
@@ -111,7 +111,7 @@
 )
 
 // call makes a request and repeats it while the service asks for patience.
-func call(cmd *cobra.Command, method, server, path string, body []byte) error {
+func call(cmd *cobra.Command, pause func(time.Duration), method, server, path string, body []byte) error {
 	hc := &http.Client{Timeout: callTime}
 	for try := 1; ; try++ {
 		status, wait, out, err := once(cmd.Context(), hc, method, "http://"+server+path, body)
@@ -129,7 +129,7 @@
 			}
 			return fmt.Errorf("gave up: %s: %v", http.StatusText(status), out["error"])
 		}
-		time.Sleep(wait)
+		pause(wait)
 	}
 }
 
--- a/cmd/vetchstream/main.go
+++ b/cmd/vetchstream/main.go
@@ -3,14 +3,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -25,18 +27,27 @@
 type usageError struct{ error }
 
 func main() {
-	root := rootCommand()
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "vetchstream:", err)
-		if _, ok := err.(usageError); ok || strings.HasPrefix(err.Error(), "unknown command") {
-			fmt.Fprintln(os.Stderr, root.UsageString())
-			os.Exit(2)
-		}
-		os.Exit(1)
+	os.Exit(run(rootCommand(time.Sleep), os.Stderr))
+}
+
+// run executes a command line and returns the exit code: 2 for a mistake in the
+// call, with help, and 1 for everything else that fails.
+func run(root *cobra.Command, out io.Writer) int {
+	cmd, err := root.ExecuteC()
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(out, "vetchstream:", err)
+	var usage usageError
+	if errors.As(err, &usage) {
+		fmt.Fprintln(out, cmd.UsageString())
+		return 2
 	}
+	return 1
 }
 
-func rootCommand() *cobra.Command {
+// rootCommand makes the command line; pause waits between a client's tries.
+func rootCommand(pause func(time.Duration)) *cobra.Command {
 	var settings, tuning string
 	root := &cobra.Command{
 		Use:           "vetchstream",
@@ -56,7 +67,7 @@
 	root.Flags().StringVar(&settings, "config", "", "settings file of the platform (TOML)")
 	root.PersistentFlags().StringVar(&tuning, "tuning", os.Getenv("VETCHSTREAM_TUNING"), "operators' own settings (JSON); also VETCHSTREAM_TUNING")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(clientCommands(&tuning)...)
+	root.AddCommand(clientCommands(&tuning, pause)...)
 	return root
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -257,10 +257,10 @@
 		return fmt.Errorf("tuning schema: %w", err)
 	}
 	c := jsonschema.NewCompiler()
-	if err := c.AddResource("tuning.json", schema); err != nil {
+	if err := c.AddResource("urn:vetchstream:tuning", schema); err != nil {
 		return fmt.Errorf("tuning schema: %w", err)
 	}
-	s, err := c.Compile("tuning.json")
+	s, err := c.Compile("urn:vetchstream:tuning")
 	if err != nil {
 		return fmt.Errorf("tuning schema: %w", err)
 	}
