Pace ignores tasks of earlier leaders; tables for blame, pace and admission

Ruled out: a slow machine (it ran a gang to its end at the usual pace). Now only tasks whose start was seen are compared.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/job"
+	"vetchstream/internal/lead"
+	"vetchstream/internal/wire"
+)
+
+func bench(t *testing.T, teams ...config.Team) *reign {
+	t.Helper()
+	set := &config.Settings{Member: "n0"}
+	set.Facts.Workers.LeaseS = 10
+	set.Facts.Teams = teams
+	set.Facts.Zones = []string{"a", "b"}
+	c := New(Deps{Settings: set, Tuning: config.Defaults(), Log: slog.New(slog.DiscardHandler),
+		Entitled: func(uint64) bool { return false }, Deposed: func(uint64) {}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // nothing that is started in the background may run on
+	return newReign(ctx, c, lead.Reign{Term: 7, Since: time.Unix(1000, 0)})
+}
+
+func (r *reign) host(name string) *fleet.Host { return r.fleet.Add(name, time.Unix(1000, 0)) }
+
+func (r *reign) array(id string) *job.Job {
+	return r.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "array", RankName: "idle", Tasks: 100, CPUs: 1}}, 1, time.Unix(1000, 0))
+}
+
+// TestBlame: who is at fault when tasks fail, the machine or the job.
+func TestBlame(t *testing.T) {
+	type step struct {
+		job, host string
+		done      bool
+	}
+	fail := func(j, h string) step { return step{j, h, false} }
+	done := func(j, h string) step { return step{j, h, true} }
+	tests := []struct {
+		name  string
+		steps []step
+		sick  string // machines that are given up
+		held  string // jobs that are held back
+	}{
+		{"several jobs fail on one machine", []step{fail("run-1", "h1"), fail("run-2", "h1"), fail("run-2", "h1")}, "h1", ""},
+		{"one job alone proves nothing", []step{fail("run-1", "h1"), fail("run-1", "h1"), fail("run-1", "h1"), fail("run-1", "h1")}, "", ""},
+		{"until it works elsewhere", []step{fail("run-1", "h1"), fail("run-1", "h1"), fail("run-1", "h1"), done("run-1", "h2")}, "h1", ""},
+		{"a job that fails everywhere is at fault itself", []step{fail("run-1", "h1"), fail("run-1", "h1"), fail("run-1", "h2"), fail("run-1", "h3"), fail("run-1", "h1")}, "", "run-1"},
+		{"a success clears the machine", []step{fail("run-1", "h1"), fail("run-2", "h1"), done("run-3", "h1"), fail("run-2", "h1")}, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t)
+			now := time.Unix(1000, 0)
+			jobs := map[string]*job.Job{}
+			for i, st := range tt.steps {
+				j := jobs[st.job]
+				if j == nil {
+					j = r.array(st.job)
+					jobs[st.job] = j
+				}
+				s := &fleet.Slot{Key: fleet.Key{Job: j, Task: int32(i)}, Cause: wire.CauseError}
+				if st.done {
+					s.Cause = wire.CauseDone
+				}
+				r.ended(s, j, r.host(st.host), now)
+			}
+			sick, held := "", ""
+			for _, h := range r.fleet.All() {
+				if h.Draining {
+					sick += h.Name
+				}
+			}
+			for id, j := range jobs {
+				if now.Before(j.NotBefore) {
+					held += id
+				}
+			}
+			if sick != tt.sick || held != tt.held {
+				t.Errorf("given up %q, held back %q, want %q and %q", sick, held, tt.sick, tt.held)
+			}
+		})
+	}
+}
+
+// TestPace: a machine that is far slower than its kind is given up, one that
+// finishes what an earlier leader began is not.
+func TestPace(t *testing.T) {
+	tests := []struct {
+		name    string
+		ran     time.Duration // on the machine in question; elsewhere 10 s
+		adopted bool          // the others' tasks were met in reports, 2 s before their end
+		want    bool
+	}{
+		{"as fast as others", 11 * time.Second, false, false},
+		{"far slower", 25 * time.Second, false, true},
+		{"after a takeover", 11 * time.Second, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t)
+			j, now := r.array("run-1"), time.Unix(1000, 0)
+			end := func(task int, host string, ran time.Duration, adopted bool) {
+				s := &fleet.Slot{Key: fleet.Key{Job: j, Task: int32(task)}, Cause: wire.CauseDone, RunAt: now.Add(-ran), Adopted: adopted}
+				r.ended(s, j, r.host(host), now)
+			}
+			for i := range 10 {
+				if tt.adopted {
+					end(i, "h1", 2*time.Second, true)
+				} else {
+					end(i, "h1", 10*time.Second, false)
+				}
+			}
+			for i := range 10 {
+				end(20+i, "h2", tt.ran, false)
+			}
+			if got := r.host("h2").Draining; got != tt.want {
+				t.Errorf("given up: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestNever: what can never run is told from what cannot be told yet.
+func TestNever(t *testing.T) {
+	types := []wire.MachineType{
+		{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}},
+		{Name: "large", CPUs: 64, MemGB: 128, Zones: []string{"b"}},
+	}
+	tests := []struct {
+		name  string
+		edit  func(*job.Spec)
+		bare  bool // no price list yet
+		never bool
+		known bool
+	}{
+		{"fits", func(*job.Spec) {}, false, false, true},
+		{"no price list yet", func(*job.Spec) {}, true, false, false},
+		{"unknown team", func(s *job.Spec) { s.Team = "green" }, true, true, true},
+		{"too large", func(s *job.Spec) { s.CPUs = 65 }, false, true, true},
+		{"too large for the allowed type", func(s *job.Spec) { s.CPUs, s.Types = 8, []string{"small"} }, false, true, true},
+		{"too large for the allowed zone", func(s *job.Spec) { s.CPUs, s.Zone = 8, "a" }, false, true, true},
+		{"an unknown type", func(s *job.Spec) { s.Types = []string{"huge"} }, false, true, true},
+		{"an array over the limit in all", func(s *job.Spec) { s.Tasks = 100 }, false, false, true},
+		{"a gang over the limit", func(s *job.Spec) { s.ShapeName, s.Tasks = "ensemble", 11 }, false, true, true},
+		{"a service over the limit", func(s *job.Spec) { s.ShapeName, s.Tasks = "daemon", 11 }, false, true, true},
+		{"a gang at the limit", func(s *job.Spec) { s.ShapeName, s.Tasks = "ensemble", 10 }, false, false, true},
+		{"a task over the limit", func(s *job.Spec) { s.CPUs = 11 }, false, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t, config.Team{Name: "red", CPUsMax: 10})
+			if !tt.bare {
+				r.setTypes(types)
+			}
+			s := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1, MemGB: 1}
+			tt.edit(s)
+			why, known := r.canNever(s)
+			if (why != "") != tt.never || known != tt.known {
+				t.Errorf("%q, known %v", why, known)
+			}
+		})
+	}
+}
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -285,7 +285,9 @@
 
 // pace compares a completed task with its job's others on other machines.
 func (r *reign) pace(s *fleet.Slot, j *job.Job, h *fleet.Host, now time.Time) {
-	if s.RunAt.IsZero() {
+	// Of a task that an earlier leader launched only the end is known: its short
+	// remainder would make all others look slow.
+	if s.RunAt.IsZero() || s.Adopted {
 		return
 	}
 	ran := now.Sub(s.RunAt).Seconds()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	viaSeq uint64
 	At     time.Time
 	RunAt  time.Time
+	// Adopted: met in a report, so its begin is not known.
+	Adopted bool
 	// Stopping: the placement has to go; Grace is the time to save, Halted when
 	// the last halt was sent.
 	Stopping bool
@@ -339,12 +341,12 @@
 		s := h.Slots[k]
 		if s == nil {
 			if t.Phase == wire.Exited {
-				s = &Slot{Key: k, Host: h, Sent: true, At: now, Phase: wire.Pulling}
+				s = &Slot{Key: k, Host: h, Sent: true, Adopted: true, At: now, Phase: wire.Pulling}
 				h.Slots[k] = s
 				j.AddLive(task, 1)
 			} else {
 				s = f.Assign(h, k, now)
-				s.Sent = true
+				s.Sent, s.Adopted = true, true
 			}
 		}
 		s.Sent, s.Seen, s.Direct = true, true, false
