--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -151,7 +152,7 @@
 	// Active first: a job that moves between the two reads is found by the second.
 	for _, prefix := range []string{job.ActivePrefix, job.FinalPrefix} {
 		e, err := st.Get(ctx, prefix+id)
-		if err == state.ErrNotFound {
+		if errors.Is(err, state.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -174,6 +175,77 @@
 	return s
 }
 
+// knownTypes is the last price list that this node, or a leader, has read.
+func (c *Controller) knownTypes(ctx context.Context) ([]wire.MachineType, error) {
+	c.mu.Lock()
+	types := c.types
+	c.mu.Unlock()
+	if types != nil {
+		return types, nil
+	}
+	e, err := c.State.Get(ctx, typesKey)
+	if errors.Is(err, state.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var t typesRecord
+	if err := wire.Unmarshal(e.Value, &t); err != nil {
+		return nil, err
+	}
+	return t.Types, nil
+}
+
+// Admit takes in a submission on a node that neither leads nor reaches the
+// leader, through the state service alone. The job's record is all that an
+// acceptance needs; the leader learns of it from a watch, the next one when it
+// loads. It is written without the term: nothing of it is decided here.
+func (c *Controller) Admit(ctx context.Context, body []byte) *peer.Reply {
+	later := func() *peer.Reply { return Later("no leader is to be reached") }
+	spec, invalid := job.ParseSpec(body)
+	id := ""
+	if invalid != nil {
+		id = job.PeekID(body)
+	} else {
+		id = spec.ID
+	}
+	if id != "" {
+		rec, _, err := lookup(ctx, c.State, id)
+		if err != nil {
+			return later()
+		}
+		if rec != nil {
+			return reply(http.StatusOK, recordStatus(rec))
+		}
+	}
+	if invalid != nil {
+		return reply(http.StatusBadRequest, wire.Error{Error: invalid.Error()})
+	}
+	types, err := c.knownTypes(ctx)
+	if err != nil {
+		return later()
+	}
+	why, known := c.canNever(spec, types)
+	if !known {
+		return Later("machine types are not known yet")
+	}
+	if why != "" {
+		return reply(http.StatusUnprocessableEntity, wire.Error{Error: job.ErrNever.Error() + ": " + why})
+	}
+	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
+	txn, err := admission(rec)
+	if err != nil {
+		return later()
+	}
+	// Any failure, an unclear outcome too, is for the user's next try to settle.
+	if _, err := c.State.Commit(ctx, txn); err != nil {
+		return later()
+	}
+	c.Log.Info("admitted a job without the leader", "job", id)
+	return reply(http.StatusCreated, recordStatus(rec))
+}
+
 // Direct answers a status request from the state service, for a node that
 // neither leads nor reaches the leader.
 func (c *Controller) Direct(ctx context.Context, id string) *peer.Reply {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -159,7 +159,7 @@
 			}
 			s := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1, MemGB: 1}
 			tt.edit(s)
-			why, known := r.canNever(s)
+			why, known := r.c.canNever(s, r.types)
 			if (why != "") != tt.never || known != tt.known {
 				t.Errorf("%q, known %v", why, known)
 			}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"time"
 
 	"vetchstream/internal/config"
@@ -183,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	js, _, err := r.c.State.List(r.ctx, job.ActivePrefix)
+	js, epoch, err := r.c.State.List(r.ctx, job.ActivePrefix)
 	if err != nil {
 		return err
 	}
@@ -191,18 +192,9 @@
 	if err != nil {
 		return err
 	}
-	r.c.mu.Lock()
-	types := r.c.types
-	r.c.mu.Unlock()
-	if types == nil {
-		e, err := r.c.State.Get(r.ctx, typesKey)
-		var t typesRecord
-		switch {
-		case err == nil && wire.Unmarshal(e.Value, &t) == nil:
-			types = t.Types
-		case err != nil && !errors.Is(err, state.ErrNotFound):
-			return err
-		}
+	types, err := r.c.knownTypes(r.ctx)
+	if err != nil {
+		return err
 	}
 	r.setTypes(types)
 	for _, e := range hs {
@@ -253,9 +245,76 @@
 			r.finish(j, wire.JobDone)
 		}
 	}
+	go r.follow(epoch)
 	return nil
 }
 
+// follow takes in jobs that other nodes have admitted while they could not reach
+// the leader.
+func (r *reign) follow(epoch uint64) {
+	take := func(key string, value wire.Raw, version uint64) {
+		rec := &job.Record{}
+		if err := wire.Unmarshal(value, rec); err != nil {
+			r.log.Error("record does not decode", "key", key, "error", err)
+			return
+		}
+		r.post(func() { r.admitted(rec, version) })
+	}
+	for r.ctx.Err() == nil {
+		events, next, err := r.c.State.Watch(r.ctx, job.ActivePrefix, epoch, 10*time.Second)
+		switch {
+		case errors.Is(err, state.ErrGone):
+			entries, at, err := r.c.State.List(r.ctx, job.ActivePrefix)
+			if err != nil {
+				r.pause(300 * time.Millisecond)
+				continue
+			}
+			for _, e := range entries {
+				take(e.Key, e.Value, e.Version)
+			}
+			epoch = at
+		case err != nil:
+			r.pause(300 * time.Millisecond)
+		default:
+			for _, e := range events {
+				if e.Put != "" {
+					take(e.Put, e.Value, e.Version)
+				}
+			}
+			epoch = max(epoch, next)
+		}
+	}
+}
+
+// admitted takes in a record that this reign may not have made itself.
+func (r *reign) admitted(rec *job.Record, version uint64) {
+	id := rec.Spec.ID
+	if _, over := r.finals.get(id); over || r.pending[id] || (r.jobs[id] != nil && !r.strangers[r.jobs[id]]) {
+		return
+	}
+	if r.jobs[id] != nil {
+		return // a stranger: its record is being read
+	}
+	// The event may be old: a job that is over by now is under its final key.
+	go func() {
+		for r.ctx.Err() == nil {
+			now, v, err := lookup(r.ctx, r.c.State, id)
+			if err != nil {
+				r.pause(300 * time.Millisecond)
+				continue
+			}
+			if now != nil && now.Phase == "" {
+				r.post(func() {
+					if _, over := r.finals.get(id); !over && r.jobs[id] == nil && !r.pending[id] {
+						r.add(now, v, time.Now())
+					}
+				})
+			}
+			return
+		}
+	}()
+}
+
 func (r *reign) zone(name string) int {
 	if i, ok := r.zoneIdx[name]; ok {
 		return i
@@ -389,18 +448,18 @@
 }
 
 // canNever says why a job can never run, or that it cannot be told yet.
-func (r *reign) canNever(s *job.Spec) (why string, known bool) {
-	t, ok := r.teamIdx[s.Team]
-	if !ok {
+func (c *Controller) canNever(s *job.Spec, types []wire.MachineType) (why string, known bool) {
+	t := slices.IndexFunc(c.Settings.Facts.Teams, func(t config.Team) bool { return t.Name == s.Team })
+	if t < 0 {
 		return "unknown team", true
 	}
-	if len(r.types) == 0 {
+	if len(types) == 0 {
 		return "", false
 	}
 	need := place.Amount{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
 	fits := false
-	for i := range r.types {
-		mt := &r.types[i]
+	for i := range types {
+		mt := &types[i]
 		if !(place.Amount{CPUs: mt.CPUs, GPUs: mt.GPUs, MemGB: mt.MemGB}).Fits(need) {
 			continue
 		}
@@ -421,7 +480,7 @@
 	if s.ShapeName != "array" {
 		k = float64(s.Tasks)
 	}
-	team := &r.c.Settings.Facts.Teams[t]
+	team := &c.Settings.Facts.Teams[t]
 	if (team.CPUsMax > 0 && s.CPUs*k > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && s.GPUs*k > team.GPUsMax+1e-6) {
 		return "more than the team's limit", true
 	}
--- a/internal/control/users.go
+++ b/internal/control/users.go
@@ -96,7 +96,7 @@
 		r.readBack(id, bad, back)
 		return
 	}
-	why, decided := r.canNever(spec)
+	why, decided := r.c.canNever(spec, r.types)
 	if !decided {
 		back(Later("machine types are not known yet"))
 		return
@@ -110,6 +110,16 @@
 	go r.create(rec, back)
 }
 
+// admission is the transaction that makes a job durable, once.
+func admission(rec *job.Record) (state.Txn, error) {
+	id := rec.Spec.ID
+	put, err := state.Put(job.ActivePrefix+id, rec)
+	if err != nil {
+		return state.Txn{}, err
+	}
+	return state.Txn{If: []state.Cond{{Key: job.ActivePrefix + id}, {Key: job.FinalPrefix + id}}, Writes: []state.Write{put}}, nil
+}
+
 // create makes the job durable before its user is told. An unclear commit is
 // tried again: either it was applied, and the conditions show it, or the second
 // one takes its place.
@@ -127,15 +137,12 @@
 			back(p)
 		})
 	}
-	put, err := state.Put(job.ActivePrefix+id, rec)
+	txn, err := admission(rec)
 	if err != nil {
 		done(0, nil, reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
 		return
 	}
-	txn := state.Txn{
-		If:     []state.Cond{r.fence, {Key: job.ActivePrefix + id}, {Key: job.FinalPrefix + id}},
-		Writes: []state.Write{put},
-	}
+	txn.If = append(txn.If, r.fence)
 	for unclear := false; r.ctx.Err() == nil; {
 		version, err := r.c.State.Commit(r.ctx, txn)
 		switch {
@@ -174,7 +181,11 @@
 		return
 	}
 	j := r.jobs[id]
-	if j == nil || r.strangers[j] || j.Phase != "" {
+	if j == nil || r.strangers[j] {
+		r.abortUnknown(id, absent, back)
+		return
+	}
+	if j.Phase != "" {
 		r.status(id, back)
 		return
 	}
@@ -184,6 +195,32 @@
 	}
 }
 
+// abortUnknown answers for a job that is over and forgotten here, was never
+// accepted, or was admitted by another node a moment ago: that one is taken in,
+// and the user's next try finds it.
+func (r *reign) abortUnknown(id string, absent *peer.Reply, back func(*peer.Reply)) {
+	if s, ok := r.finals.get(id); ok {
+		back(reply(http.StatusOK, s))
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
+		defer cancel()
+		rec, version, err := lookup(ctx, r.c.State, id)
+		switch {
+		case err != nil:
+			back(Later("state service is not to be reached"))
+		case rec == nil:
+			back(absent)
+		case rec.Phase == "":
+			r.post(func() { r.admitted(rec, version) })
+			back(Later("job is being taken in"))
+		default:
+			back(reply(http.StatusOK, recordStatus(rec)))
+		}
+	}()
+}
+
 // finish moves a job to its final phase. From here on nothing of it is launched,
 // whatever becomes of the commit. Done and aborted race on the version of the
 // active record; the first to commit stands for ever.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -113,7 +113,7 @@
 			pause(ctx, 50*time.Millisecond)
 			continue
 		}
-		if err := e.state.Watch(ctx, prefix, epoch, 5*time.Second); err != nil {
+		if _, _, err := e.state.Watch(ctx, prefix, epoch, 5*time.Second); err != nil && !errors.Is(err, state.ErrGone) {
 			pause(ctx, 250*time.Millisecond)
 			continue
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,8 +127,13 @@
 			return p
 		}
 	}
-	if q.Kind == peer.KindStatus && ctx.Err() == nil {
-		return n.ctl.Direct(ctx, q.ID)
+	if ctx.Err() == nil {
+		switch q.Kind {
+		case peer.KindStatus:
+			return n.ctl.Direct(ctx, q.ID)
+		case peer.KindSubmit:
+			return n.ctl.Admit(ctx, q.Body)
+		}
 	}
 	return control.Later("no leader is to be reached")
 }
--- a/internal/node/outside_test.go
+++ b/internal/node/outside_test.go
@@ -185,15 +185,19 @@
 		end := time.Now().Add(time.Duration(wait) * time.Millisecond)
 		for {
 			s.expire()
-			hit := false
+			events := []map[string]any{}
 			for k, e := range s.kv {
-				hit = hit || (strings.HasPrefix(k, v.Get("under")) && e.Version > after)
+				if strings.HasPrefix(k, v.Get("under")) && e.Version > after {
+					events = append(events, map[string]any{"put": k, "data": e.Value, "stamp": e.Version})
+				}
 			}
 			for k, rev := range s.dropped {
-				hit = hit || (strings.HasPrefix(k, v.Get("under")) && rev > after)
+				if strings.HasPrefix(k, v.Get("under")) && rev > after {
+					events = append(events, map[string]any{"drop": k, "stamp": rev})
+				}
 			}
-			if (hit && !s.refuse(from)) || time.Now().After(end) {
-				encode(w, 200, map[string]any{"epoch": s.epoch, "events": []any{}})
+			if (len(events) > 0 && !s.refuse(from)) || time.Now().After(end) {
+				encode(w, 200, map[string]any{"epoch": s.epoch, "events": events})
 				return
 			}
 			ch := s.changed
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,8 @@
 	ErrUnknown = errors.New("state service did not answer")
 	// ErrConflict: a condition of the transaction does not hold.
 	ErrConflict = errors.New("condition failed")
+	// ErrGone: a watch was asked for changes that are no longer kept.
+	ErrGone = errors.New("history is gone")
 )
 
 // Entry is a key with its value.
@@ -144,14 +146,12 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrRefused, res.StatusCode)
 	case http.StatusGone:
-		return errGone
+		return ErrGone
 	default:
 		return fmt.Errorf("state service: status %d: %s %s", res.StatusCode, method, path)
 	}
 }
 
-var errGone = errors.New("history is gone")
-
 // Get reads a key afresh.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var e Entry
@@ -236,14 +236,24 @@
 	return c.do(ctx, c.http, http.MethodDelete, "/leases/"+strconv.FormatUint(lease, 10), nil, nil, callTimeout)
 }
 
+// Event is a change that a watch tells of.
+type Event struct {
+	Put     string   `codec:"put"`
+	Value   wire.Raw `codec:"data"`
+	Version uint64   `codec:"stamp"`
+	Drop    string   `codec:"drop"`
+}
+
 // Watch waits until a key below the prefix has changed after the revision, or
-// the time is over. The caller reads the keys again in either case.
-func (c *Client) Watch(ctx context.Context, under string, after uint64, wait time.Duration) error {
+// the time is over, and returns the changes and the revision to go on from.
+// ErrGone means that the history is too short: the keys have to be read again.
+func (c *Client) Watch(ctx context.Context, under string, after uint64, wait time.Duration) ([]Event, uint64, error) {
 	q := url.Values{"under": {under}, "after": {strconv.FormatUint(after, 10)},
 		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	err := c.do(ctx, c.watch, http.MethodGet, "/changes?"+q.Encode(), nil, nil, wait+callTimeout)
-	if errors.Is(err, errGone) {
-		return nil
+	var out struct {
+		Epoch  uint64  `codec:"epoch"`
+		Events []Event `codec:"events"`
 	}
-	return err
+	err := c.do(ctx, c.watch, http.MethodGet, "/changes?"+q.Encode(), nil, &out, wait+callTimeout)
+	return out.Events, out.Epoch, err
 }
