After a takeover, place around silent machines: the registry names their jobs

Ruled out: slow loading (40 ms), slow fencing of reachable machines (150 ms). Now a launch waits until its job is noted in the machine's record, and only noted jobs wait for a silent machine.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -10,6 +10,7 @@
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
+	"vetchstream/internal/place"
 	"vetchstream/internal/wire"
 )
 
@@ -125,6 +126,47 @@
 	}
 }
 
+// TestBlocked: what a silent machine of an earlier leader may run holds back its
+// jobs and counts against their teams' limits.
+func TestBlocked(t *testing.T) {
+	tests := []struct {
+		name string
+		old  []string
+		jobs string // blocked
+		used []float64
+	}{
+		{"nothing was noted", nil, "", []float64{0, 0}},
+		{"one job", []string{"run-1"}, "run-1", []float64{8, 0}},
+		{"jobs of both teams", []string{"run-1", "run-2"}, "run-1run-2", []float64{8, 8}},
+		{"two jobs of a team", []string{"run-1", "run-3"}, "run-1run-3", []float64{8, 0}},
+		{"a job that is over", []string{"run-9"}, "", []float64{8, 8}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t, config.Team{Name: "red"}, config.Team{Name: "blue"})
+			r.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
+			for id, team := range map[string]string{"run-1": "red", "run-2": "blue", "run-3": "red"} {
+				r.add(&job.Record{Spec: job.Spec{ID: id, Team: team, ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}, 1, time.Unix(1000, 0))
+			}
+			h := r.host("h1")
+			r.describe(h, "small", "a", false)
+			h.Old = tt.old
+			r.inherited = []*fleet.Host{h}
+			teams := make([]place.Team, 2)
+			got := r.blocked(teams)
+			names := ""
+			for _, id := range []string{"run-1", "run-2", "run-3"} {
+				if got[r.jobs[id]] {
+					names += id
+				}
+			}
+			if names != tt.jobs || teams[0].Used.CPUs != tt.used[0] || teams[1].Used.CPUs != tt.used[1] {
+				t.Errorf("blocked %q, used %v and %v", names, teams[0].Used.CPUs, teams[1].Used.CPUs)
+			}
+		})
+	}
+}
+
 // TestNever: what can never run is told from what cannot be told yet.
 func TestNever(t *testing.T) {
 	types := []wire.MachineType{
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -31,6 +31,8 @@
 	Type string `codec:"type"`
 	Zone string `codec:"zone"`
 	Spot bool   `codec:"spot"`
+	// Jobs are all that may be on the machine.
+	Jobs []string `codec:"jobs"`
 }
 
 type typesRecord struct {
@@ -82,7 +84,8 @@
 	keeps    map[*fleet.Host]keep
 	unstored map[*job.Job][]*fleet.Slot // done, and not durable yet
 
-	ready     bool
+	ready     bool // every machine of earlier leaders is settled
+	inherited []*fleet.Host
 	dirty     bool
 	passAt    time.Time
 	wants     []hosts.Want
@@ -203,7 +206,7 @@
 			return fmt.Errorf("host %s: %w", e.Key, err)
 		}
 		h := r.fleet.Add(e.Key[len(hostPrefix):], r.since)
-		h.Addr, h.Durable, h.Booting = rec.Addr, true, false
+		h.Addr, h.Durable, h.Inherited, h.Booting, h.Old, h.Version = rec.Addr, true, true, false, rec.Jobs, e.Version
 		r.describe(h, rec.Type, rec.Zone, rec.Spot)
 	}
 	now := time.Now()
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -52,9 +52,7 @@
 	}
 	r.rentAt = now.Add(500 * time.Millisecond)
 	r.giveBack(now)
-	if r.ready {
-		r.rent(now)
-	}
+	r.rent(now)
 }
 
 func (r *reign) newTypes(types []wire.MachineType) {
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -322,10 +322,10 @@
 	if !r.c.Entitled(r.term) {
 		return
 	}
-	r.register()
 	r.flush(now)
 	r.cloud(now)
 	r.place(now)
+	r.register()
 	for _, h := range r.fleet.All() {
 		if h.Calling || h.Lost || h.Addr == "" || !h.Durable || now.Before(h.NextCall) {
 			continue
@@ -408,36 +408,79 @@
 	r.observe(h, rep, false, now)
 }
 
-// register makes machines durable before their first command.
+// register makes machines durable before their first command, with the jobs that
+// may be on them.
 func (r *reign) register() {
 	if r.storing {
 		return
 	}
 	var hs []*fleet.Host
+	var notes []map[*job.Job]bool
 	var writes []state.Write
 	for _, h := range r.fleet.All() {
-		if h.Durable || h.Booting || h.Addr == "" || !h.Known || len(writes) >= r.c.Settings.Facts.State.TxnOps {
+		if h.Booting || h.Addr == "" || !h.Known || !h.Fenced || h.Lost || h.Releasing || (h.Durable && !h.Unnoted()) ||
+			len(writes) >= r.c.Settings.Facts.State.TxnOps {
 			continue
 		}
-		w, err := state.Put(hostPrefix+h.Name, hostRecord{Addr: h.Addr, Type: r.types[h.Type].Name, Zone: r.zones[h.Zone], Spot: h.Spot})
+		rec := hostRecord{Addr: h.Addr, Type: r.types[h.Type].Name, Zone: r.zones[h.Zone], Spot: h.Spot, Jobs: []string{}}
+		note := map[*job.Job]bool{}
+		for _, s := range h.Slots {
+			if !note[s.Job] {
+				note[s.Job] = true
+				rec.Jobs = append(rec.Jobs, s.Job.ID)
+			}
+		}
+		w, err := state.Put(hostPrefix+h.Name, rec)
 		if err != nil {
 			continue
 		}
-		hs, writes = append(hs, h), append(writes, w)
+		// From the sending on the record may be the old one or the new one: only
+		// what both name may be launched.
+		for j := range h.Noted {
+			if !note[j] {
+				delete(h.Noted, j)
+			}
+		}
+		hs, notes, writes = append(hs, h), append(notes, note), append(writes, w)
 	}
 	if len(hs) == 0 {
 		return
 	}
+	// On each record's version, so that an unclear write that is applied late
+	// cannot take the place of a newer one.
+	txn := state.Txn{If: []state.Cond{r.fence}, Writes: writes}
+	for _, h := range hs {
+		txn.If = append(txn.If, state.Cond{Key: hostPrefix + h.Name, Version: h.Version})
+	}
 	r.storing = true
-	r.write(writes, func(err error) {
-		r.storing = false
-		if err == nil {
+	go func() {
+		version, err := r.c.State.Commit(r.ctx, txn)
+		found := map[*fleet.Host]uint64{}
+		if err != nil {
+			r.pause(100 * time.Millisecond)
+		}
+		if errors.Is(err, state.ErrConflict) {
 			for _, h := range hs {
-				h.Durable = true
+				e, gerr := r.c.State.Get(r.ctx, hostPrefix+h.Name)
+				if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
+					found[h] = e.Version
+				}
 			}
-			r.dirty = true
 		}
-	})
+		r.post(func() {
+			r.storing = false
+			for h, v := range found {
+				h.Version = v
+			}
+			if err != nil {
+				return
+			}
+			for i, h := range hs {
+				h.Durable, h.Noted, h.Version = true, notes[i], version
+			}
+			r.dirty = true
+		})
+	}()
 }
 
 // write runs a fenced transaction and hands its outcome to the actor. The
@@ -506,6 +549,38 @@
 	})
 }
 
+// settleTime is how long a takeover waits for all machines before it places
+// around the silent ones.
+const settleTime = 700 * time.Millisecond
+
+// blocked are the jobs that a machine of an earlier leader may still run, and
+// that must wait until it is settled. What such a machine may run counts in full
+// against the limit of every team that may have work there.
+func (r *reign) blocked(teams []place.Team) map[*job.Job]bool {
+	out := map[*job.Job]bool{}
+	for _, h := range r.inherited {
+		used := map[int]bool{}
+		for _, id := range h.Old {
+			j := r.jobs[id]
+			if j == nil || j.TeamIdx < 0 {
+				// Over, and its team forgotten: it may be any.
+				for t := range teams {
+					used[t] = true
+				}
+				continue
+			}
+			out[j] = true
+			used[j.TeamIdx] = true
+		}
+		t := &r.types[h.Type]
+		for i := range used {
+			teams[i].Used.CPUs += t.CPUs
+			teams[i].Used.GPUs += t.GPUs
+		}
+	}
+	return out
+}
+
 // placeEvery keeps bursts of messages from making a plan each.
 const placeEvery = 50 * time.Millisecond
 
@@ -515,11 +590,18 @@
 		return
 	}
 	if !r.ready {
-		if !r.fleet.Settled() {
-			return
+		r.inherited = r.fleet.Settle()
+		for _, h := range r.inherited {
+			// What it may take of a team's limit is not known; and give the others
+			// the time of a round trip before the plan is made without them.
+			if !h.Known || now.Sub(r.since) < settleTime {
+				return
+			}
+		}
+		if len(r.inherited) == 0 {
+			r.ready = true
+			r.log.Info("every machine is settled", "after", now.Sub(r.since).Round(time.Millisecond))
 		}
-		r.ready = true
-		r.log.Info("every machine is settled, placing", "after", now.Sub(r.since).Round(time.Millisecond))
 	}
 	if len(r.strangers) > 0 {
 		// What a stranger takes is not counted for any team yet.
@@ -640,8 +722,9 @@
 			}
 		}
 	}
+	blocked := r.blocked(in.Teams)
 	for _, j := range r.jobs {
-		if j.Phase != "" || j.Closing != "" || r.strangers[j] || now.Before(j.NotBefore) || j.TeamIdx < 0 {
+		if j.Phase != "" || j.Closing != "" || r.strangers[j] || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] {
 			continue
 		}
 		if j.Shape == job.Gang && (j.GangBroken || j.GangRan) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,7 +82,16 @@
 	Spot    bool
 	Known   bool // type and zone are known
 	Durable bool // in the registry
-	Storing bool // the registry write is under way
+	// Version is that of its registry record; 0: none.
+	Version uint64
+	// Inherited: registered by an earlier leader and not settled since.
+	Inherited bool
+	// Noted are the jobs that the registry names for the machine. Only these are
+	// launched here, so that a successor knows what a silent machine may run.
+	Noted map[*job.Job]bool
+	// Old are the ids that the registry named when this reign began; they hold
+	// until the machine is settled.
+	Old     []string
 	Born    time.Time
 	Booting bool // never heard of
 
@@ -184,7 +193,7 @@
 		return h
 	}
 	h := &Host{Idx: f.next, Name: name, Type: -1, Zone: -1, Born: since, Booting: true, heard: since, IdleFrom: since,
-		Slots: map[Key]*Slot{}, ErrorJobs: map[*job.Job]bool{}}
+		Slots: map[Key]*Slot{}, Noted: map[*job.Job]bool{}, ErrorJobs: map[*job.Job]bool{}}
 	f.next++
 	f.Hosts[name] = h
 	f.order = append(f.order, h)
@@ -405,7 +414,7 @@
 				ev = append(ev, f.remove(h, s, Never)...)
 				continue
 			}
-			if !launches || !h.Fenced || !h.Durable || h.Lost {
+			if !launches || !h.Fenced || !h.Durable || h.Lost || !h.Noted[s.Job] {
 				continue
 			}
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
@@ -425,7 +434,7 @@
 // Urgent reports whether something waits that is worth a direct command.
 func (h *Host) Urgent(now time.Time) bool {
 	for _, s := range h.Slots {
-		if !s.Sent && h.Usable() {
+		if !s.Sent && h.Usable() && h.Noted[s.Job] {
 			return true
 		}
 		if s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)) {
@@ -460,13 +469,26 @@
 	return ev
 }
 
-// Settled reports whether every registered machine is fenced or lost, so that
-// the ledger is whole after a takeover.
-func (f *Fleet) Settled() bool {
+// Settle notes which machines have been met, or have lost their lease, since the
+// takeover, and returns those that may still run what an earlier leader launched.
+func (f *Fleet) Settle() (open []*Host) {
 	for _, h := range f.order {
-		if h.Durable && !h.Fenced && !h.Lost {
-			return false
+		if h.Inherited && (h.Fenced || h.Lost) {
+			h.Inherited, h.Old = false, nil
+		}
+		if h.Inherited {
+			open = append(open, h)
+		}
+	}
+	return open
+}
+
+// Unnoted reports whether a placement waits for its job to be noted.
+func (h *Host) Unnoted() bool {
+	for _, s := range h.Slots {
+		if !s.Sent && !h.Noted[s.Job] {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,6 +27,7 @@
 		j: job.New(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "array", RankName: "standard", Tasks: 4, CPUs: 1}}, now)}
 	b.h = b.f.Add("host-1", now)
 	b.h.Known, b.h.Durable, b.h.Type, b.h.Zone = true, true, 0, 0
+	b.h.Noted[b.j] = true
 	return b
 }
 
@@ -84,6 +85,29 @@
 			b.msg(true, 1, 2, term, nil)
 			b.orders(b.compose(2, true), "launch 1;")
 		}},
+		{"6: nothing is launched before the job is noted for the machine", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			clear(b.h.Noted)
+			b.assign(1)
+			if !b.h.Unnoted() {
+				b.t.Error("the placement does not ask to be noted")
+			}
+			b.orders(b.compose(1, true), "")
+			b.orders(b.compose(0, true), "")
+			b.h.Noted[b.j] = true
+			b.orders(b.compose(0, true), "launch 1;")
+		}},
+		{"6: a machine of an earlier leader is open until it is fenced or lost", func(b *bed) {
+			b.h.Inherited = true
+			b.msg(true, 1, 1, term-1, run)
+			if len(b.f.Settle()) != 1 {
+				b.t.Error("settled before it has seen the term")
+			}
+			b.msg(true, 1, 2, term, run)
+			if len(b.f.Settle()) != 0 {
+				b.t.Error("open although it is fenced")
+			}
+		}},
 		{"7: an older message changes nothing and its answer has no launch", func(b *bed) {
 			b.msg(true, 1, 5, term, run)
 			if r := b.msg(true, 1, 4, term, nil); r.Fresh {
