Smaller transactions when the state service rejects them, results dropped apart

Ruled out: refused connections between controllers (over by then), the rate limits (no 429 seen). Batches are halved on a rejection, and ending a job takes two writes.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -184,8 +184,8 @@
 	if f.Workers.CancelS <= f.Workers.LeaseS {
 		return bad("facts.workers.cancel_s", "not above lease_s")
 	}
-	if f.State.TxnOps < 6 {
-		return bad("facts.state.txn_ops", "below 6, the largest transaction of one job")
+	if f.State.TxnOps < 2 {
+		return bad("facts.state.txn_ops", "below 2, which the end of a job takes")
 	}
 	return nil
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -84,6 +84,9 @@
 	keeps    map[*fleet.Host]keep
 	unstored map[*job.Job][]*fleet.Slot // done, and not durable yet
 
+	batch     int      // writes in one transaction
+	orphans   []string // results of jobs that are over, to be dropped
+	dropping  bool
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
 	dirty     bool
@@ -113,6 +116,7 @@
 		removed: map[string]bool{}, renting: map[hosts.Offer]int{}, backoff: hosts.NewBackoff(),
 		keeps: map[*fleet.Host]keep{}, unstored: map[*job.Job][]*fleet.Slot{}, noticed: map[*fleet.Host]time.Time{},
 	}
+	r.batch = c.Settings.Facts.State.TxnOps
 	for _, z := range c.Settings.Facts.Zones {
 		r.zone(z)
 	}
@@ -200,6 +204,7 @@
 		return err
 	}
 	r.setTypes(types)
+	r.orphans = nil // of a try that failed half-way
 	for _, e := range hs {
 		var rec hostRecord
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
@@ -233,6 +238,7 @@
 		}
 		j := r.jobs[id]
 		if j == nil {
+			r.orphans = append(r.orphans, e.Key)
 			continue
 		}
 		var ch job.Chunk
--- a/internal/control/users.go
+++ b/internal/control/users.go
@@ -235,9 +235,6 @@
 		return
 	}
 	writes = append(writes, put)
-	for _, c := range j.SavedChunks() {
-		writes = append(writes, state.Write{Delete: j.ChunkKey(c)})
-	}
 	txn := state.Txn{If: []state.Cond{r.fence, {Key: job.ActivePrefix + j.ID, Version: j.Version}}, Writes: writes}
 	id := j.ID
 	go func() {
@@ -275,6 +272,9 @@
 		s.Settled = true
 	}
 	delete(r.unstored, j)
+	for _, c := range j.SavedChunks() {
+		r.orphans = append(r.orphans, j.ChunkKey(c))
+	}
 	r.log.Info("job is over", "job", j.ID, "phase", j.Phase, "class", j.Class, "after", time.Since(j.Submitted).Round(time.Second))
 	r.dirty = true
 }
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -323,6 +323,7 @@
 		return
 	}
 	r.flush(now)
+	r.tidy()
 	r.cloud(now)
 	r.place(now)
 	r.register()
@@ -419,7 +420,7 @@
 	var writes []state.Write
 	for _, h := range r.fleet.All() {
 		if h.Booting || h.Addr == "" || !h.Known || !h.Fenced || h.Lost || h.Releasing || (h.Durable && !h.Unnoted()) ||
-			len(writes) >= r.c.Settings.Facts.State.TxnOps {
+			len(writes) >= r.batch {
 			continue
 		}
 		rec := hostRecord{Addr: h.Addr, Type: r.types[h.Type].Name, Zone: r.zones[h.Zone], Spot: h.Spot, Jobs: []string{}}
@@ -473,6 +474,7 @@
 				h.Version = v
 			}
 			if err != nil {
+				r.smaller(err)
 				return
 			}
 			for i, h := range hs {
@@ -483,6 +485,37 @@
 	}()
 }
 
+// tidy drops results of jobs that are over. It comes after the final record and
+// apart from it, so that ending a job takes a small transaction.
+func (r *reign) tidy() {
+	if r.dropping || len(r.orphans) == 0 {
+		return
+	}
+	keys := r.orphans[:min(len(r.orphans), r.batch)]
+	var writes []state.Write
+	for _, k := range keys {
+		writes = append(writes, state.Write{Delete: k})
+	}
+	r.dropping = true
+	r.write(writes, func(err error) {
+		r.dropping = false
+		r.smaller(err)
+		if err == nil {
+			r.orphans = r.orphans[len(keys):]
+		}
+	})
+}
+
+// smaller halves the batches when the state service rejects one: its limits may
+// have become tighter than the settings say, and the same transaction again
+// would stop all placing.
+func (r *reign) smaller(err error) {
+	if errors.Is(err, state.ErrRejected) && r.batch > 1 {
+		r.batch = max(1, r.batch/2)
+		r.log.Error("state service rejects a transaction, making them smaller", "writes", r.batch, "error", err)
+	}
+}
+
 // write runs a fenced transaction and hands its outcome to the actor. The
 // writes may be repeated safely: only this term can make them.
 func (r *reign) write(writes []state.Write, then func(error)) {
@@ -512,7 +545,7 @@
 			continue
 		}
 		dirty := j.Dirty()
-		if len(dirty) == 0 || len(writes)+len(dirty) > r.c.Settings.Facts.State.TxnOps {
+		if len(dirty) == 0 || (len(writes) > 0 && len(writes)+len(dirty) > r.batch) {
 			continue
 		}
 		for _, c := range dirty {
@@ -532,6 +565,7 @@
 	r.flushing, r.flushAt = true, now.Add(time.Second)
 	r.write(writes, func(err error) {
 		r.flushing = false
+		r.smaller(err)
 		for _, p := range parts {
 			if err != nil {
 				p.j.MarkDirty(p.c)
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -381,6 +381,11 @@
 		{"workers hang inside and past their lease (8, 9)", []fault{{13 * time.Second, hang(rng(4), 3, 8*time.Second)}, {35 * time.Second, hang(rng(5), 3, 20*time.Second)}}},
 		{"workers cut while the leader changes (4, 6, 9, 15)", []fault{{14 * time.Second, cutWorkers(rng(6), 3, 20*time.Second)}, {16 * time.Second, crash(1)}}},
 		{"workers hang while all controllers crash (6, 8)", []fault{{14 * time.Second, hang(rng(7), 3, 9*time.Second)}, {15 * time.Second, crash(3)}}},
+		{"state service takes less at a time than the settings say", []fault{{5 * time.Second, func(s *sim) {
+			s.store.mu.Lock()
+			s.store.ops = 2
+			s.store.mu.Unlock()
+		}}}},
 		{"controllers cut from each other (13, 14)", []fault{{8 * time.Second, func(s *sim) {
 			s.cutLinks("peers", func(a, b string) bool { return strings.HasPrefix(a, "n") && strings.HasPrefix(b, "n") })
 			time.Sleep(30 * time.Second)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,8 @@
 	ErrUnknown = errors.New("state service did not answer")
 	// ErrConflict: a condition of the transaction does not hold.
 	ErrConflict = errors.New("condition failed")
+	// ErrRejected: the service holds the request to be malformed, or too large.
+	ErrRejected = errors.New("state service rejected the request")
 	// ErrGone: a watch was asked for changes that are no longer kept.
 	ErrGone = errors.New("history is gone")
 )
@@ -145,6 +147,8 @@
 		return ErrConflict
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrRefused, res.StatusCode)
+	case http.StatusBadRequest:
+		return fmt.Errorf("%w: %s %s", ErrRejected, method, path)
 	case http.StatusGone:
 		return ErrGone
 	default:
