--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -199,6 +199,10 @@
 	plan Plan
 }
 
+// fairSeconds is what borrowing the whole fleet costs a team in the order of
+// work of the same rank.
+const fairSeconds = 60.0
+
 // Make makes a plan.
 func Make(in Input) Plan {
 	p := &planner{Input: in}
@@ -208,11 +212,23 @@
 	for i := range order {
 		order[i] = i
 	}
+	total := 0.0
+	for i := range in.Machines {
+		total += in.Machines[i].Total.CPUs
+	}
 	inside := make([]bool, len(in.Demands))
+	start := make([]float64, len(in.Demands))
 	for i := range in.Demands {
 		d := &in.Demands[i]
+		start[i] = d.LatestStart
 		if d.Team >= 0 {
-			inside[i] = in.Teams[d.Team].within(d.Need)
+			t := &in.Teams[d.Team]
+			inside[i] = t.within(d.Need)
+			if total > 0 {
+				// A team that borrows much yields to the others, as if its work had
+				// more time: no team's burst starves another's.
+				start[i] += fairSeconds * max(0, t.Used.CPUs-t.Guarantee.CPUs) / total
+			}
 		}
 	}
 	sort.SliceStable(order, func(a, b int) bool {
@@ -223,8 +239,8 @@
 		if inside[order[a]] != inside[order[b]] {
 			return inside[order[a]]
 		}
-		if x.LatestStart != y.LatestStart {
-			return x.LatestStart < y.LatestStart
+		if s, t := start[order[a]], start[order[b]]; s != t {
+			return s < t
 		}
 		return x.ID < y.ID
 	})
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -83,6 +83,30 @@
 	}
 }
 
+// TestFair: of two teams without guarantee, the one that runs less goes first,
+// unless the other's work is much more pressing.
+func TestFair(t *testing.T) {
+	tests := []struct {
+		name  string
+		start float64 // latest start of the team that runs much; the other's is 100
+		want  int     // the demand that gets the room
+	}{
+		{"equally pressing", 100, 2},
+		{"a little more pressing", 80, 2},
+		{"much more pressing", 20, 1},
+	}
+	for _, tt := range tests {
+		m := machine(0, 0, 10)
+		m.Free = Amount{CPUs: 1, MemGB: 40}
+		a, b := demand(1, job.Array, 1, 0), demand(2, job.Array, 1, 0)
+		a.Team, a.LatestStart, b.Team, b.LatestStart = 0, tt.start, 1, 100
+		p := Make(Input{Machines: []Machine{m}, Demands: []Demand{a, b}, Teams: []Team{{Used: Amount{CPUs: 8}}, {Used: Amount{CPUs: 1}}}, Weights: paper})
+		if len(p.Assign) != 1 || p.Assign[0].Demand+1 != tt.want {
+			t.Errorf("%s: %v, want demand %d", tt.name, p.Assign, tt.want)
+		}
+	}
+}
+
 func TestPreempt(t *testing.T) {
 	base := func() Input {
 		m := machine(0, 0, 8)
