--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -97,13 +97,7 @@
 	var do func(*reign, func(*peer.Reply))
 	switch q.Kind {
 	case peer.KindSubmit:
-		spec, err := job.ParseSpec(q.Body)
-		id := ""
-		if err != nil {
-			id = job.PeekID(q.Body)
-		} else {
-			id = spec.ID
-		}
+		id, spec, err := submission(q.Body)
 		do = func(r *reign, back func(*peer.Reply)) { r.submit(id, spec, err, back) }
 	case peer.KindStatus:
 		do = func(r *reign, back func(*peer.Reply)) { r.status(q.ID, back) }
@@ -175,6 +169,28 @@
 	return s
 }
 
+// submission reads a submission, and its id even where the rest is malformed.
+func submission(body []byte) (id string, spec *job.Spec, invalid error) {
+	spec, invalid = job.ParseSpec(body)
+	if invalid != nil {
+		return job.PeekID(body), nil, invalid
+	}
+	return spec.ID, spec, nil
+}
+
+// verdict is the refusal of a job that can never run, or cannot be judged yet;
+// nil: it may be taken in.
+func (c *Controller) verdict(spec *job.Spec, types []wire.MachineType) *peer.Reply {
+	why, known := c.canNever(spec, types)
+	switch {
+	case !known:
+		return Later("machine types are not known yet")
+	case why != "":
+		return reply(http.StatusUnprocessableEntity, wire.Error{Error: job.ErrNever.Error() + ": " + why})
+	}
+	return nil
+}
+
 // knownTypes is the last price list that this node, or a leader, has read.
 func (c *Controller) knownTypes(ctx context.Context) ([]wire.MachineType, error) {
 	c.mu.Lock()
@@ -203,13 +219,7 @@
 // loads. It is written without the term: nothing of it is decided here.
 func (c *Controller) Admit(ctx context.Context, body []byte) *peer.Reply {
 	later := func() *peer.Reply { return Later("no leader is to be reached") }
-	spec, invalid := job.ParseSpec(body)
-	id := ""
-	if invalid != nil {
-		id = job.PeekID(body)
-	} else {
-		id = spec.ID
-	}
+	id, spec, invalid := submission(body)
 	if id != "" {
 		rec, _, err := lookup(ctx, c.State, id)
 		if err != nil {
@@ -226,12 +236,8 @@
 	if err != nil {
 		return later()
 	}
-	why, known := c.canNever(spec, types)
-	if !known {
-		return Later("machine types are not known yet")
-	}
-	if why != "" {
-		return reply(http.StatusUnprocessableEntity, wire.Error{Error: job.ErrNever.Error() + ": " + why})
+	if p := c.verdict(spec, types); p != nil {
+		return p
 	}
 	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
 	txn, err := admission(rec)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -261,14 +261,7 @@
 // follow takes in jobs that other nodes have admitted while they could not reach
 // the leader.
 func (r *reign) follow(epoch uint64) {
-	take := func(key string, value wire.Raw, version uint64) {
-		rec := &job.Record{}
-		if err := wire.Unmarshal(value, rec); err != nil {
-			r.log.Error("record does not decode", "key", key, "error", err)
-			return
-		}
-		r.post(func() { r.admitted(rec, version) })
-	}
+	take := func(key string) { r.post(func() { r.admitted(key[len(job.ActivePrefix):]) }) }
 	for r.ctx.Err() == nil {
 		events, next, err := r.c.State.Watch(r.ctx, job.ActivePrefix, epoch, 10*time.Second)
 		switch {
@@ -279,7 +272,7 @@
 				continue
 			}
 			for _, e := range entries {
-				take(e.Key, e.Value, e.Version)
+				take(e.Key)
 			}
 			epoch = at
 		case err != nil:
@@ -287,7 +280,7 @@
 		default:
 			for _, e := range events {
 				if e.Put != "" {
-					take(e.Put, e.Value, e.Version)
+					take(e.Put)
 				}
 			}
 			epoch = max(epoch, next)
@@ -295,15 +288,17 @@
 	}
 }
 
-// admitted takes in a record that this reign may not have made itself.
-func (r *reign) admitted(rec *job.Record, version uint64) {
-	id := rec.Spec.ID
-	if _, over := r.finals.get(id); over || r.pending[id] || (r.jobs[id] != nil && !r.strangers[r.jobs[id]]) {
+// has reports whether a job is known here, over, being stored or being read.
+func (r *reign) has(id string) bool {
+	_, over := r.finals.get(id)
+	return over || r.pending[id] || r.jobs[id] != nil
+}
+
+// admitted takes in a job whose record this reign may not have made itself.
+func (r *reign) admitted(id string) {
+	if r.has(id) {
 		return
 	}
-	if r.jobs[id] != nil {
-		return // a stranger: its record is being read
-	}
 	// The event may be old: a job that is over by now is under its final key.
 	go func() {
 		for r.ctx.Err() == nil {
@@ -314,7 +309,7 @@
 			}
 			if now != nil && now.Phase == "" {
 				r.post(func() {
-					if _, over := r.finals.get(id); !over && r.jobs[id] == nil && !r.pending[id] {
+					if !r.has(id) {
 						r.add(now, v, time.Now())
 					}
 				})
--- a/internal/control/users.go
+++ b/internal/control/users.go
@@ -38,8 +38,8 @@
 }
 
 // readBack answers from a fresh read; absent is the answer for a job that was
-// never accepted.
-func (r *reign) readBack(id string, absent *peer.Reply, back func(*peer.Reply)) {
+// never accepted, active makes the one for a job that is not over.
+func (r *reign) readBack(id string, absent *peer.Reply, active func(*job.Record) *peer.Reply, back func(*peer.Reply)) {
 	go func() {
 		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
 		defer cancel()
@@ -49,15 +49,18 @@
 			back(Later("state service is not to be reached"))
 		case rec == nil:
 			back(absent)
+		case rec.Phase == "":
+			back(active(rec))
 		default:
-			if rec.Phase != "" {
-				r.post(func() { r.finals.put(recordStatus(rec)) })
-			}
-			back(reply(http.StatusOK, recordStatus(rec)))
+			r.post(func() { r.finals.put(recordStatus(rec)) })
+			back(recorded(rec))
 		}
 	}()
 }
 
+// recorded answers with what a job's record says.
+func recorded(rec *job.Record) *peer.Reply { return reply(http.StatusOK, recordStatus(rec)) }
+
 func (r *reign) status(id string, back func(*peer.Reply)) {
 	absent := reply(http.StatusNotFound, wire.Error{Error: "no such job"})
 	if !job.ValidID(id) {
@@ -72,7 +75,7 @@
 		back(Later("submission is being stored"))
 		return
 	}
-	r.readBack(id, absent, back)
+	r.readBack(id, absent, recorded, back)
 }
 
 // submit answers a submission. A known id wins over every check.
@@ -93,16 +96,16 @@
 			back(bad)
 			return
 		}
-		r.readBack(id, bad, back)
+		r.readBack(id, bad, recorded, back)
 		return
 	}
-	why, decided := r.c.canNever(spec, r.types)
-	if !decided {
-		back(Later("machine types are not known yet"))
+	switch p := r.c.verdict(spec, r.types); {
+	case p == nil:
+	case p.Status == http.StatusServiceUnavailable:
+		back(p)
 		return
-	}
-	if why != "" {
-		r.readBack(id, reply(http.StatusUnprocessableEntity, wire.Error{Error: job.ErrNever.Error() + ": " + why}), back)
+	default:
+		r.readBack(id, p, recorded, back)
 		return
 	}
 	r.pending[id] = true
@@ -203,22 +206,10 @@
 		back(reply(http.StatusOK, s))
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(r.ctx, 3*time.Second)
-		defer cancel()
-		rec, version, err := lookup(ctx, r.c.State, id)
-		switch {
-		case err != nil:
-			back(Later("state service is not to be reached"))
-		case rec == nil:
-			back(absent)
-		case rec.Phase == "":
-			r.post(func() { r.admitted(rec, version) })
-			back(Later("job is being taken in"))
-		default:
-			back(reply(http.StatusOK, recordStatus(rec)))
-		}
-	}()
+	r.readBack(id, absent, func(*job.Record) *peer.Reply {
+		r.post(func() { r.admitted(id) })
+		return Later("job is being taken in")
+	}, back)
 }
 
 // finish moves a job to its final phase. From here on nothing of it is launched,
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -349,7 +349,7 @@
 		r.log.Error("orders do not encode", "error", err)
 		return
 	}
-	h.Calling, h.CallFrom = true, now
+	h.Calling = true
 	addr := h.Addr
 	go func() {
 		status, rep, reached, err := r.do(addr, body)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,8 +102,6 @@
 	// heard is the last moment from which an answer of ours, or of an earlier
 	// leader, may have renewed the worker's lease.
 	heard time.Time
-	// Spoke is when the newest message came.
-	Spoke time.Time
 	// Lost: the lease has run out without a message; nothing is on the machine.
 	Lost     bool
 	LostAt   time.Time
@@ -111,8 +109,7 @@
 
 	Slots map[Key]*Slot
 	// Calling: a direct command is under way.
-	Calling  bool
-	CallFrom time.Time
+	Calling bool
 	// NextCall holds back direct commands after a failure.
 	NextCall  time.Time
 	Releasing bool
@@ -326,7 +323,7 @@
 		// just started.
 		h.heard = now
 	}
-	h.seq, h.Spoke, h.Booting = m.Seq, now, false
+	h.seq, h.Booting = m.Seq, false
 	if m.Token == f.Term {
 		h.Fenced = true
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -87,7 +87,6 @@
 
 	// LastHost is the machine of the job's previous task.
 	LastHost int
-	Waits    string // why a task waits, for the log
 	WaitFrom time.Time
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -132,13 +132,6 @@
 	return m, nil
 }
 
-// greet notes that a member answered.
-func (m *Mesh) greet(member string) {
-	m.mu.Lock()
-	m.heard[member] = time.Now()
-	m.mu.Unlock()
-}
-
 // Close closes the connections.
 func (m *Mesh) Close() {
 	for _, c := range m.conns {
@@ -178,7 +171,9 @@
 				pctx, cancel := context.WithTimeout(ctx, 900*time.Millisecond)
 				out := &Hello{}
 				if err := c.Invoke(pctx, "/vetchstream.Peer/Ping", &none{}, out); err == nil {
-					m.greet(name)
+					m.mu.Lock()
+					m.heard[name] = time.Now()
+					m.mu.Unlock()
 					told(*out)
 				}
 				cancel()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -242,10 +242,7 @@
 
 // Event is a change that a watch tells of.
 type Event struct {
-	Put     string   `codec:"put"`
-	Value   wire.Raw `codec:"data"`
-	Version uint64   `codec:"stamp"`
-	Drop    string   `codec:"drop"`
+	Put string `codec:"put"` // the key, or empty for a removal
 }
 
 // Watch waits until a key below the prefix has changed after the revision, or
