--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -43,10 +43,15 @@
 	types []wire.MachineType // the last price list, kept over terms
 }
 
+// DirectCalls is how many direct commands may be under way at a time: a whole
+// fleet at once would use up the sockets and the processor.
+func DirectCalls(maxSockets int) int { return max(8, maxSockets/16) }
+
 // New makes a controller that does not lead yet.
 func New(d Deps) *Controller {
 	return &Controller{Deps: d, direct: &http.Client{Transport: &http.Transport{DialContext: d.Dial,
-		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: 64, IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: DirectCalls(d.Settings.Facts.Resources.MaxSockets),
+		IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
 }
 
 // Lead runs one reign until its context ends.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -139,7 +139,7 @@
 		{"one job", []string{"run-1"}, "run-1", []float64{8, 0}},
 		{"jobs of both teams", []string{"run-1", "run-2"}, "run-1run-2", []float64{8, 8}},
 		{"two jobs of a team", []string{"run-1", "run-3"}, "run-1run-3", []float64{8, 0}},
-		{"a job that is over", []string{"run-9"}, "", []float64{8, 8}},
+		{"a job of an unknown team", []string{"run-9"}, "", []float64{8, 8}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -150,7 +150,13 @@
 			}
 			h := r.host("h1")
 			r.describe(h, "small", "a", false)
-			h.Old = tt.old
+			for _, id := range tt.old {
+				team := -1
+				if r.jobs[id] != nil {
+					team = r.jobs[id].TeamIdx
+				}
+				h.Old = append(h.Old, fleet.Past{ID: id, Team: team})
+			}
 			r.inherited = []*fleet.Host{h}
 			teams := make([]place.Team, 2)
 			got := r.blocked(teams)
--- /dev/null
+++ b/internal/control/registry.go
@@ -0,0 +1,461 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/job"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// The registry is the durable memory of which machines there are and which jobs
+// may be on them. A launch waits for it, so it has to take few writes whatever
+// the size of the fleet: an array that starts on hundreds of machines costs one.
+// Machines and jobs are kept in pages, many to a key; a job names its machines
+// by a set of their indices.
+const (
+	hostPrefix = "m/"
+	notePrefix = "p/"
+	typesKey   = "c/types"
+)
+
+// hostRecord is a machine's entry in its page.
+type hostRecord struct {
+	Idx  int    `codec:"idx"`
+	Name string `codec:"name"`
+	Addr string `codec:"addr"`
+	Type string `codec:"type"`
+	Zone string `codec:"zone"`
+	Spot bool   `codec:"spot"`
+}
+
+// noteRecord names the machines that a job may be on. The team is there for a
+// job that is over when the record is read.
+type noteRecord struct {
+	Job   string `codec:"job"`
+	Team  string `codec:"team"`
+	Hosts string `codec:"hosts"`
+}
+
+type pageRecord struct {
+	Hosts []hostRecord `codec:"hosts,omitempty"`
+	Notes []noteRecord `codec:"notes,omitempty"`
+}
+
+type note struct {
+	id, team string
+	job      *job.Job // nil: not known to this reign, or over
+	// sure is what the record says whatever became of the last write; want is
+	// what it has to say.
+	sure, want job.Set
+	page       *page
+}
+
+func (n *note) setSure(s job.Set) {
+	n.sure = s
+	if n.job != nil {
+		n.job.Noted = s
+	}
+}
+
+type page struct {
+	key     string
+	version uint64
+	hosts   []*fleet.Host
+	gone    []int // indices of machines that the stored record may still name
+	notes   []*note
+	// urgent: a launch waits for the page; stale: it says more than it has to.
+	urgent, stale bool
+	// after are pages that took entries of this one: it is not stored without them
+	// before they are.
+	after []*page
+}
+
+// entry is a machine's place in the registry.
+type entry struct {
+	hostRecord
+	page *page
+}
+
+type registry struct {
+	pages   []*page // of machines, then of notes as they come
+	next    map[string]int
+	entries map[*fleet.Host]entry
+	notes   map[string]*note
+	limit   int // bytes that a page may have
+	storing bool
+	nextAt  time.Time
+	staleAt time.Time
+}
+
+// pageShare is the part of the state service's limit for values that a page may
+// fill: sizes are estimated.
+const pageShare = 0.7
+
+// noteEvery spaces the writes of the registry, and staleEvery those of pages
+// that merely say too much: the budget of writes is shared with acceptance,
+// results and endings.
+const (
+	noteEvery  = 60 * time.Millisecond
+	staleEvery = 2 * time.Second
+)
+
+// txnBytes bounds the pages of one transaction, below the protocol's 64 KiB.
+const txnBytes = 44 << 10
+
+func newRegistry(valueKB float64) *registry {
+	return &registry{next: map[string]int{}, entries: map[*fleet.Host]entry{}, notes: map[string]*note{},
+		limit: max(512, int(valueKB*1024*pageShare))}
+}
+
+// size estimates a page's length in the form in which the limits count.
+func (g *registry) size(p *page) int {
+	n := 40
+	for _, h := range p.hosts {
+		n += hostSize(h)
+	}
+	for _, t := range p.notes {
+		n += noteSize(t)
+	}
+	return n
+}
+
+func hostSize(h *fleet.Host) int  { return 120 + len(h.Name) + len(h.Addr) }
+func noteSize(n *note) int        { return 60 + len(n.id) + len(n.team) + 11*len(n.want) }
+func (p *page) is(pr string) bool { return p.key[:len(pr)] == pr }
+
+// room finds a page of that kind that takes n more bytes.
+func (g *registry) room(prefix string, n int) *page {
+	for _, p := range g.pages {
+		if p.is(prefix) && g.size(p)+n <= g.limit {
+			return p
+		}
+	}
+	p := &page{key: fmt.Sprintf("%s%d", prefix, g.next[prefix])}
+	g.next[prefix]++
+	g.pages = append(g.pages, p)
+	return p
+}
+
+// enter puts a machine into the registry.
+func (g *registry) enter(h *fleet.Host, typ, zone string) {
+	if _, in := g.entries[h]; in {
+		return
+	}
+	p := g.room(hostPrefix, hostSize(h))
+	p.hosts = append(p.hosts, h)
+	p.urgent = true
+	g.entries[h] = entry{hostRecord{Idx: h.Idx, Name: h.Name, Addr: h.Addr, Type: typ, Zone: zone, Spot: h.Spot}, p}
+}
+
+// leave takes a machine out and reports whether its index is free at once; else
+// it is free when its page has been stored.
+func (g *registry) leave(h *fleet.Host) bool {
+	for _, n := range g.notes {
+		n.want.Drop(h.Idx)
+	}
+	e, in := g.entries[h]
+	if !in {
+		return true
+	}
+	p := e.page
+	delete(g.entries, h)
+	p.hosts = slices.DeleteFunc(p.hosts, func(x *fleet.Host) bool { return x == h })
+	p.gone, p.stale = append(p.gone, h.Idx), true
+	return false
+}
+
+// note asks for a job to be named for a machine.
+func (g *registry) note(j *job.Job, h *fleet.Host) {
+	n := g.notes[j.ID]
+	if n == nil {
+		n = &note{id: j.ID, team: j.Team, job: j}
+		n.page = g.room(notePrefix, noteSize(n)+11*(h.Idx/64+2))
+		n.page.notes = append(n.page.notes, n)
+		g.notes[j.ID] = n
+	}
+	n.want.Add(h.Idx)
+	if !j.Noted.Has(h.Idx) {
+		n.page.urgent = true
+	}
+}
+
+// forget drops a job's note: nothing of it is on any machine, and it is over.
+func (g *registry) forget(n *note) {
+	delete(g.notes, n.id)
+	n.page.notes = slices.DeleteFunc(n.page.notes, func(x *note) bool { return x == n })
+	n.page.stale = true
+}
+
+// split moves entries that have outgrown a page, or a limit that has become
+// tighter, to others.
+func (g *registry) split(p *page) {
+	moved := func(q *page) *page {
+		q.urgent = true
+		if !slices.Contains(p.after, q) {
+			p.after = append(p.after, q)
+		}
+		return q
+	}
+	for len(p.notes) > 1 && g.size(p) > g.limit {
+		n := p.notes[len(p.notes)-1]
+		p.notes = p.notes[:len(p.notes)-1]
+		n.page = moved(g.room(notePrefix, noteSize(n)))
+		n.page.notes = append(n.page.notes, n)
+	}
+	for len(p.hosts) > 1 && g.size(p) > g.limit {
+		h := p.hosts[len(p.hosts)-1]
+		p.hosts = p.hosts[:len(p.hosts)-1]
+		e := g.entries[h]
+		e.page = moved(g.room(hostPrefix, hostSize(h)))
+		e.page.hosts = append(e.page.hosts, h)
+		g.entries[h] = e
+	}
+}
+
+// sent is one page on its way to the state service.
+type sent struct {
+	page  *page
+	hosts []*fleet.Host
+	gone  []int
+	notes []*note
+	sets  []job.Set
+}
+
+// take chooses the pages of the next transaction and encodes them. From here on
+// a record may be the old one or the new one: only what both name may be
+// launched.
+func (r *reign) take(now time.Time, most int) (out []sent, txn state.Txn) {
+	g := r.registry
+	stale := !now.Before(g.staleAt)
+	for i := 0; i < len(g.pages); i++ { // a split appends
+		if p := g.pages[i]; p.urgent {
+			g.split(p)
+		}
+	}
+	bytes := 0
+	txn.If = []state.Cond{r.fence}
+	for _, p := range g.pages {
+		if !p.urgent && !(p.stale && stale) {
+			continue
+		}
+		p.after = slices.DeleteFunc(p.after, func(q *page) bool { return !q.urgent })
+		if len(p.after) > 0 {
+			continue
+		}
+		size := g.size(p)
+		if len(out) >= most || (bytes > 0 && bytes+size > txnBytes) {
+			break
+		}
+		s := sent{page: p, hosts: slices.Clone(p.hosts), gone: p.gone, notes: slices.Clone(p.notes)}
+		rec := pageRecord{}
+		for _, h := range p.hosts {
+			rec.Hosts = append(rec.Hosts, g.entries[h].hostRecord)
+		}
+		for _, n := range p.notes {
+			r.prune(n)
+			set := slices.Clone(n.want)
+			s.sets = append(s.sets, set)
+			rec.Notes = append(rec.Notes, noteRecord{Job: n.id, Team: n.team, Hosts: set.Text()})
+		}
+		w, err := state.Put(p.key, rec)
+		if err != nil {
+			r.log.Error("page does not encode", "key", p.key, "error", err)
+			continue
+		}
+		for i, n := range s.notes {
+			n.setSure(n.sure.And(s.sets[i]))
+		}
+		p.urgent, p.stale, p.gone = false, false, nil
+		bytes += size
+		out = append(out, s)
+		txn.Writes = append(txn.Writes, w)
+		txn.If = append(txn.If, state.Cond{Key: p.key, Version: p.version})
+	}
+	if stale {
+		g.staleAt = now.Add(staleEvery)
+	}
+	return out, txn
+}
+
+// prune narrows the note of a gang to where its members may be now: it starts
+// anew elsewhere, and a silent machine must not hold it back for an attempt that
+// is over. An array comes back to the machines that it has used, so its note
+// only grows, which spares most writes.
+func (r *reign) prune(n *note) {
+	if n.job == nil || n.job.Shape != job.Gang || !r.ready {
+		return
+	}
+	clear(n.want)
+	for s := range r.fleet.On(n.job) {
+		n.want.Add(s.Host.Idx)
+	}
+}
+
+// register stores what launches wait for.
+func (r *reign) register(now time.Time) {
+	g := r.registry
+	if g.storing || now.Before(g.nextAt) {
+		return
+	}
+	// What is left of the budget after users, who come first.
+	most := min(r.batch, r.c.State.Spare()-2)
+	if most < 1 {
+		return
+	}
+	out, txn := r.take(now, most)
+	if len(out) == 0 {
+		return
+	}
+	// On each page's version, so that an unclear write that is applied late cannot
+	// take the place of a newer one.
+	g.storing, g.nextAt = true, now.Add(noteEvery)
+	go func() {
+		version, err := r.c.State.Commit(r.ctx, txn)
+		found := map[*page]uint64{}
+		if err != nil {
+			r.pause(100 * time.Millisecond)
+		}
+		if errors.Is(err, state.ErrConflict) {
+			for _, s := range out {
+				e, gerr := r.c.State.Get(r.ctx, s.page.key)
+				if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
+					found[s.page] = e.Version
+				}
+			}
+		}
+		r.post(func() { r.stored(out, version, found, err) })
+	}()
+}
+
+func (r *reign) stored(out []sent, version uint64, found map[*page]uint64, err error) {
+	r.registry.storing = false
+	for p, v := range found {
+		p.version = v
+	}
+	if err != nil {
+		for _, s := range out {
+			s.page.urgent = true
+			s.page.gone = append(s.page.gone, s.gone...)
+		}
+		r.smaller(err)
+		return
+	}
+	for _, s := range out {
+		s.page.version = version
+		for _, h := range s.hosts {
+			if r.registry.entries[h].page == s.page {
+				h.Durable = true
+			}
+		}
+		for _, idx := range s.gone {
+			r.fleet.Free(idx)
+		}
+		for i, n := range s.notes {
+			n.setSure(s.sets[i])
+		}
+	}
+	r.dirty = true
+}
+
+// loadRegistry takes in the pages of an earlier leader.
+func (r *reign) loadRegistry(hosts, notes []state.Entry) error {
+	g := r.registry
+	byIdx := map[int]*fleet.Host{}
+	load := func(prefix string, e state.Entry) (*page, *pageRecord, error) {
+		var rec pageRecord
+		var n int
+		if err := wire.Unmarshal(e.Value, &rec); err != nil {
+			return nil, nil, fmt.Errorf("page %s: %w", e.Key, err)
+		}
+		if _, err := fmt.Sscanf(e.Key[len(prefix):], "%d", &n); err != nil {
+			return nil, nil, fmt.Errorf("page %s: %w", e.Key, err)
+		}
+		g.next[prefix] = max(g.next[prefix], n+1)
+		p := &page{key: e.Key, version: e.Version, stale: true}
+		g.pages = append(g.pages, p)
+		return p, &rec, nil
+	}
+	for _, e := range hosts {
+		p, rec, err := load(hostPrefix, e)
+		if err != nil {
+			return err
+		}
+		for _, hr := range rec.Hosts {
+			if h := byIdx[hr.Idx]; h != nil && h.Name == hr.Name {
+				g.twice(p, g.entries[h].page) // a move between pages was under way
+				continue
+			}
+			if byIdx[hr.Idx] != nil || hr.Idx < 0 {
+				return fmt.Errorf("page %s: index %d is used twice", e.Key, hr.Idx)
+			}
+			h := r.fleet.AddAt(hr.Name, hr.Idx, r.since)
+			byIdx[hr.Idx] = h
+			h.Addr, h.Durable, h.Inherited, h.Booting = hr.Addr, true, true, false
+			r.describe(h, hr.Type, hr.Zone, hr.Spot)
+			p.hosts = append(p.hosts, h)
+			g.entries[h] = entry{hr, p}
+		}
+	}
+	for _, e := range notes {
+		p, rec, err := load(notePrefix, e)
+		if err != nil {
+			return err
+		}
+		for _, nr := range rec.Notes {
+			set, err := job.ParseSet(nr.Hosts)
+			if err != nil {
+				return fmt.Errorf("page %s: %w", e.Key, err)
+			}
+			if n := g.notes[nr.Job]; n != nil {
+				// A move between pages was under way. What both name together holds,
+				// and nothing is launched before one of them has it all.
+				for i := range 64 * len(set) {
+					if set.Has(i) {
+						n.want.Add(i)
+					}
+				}
+				n.sure = nil
+				g.twice(p, n.page)
+			} else {
+				n := &note{id: nr.Job, team: nr.Team, sure: set, want: slices.Clone(set), page: p}
+				p.notes = append(p.notes, n)
+				g.notes[n.id] = n
+			}
+			team := -1
+			if t, ok := r.teamIdx[nr.Team]; ok {
+				team = t
+			}
+			for idx, h := range byIdx {
+				if set.Has(idx) {
+					h.Old = append(h.Old, fleet.Past{ID: nr.Job, Team: team})
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// twice orders the pages of an entry that is in both: the one that keeps it is
+// stored before the other drops it.
+func (g *registry) twice(drops, keeps *page) {
+	keeps.urgent = true
+	drops.after = append(drops.after, keeps)
+}
+
+// sweepNotes drops the notes of jobs that are over, once every machine that they
+// name is settled.
+func (r *reign) sweepNotes() {
+	if !r.ready {
+		return
+	}
+	for id, n := range r.registry.notes {
+		if r.jobs[id] == nil {
+			r.registry.forget(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/registry_test.go
@@ -0,0 +1,264 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/job"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// shelf is the state service as the registry sees it.
+type shelf struct {
+	rev uint64
+	kv  map[string]state.Entry
+}
+
+// apply runs a transaction, or reports that a condition fails.
+func (s *shelf) apply(txn state.Txn) (uint64, error) {
+	for _, c := range txn.If[1:] {
+		if s.kv[c.Key].Version != c.Version {
+			return 0, state.ErrConflict
+		}
+	}
+	s.rev++
+	for _, w := range txn.Writes {
+		s.kv[w.Put] = state.Entry{Key: w.Put, Value: w.Value, Version: s.rev}
+	}
+	return s.rev, nil
+}
+
+// names reads which machines the stored records name for a job.
+func (s *shelf) names(t *testing.T, id string) map[int]bool {
+	t.Helper()
+	out := map[int]bool{}
+	for _, e := range s.kv {
+		var rec pageRecord
+		if err := wire.Unmarshal(e.Value, &rec); err != nil {
+			t.Fatal(err)
+		}
+		for _, n := range rec.Notes {
+			set, err := job.ParseSet(n.Hosts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range 64 * len(set) {
+				if n.Job == id && set.Has(i) {
+					out[i] = true
+				}
+			}
+		}
+	}
+	return out
+}
+
+type registryBed struct {
+	*reign
+	t     *testing.T
+	shelf *shelf
+	now   time.Time
+}
+
+func newRegistryBed(t *testing.T) *registryBed {
+	b := &registryBed{reign: bench(t), t: t, shelf: &shelf{kv: map[string]state.Entry{}}, now: time.Unix(1000, 0)}
+	b.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
+	b.registry = newRegistry(16)
+	b.ready = true
+	return b
+}
+
+func (b *registryBed) up(name string) *fleet.Host {
+	h := b.host(name)
+	b.describe(h, "small", "a", false)
+	h.Addr = "10.0.0.1:1"
+	b.registry.enter(h, "small", "a")
+	return h
+}
+
+func (b *registryBed) assign(j *job.Job, task int32, h *fleet.Host) {
+	b.fleet.Assign(h, fleet.Key{Job: j, Task: task, Attempt: uint64(task) + 1}, b.now)
+	b.registry.note(j, h)
+}
+
+// store takes one transaction and lets fate decide what becomes of it.
+func (b *registryBed) store(fate func(state.Txn) (uint64, error)) (txn state.Txn) {
+	out, txn := b.take(b.now, 12)
+	version, err := fate(txn)
+	found := map[*page]uint64{}
+	if errors.Is(err, state.ErrConflict) {
+		for _, s := range out {
+			found[s.page] = b.shelf.kv[s.page.key].Version
+		}
+	}
+	b.stored(out, version, found, err)
+	b.sound()
+	return txn
+}
+
+func lost(state.Txn) (uint64, error) { return 0, state.ErrUnknown }
+
+// sound checks that every machine on which a job may be launched is one that the
+// stored records name for it.
+func (b *registryBed) sound() {
+	b.t.Helper()
+	for id, j := range b.jobs {
+		named := b.shelf.names(b.t, id)
+		for i := range 64 * len(j.Noted) {
+			if j.Noted.Has(i) && !named[i] {
+				b.t.Errorf("job %s may be launched on machine %d, which no record names", id, i)
+			}
+		}
+	}
+}
+
+// TestRegistry: point 6 of docs/safety.md, for records that cover many machines.
+func TestRegistry(t *testing.T) {
+	gang := func(b *registryBed, id string) *job.Job {
+		return b.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 1}}, 1, b.now)
+	}
+	tests := []struct {
+		name string
+		do   func(b *registryBed)
+	}{
+		{"an array over many machines is one write", func(b *registryBed) {
+			j := b.array("run-1")
+			for i := range 60 {
+				b.assign(j, int32(i), b.up(fmt.Sprintf("h%d", i)))
+			}
+			if n := len(b.store(b.shelf.apply).Writes); n != 2 {
+				b.t.Errorf("%d writes, want 2: a page of machines and one of jobs", n)
+			}
+			for i := range 60 {
+				if !j.Noted.Has(i) {
+					b.t.Errorf("machine %d is not noted", i)
+				}
+			}
+		}},
+		{"an unclear write names nothing, one applied late takes no newer one's place", func(b *registryBed) {
+			j := b.array("run-1")
+			b.assign(j, 0, b.up("h0"))
+			late := b.store(lost)
+			if j.Noted.Has(0) || b.host("h0").Durable {
+				b.t.Error("launched on the word of an unclear write")
+			}
+			b.assign(j, 1, b.up("h1"))
+			b.store(b.shelf.apply)
+			if _, err := b.shelf.apply(late); err == nil {
+				b.t.Error("the late write was applied")
+			}
+			b.sound()
+		}},
+		{"an unclear write that was applied is found out", func(b *registryBed) {
+			j := b.array("run-1")
+			b.assign(j, 0, b.up("h0"))
+			late := b.store(lost)
+			if _, err := b.shelf.apply(late); err != nil {
+				b.t.Fatal(err)
+			}
+			b.store(b.shelf.apply) // conflicts
+			b.store(b.shelf.apply)
+			if !j.Noted.Has(0) {
+				b.t.Error("not noted after the conflict")
+			}
+		}},
+		{"a gang's note shrinks to where it may be, and only then", func(b *registryBed) {
+			j := gang(b, "run-1")
+			b.assign(j, 0, b.up("h0"))
+			b.store(b.shelf.apply)
+			for s := range b.fleet.On(j) {
+				b.fleet.Stop(s, 0)
+			}
+			b.assign(j, 1, b.up("h1"))
+			b.store(lost)
+			if j.Noted.Has(0) || j.Noted.Has(1) {
+				b.t.Error("what only one of the two records names may be launched")
+			}
+			b.store(b.shelf.apply)
+			if j.Noted.Has(0) || !j.Noted.Has(1) {
+				b.t.Error("the new place is not the noted one")
+			}
+		}},
+		{"pages that outgrow the limit are split, and a new leader finds all", func(b *registryBed) {
+			for i := range 40 {
+				b.assign(b.array(fmt.Sprintf("run-%d", i)), 0, b.up(fmt.Sprintf("h%d", i)))
+			}
+			b.store(b.shelf.apply)
+			b.registry.limit = 1000
+			for i := range 40 {
+				b.assign(b.jobs[fmt.Sprintf("run-%d", i)], 1, b.host(fmt.Sprintf("h%d", (i+1)%40)))
+			}
+			for _, p := range b.registry.pages {
+				p.urgent = true
+			}
+			for n := range 30 {
+				b.store([]func(state.Txn) (uint64, error){b.shelf.apply, lost}[n%2])
+			}
+			for k, e := range b.shelf.kv {
+				if len(e.Value) > 1000 {
+					b.t.Errorf("page %s has %d bytes", k, len(e.Value))
+				}
+			}
+			next := newRegistryBed(b.t)
+			var hosts, notes []state.Entry
+			for k, e := range b.shelf.kv {
+				if k[0] == hostPrefix[0] {
+					hosts = append(hosts, e)
+				} else {
+					notes = append(notes, e)
+				}
+			}
+			if err := next.loadRegistry(hosts, notes); err != nil {
+				b.t.Fatal(err)
+			}
+			for i := range 40 {
+				past := map[string]bool{}
+				for _, p := range next.fleet.Hosts[fmt.Sprintf("h%d", i)].Old {
+					past[p.ID] = true
+				}
+				if !past[fmt.Sprintf("run-%d", i)] || !past[fmt.Sprintf("run-%d", (i+39)%40)] {
+					b.t.Errorf("machine %d: %v", i, past)
+				}
+			}
+		}},
+		{"an index is used again only when no record names its machine", func(b *registryBed) {
+			h := b.up("h0")
+			b.store(b.shelf.apply)
+			b.fleet.Remove(h)
+			if b.registry.leave(h) {
+				b.t.Fatal("free while the record names it")
+			}
+			if b.up("h1").Idx == h.Idx {
+				b.t.Error("used again at once")
+			}
+			b.store(b.shelf.apply)
+			if got := b.up("h2").Idx; got != h.Idx {
+				b.t.Errorf("index %d, want %d", got, h.Idx)
+			}
+		}},
+		{"the note of a job that is over goes when the takeover is settled", func(b *registryBed) {
+			j := b.array("run-1")
+			b.assign(j, 0, b.up("h0"))
+			b.store(b.shelf.apply)
+			delete(b.jobs, "run-1")
+			b.ready = false
+			b.sweepNotes()
+			if b.registry.notes["run-1"] == nil {
+				b.t.Fatal("dropped before")
+			}
+			b.ready = true
+			b.sweepNotes()
+			b.now = b.now.Add(time.Minute)
+			b.store(b.shelf.apply)
+			if len(b.shelf.names(b.t, "run-1")) != 0 {
+				b.t.Error("still named")
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.do(newRegistryBed(t)) })
+	}
+}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -20,21 +20,6 @@
 	"vetchstream/internal/wire"
 )
 
-const (
-	hostPrefix = "h/"
-	typesKey   = "c/types"
-)
-
-// hostRecord is a machine's entry in the registry.
-type hostRecord struct {
-	Addr string `codec:"addr"`
-	Type string `codec:"type"`
-	Zone string `codec:"zone"`
-	Spot bool   `codec:"spot"`
-	// Jobs are all that may be on the machine.
-	Jobs []string `codec:"jobs"`
-}
-
 type typesRecord struct {
 	Types []wire.MachineType `codec:"types"`
 }
@@ -56,14 +41,15 @@
 	since time.Time
 	inbox chan func()
 
-	fleet   *fleet.Fleet
-	jobs    map[string]*job.Job
-	ids     map[*job.Job]int
-	byID    map[int]*job.Job
-	nextID  int
-	finals  *finals
-	pending map[string]bool // submissions whose commit is under way
-	waiters map[*job.Job][]func(*peer.Reply)
+	fleet    *fleet.Fleet
+	registry *registry
+	jobs     map[string]*job.Job
+	ids      map[*job.Job]int
+	byID     map[int]*job.Job
+	nextID   int
+	finals   *finals
+	pending  map[string]bool // submissions whose commit is under way
+	waiters  map[*job.Job][]func(*peer.Reply)
 	// strangers are jobs that a report named and no record was loaded for: what
 	// they take of a machine is not known until their record is read.
 	strangers map[*job.Job]bool
@@ -91,15 +77,23 @@
 	inherited []*fleet.Host
 	dirty     bool
 	passAt    time.Time
+	passTook  time.Duration
+	preempted map[*job.Job]time.Time // when a job last looked for work to stop
+	debug     bool
 	wants     []hosts.Want
 	flushAt   time.Time
 	flushing  bool
-	storing   bool
+	scanAt    time.Time
+	calls     int // direct commands under way
+	maxCalls  int
 	listAt    time.Time
 	listing   bool
 	typesAt   time.Time
 	typing    bool
 	rentAt    time.Time
+	returns   []*fleet.Host // machines whose release is not answered yet
+	returning bool
+	returnAt  time.Time
 	noticed   map[*fleet.Host]time.Time
 	logWaitAt time.Time
 }
@@ -114,9 +108,12 @@
 		pending: map[string]bool{}, waiters: map[*job.Job][]func(*peer.Reply){}, strangers: map[*job.Job]bool{},
 		typeIdx: map[string]int{}, zoneIdx: map[string]int{}, teamIdx: map[string]int{}, images: map[string]int{},
 		removed: map[string]bool{}, renting: map[hosts.Offer]int{}, backoff: hosts.NewBackoff(),
-		keeps: map[*fleet.Host]keep{}, unstored: map[*job.Job][]*fleet.Slot{}, noticed: map[*fleet.Host]time.Time{},
+		keeps: map[*fleet.Host]keep{}, unstored: map[*job.Job][]*fleet.Slot{}, noticed: map[*fleet.Host]time.Time{}, preempted: map[*job.Job]time.Time{},
 	}
+	r.debug = c.Log.Enabled(ctx, slog.LevelDebug)
 	r.batch = c.Settings.Facts.State.TxnOps
+	r.registry = newRegistry(c.Settings.Facts.State.ValueKB)
+	r.maxCalls = DirectCalls(c.Settings.Facts.Resources.MaxSockets)
 	for _, z := range c.Settings.Facts.Zones {
 		r.zone(z)
 	}
@@ -191,6 +188,10 @@
 	if err != nil {
 		return err
 	}
+	ns, _, err := r.c.State.List(r.ctx, notePrefix)
+	if err != nil {
+		return err
+	}
 	js, epoch, err := r.c.State.List(r.ctx, job.ActivePrefix)
 	if err != nil {
 		return err
@@ -203,16 +204,13 @@
 	if err != nil {
 		return err
 	}
+	// From here on nothing of a try that failed half-way may be left.
+	r.fleet = fleet.New(r.term, config.Seconds(r.c.Settings.Facts.Workers.LeaseS))
+	r.registry = newRegistry(r.c.Settings.Facts.State.ValueKB)
+	r.jobs, r.ids, r.byID, r.orphans = map[string]*job.Job{}, map[*job.Job]int{}, map[int]*job.Job{}, nil
 	r.setTypes(types)
-	r.orphans = nil // of a try that failed half-way
-	for _, e := range hs {
-		var rec hostRecord
-		if err := wire.Unmarshal(e.Value, &rec); err != nil {
-			return fmt.Errorf("host %s: %w", e.Key, err)
-		}
-		h := r.fleet.Add(e.Key[len(hostPrefix):], r.since)
-		h.Addr, h.Durable, h.Inherited, h.Booting, h.Old, h.Version = rec.Addr, true, true, false, rec.Jobs, e.Version
-		r.describe(h, rec.Type, rec.Zone, rec.Spot)
+	if err := r.loadRegistry(hs, ns); err != nil {
+		return err
 	}
 	now := time.Now()
 	for _, e := range js {
@@ -377,6 +375,9 @@
 	r.nextID++
 	r.ids[j], r.byID[r.nextID] = r.nextID, j
 	r.bind(j)
+	if n := r.registry.notes[j.ID]; n != nil {
+		n.job, j.Noted = j, n.sure
+	}
 	r.dirty = true
 	r.log.Info("job is taken in", "job", j.ID, "class", j.Class, "team", j.Team, "tasks", j.Tasks, "cpus", j.CPUs, "estimate", j.EstimateS)
 	return j
@@ -429,9 +430,8 @@
 				r.log.Error("a machine runs a task of a job without a record", "job", id)
 				return
 			}
-			live := j.Live
-			*j = *job.New(rec, time.Now())
-			j.Live, j.Version = live, version
+			j.Become(rec, time.Now())
+			j.Version = version
 			r.bind(j)
 			for _, h := range r.fleet.All() {
 				h.Recount()
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"vetchstream/internal/config"
@@ -52,6 +53,7 @@
 	}
 	r.rentAt = now.Add(500 * time.Millisecond)
 	r.giveBack(now)
+	r.sendReturns(now)
 	r.rent(now)
 }
 
@@ -151,39 +153,51 @@
 // release returns a machine. A release that was sent is never taken back: it may
 // be executed at any later time.
 func (r *reign) release(h *fleet.Host, why string) {
-	if !r.c.Entitled(r.term) {
-		return
-	}
 	h.Releasing = true
 	r.log.Info("returning a machine", "host", h.Name, "why", why)
+	r.returns = append(r.returns, h)
+}
+
+// mostReturned is the protocol's limit for one release.
+const mostReturned = 100
+
+// sendReturns hands machines back, many in one request: the cloud takes a few
+// requests a second, and rentals need them too.
+func (r *reign) sendReturns(now time.Time) {
+	if r.returning || len(r.returns) == 0 || now.Before(r.returnAt) || !r.c.Entitled(r.term) {
+		return
+	}
+	hs := slices.Clone(r.returns[:min(len(r.returns), mostReturned)])
+	names := make([]string, len(hs))
+	for i, h := range hs {
+		names[i] = h.Name
+	}
+	r.returning = true
 	go func() {
-		for r.ctx.Err() == nil {
-			if r.c.Entitled(r.term) {
-				if err := r.c.Cloud.Release(r.ctx, []string{h.Name}); err == nil {
-					break
-				}
-			}
-			r.pause(time.Second)
-		}
+		err := r.c.Cloud.Release(r.ctx, names)
 		r.post(func() {
-			r.handle(r.fleet.Remove(h), time.Now())
-			r.removed[h.Name] = true
-			delete(r.keeps, h)
-			delete(r.noticed, h)
-			if h.Durable {
-				r.forget(h.Name)
+			r.returning, r.returnAt = false, time.Now().Add(time.Second)
+			if err != nil {
+				r.log.Info("returning failed, trying again", "machines", len(names), "error", err)
+				return
+			}
+			r.returns = r.returns[len(hs):]
+			for _, h := range hs {
+				r.returned(h)
 			}
 		})
 	}()
 }
 
-// forget drops a machine from the registry.
-func (r *reign) forget(name string) {
-	r.write([]state.Write{{Delete: hostPrefix + name}}, func(err error) {
-		if err != nil {
-			r.forget(name)
-		}
-	})
+// returned forgets a machine that is gone with all on it.
+func (r *reign) returned(h *fleet.Host) {
+	r.handle(r.fleet.Remove(h), time.Now())
+	r.removed[h.Name] = true
+	delete(r.keeps, h)
+	delete(r.noticed, h)
+	if r.registry.leave(h) {
+		r.fleet.Free(h.Idx)
+	}
 }
 
 func (r *reign) rent(now time.Time) {
--- a/internal/control/users.go
+++ b/internal/control/users.go
@@ -24,14 +24,9 @@
 }
 
 func (r *reign) running(j *job.Job) (n int) {
-	if len(j.Live) == 0 {
-		return 0
-	}
-	for _, h := range r.fleet.All() {
-		for _, s := range h.Slots {
-			if s.Job == j && (s.Phase == wire.Running || s.Phase == wire.Saving) {
-				n++
-			}
+	for s := range r.fleet.On(j) {
+		if s.Phase == wire.Running || s.Phase == wire.Saving {
+			n++
 		}
 	}
 	return n
@@ -272,14 +267,12 @@
 
 // sweep drops jobs that are over once nothing of them is on any machine.
 func (r *reign) sweep() {
-	on := map[*job.Job]bool{}
-	for _, h := range r.fleet.All() {
-		for _, s := range h.Slots {
-			on[s.Job] = true
-		}
-	}
 	for id, j := range r.jobs {
-		if (j.Phase != "" || r.strangers[j]) && !on[j] {
+		if (j.Phase != "" || r.strangers[j]) && len(r.fleet.On(j)) == 0 {
+			if n := r.registry.notes[id]; n != nil {
+				n.job = nil
+			}
+			delete(r.preempted, j)
 			delete(r.jobs, id)
 			delete(r.byID, r.ids[j])
 			delete(r.ids, j)
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -72,6 +72,9 @@
 		}
 	}
 	r.handle(res.Events, now)
+	if h.Fenced && !h.Durable && h.Known && h.Addr != "" && !h.Lost && !h.Releasing {
+		r.registry.enter(h, r.types[h.Type].Name, r.zones[h.Zone])
+	}
 	if res.Fresh && !h.RecallAt.IsZero() {
 		r.recall(h, now)
 	}
@@ -105,12 +108,8 @@
 
 func (r *reign) stopJob(j *job.Job, grace float64) {
 	now := time.Now()
-	for _, h := range r.fleet.All() {
-		for _, s := range h.Slots {
-			if s.Job == j {
-				r.handle(r.fleet.Stop(s, grace), now)
-			}
-		}
+	for s := range r.fleet.On(j) {
+		r.handle(r.fleet.Stop(s, grace), now)
 	}
 }
 
@@ -177,7 +176,9 @@
 				cache = r.types[h.Type].CacheGB
 			}
 			h.Touch(j.ImageIdx, j.ImageGB, cache)
-			r.log.Debug("task runs", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "after", now.Sub(s.At))
+			if r.debug {
+				r.log.Debug("task runs", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "after", now.Sub(s.At))
+			}
 			if j.Shape == job.Gang {
 				j.GangRan = true
 			}
@@ -196,7 +197,9 @@
 }
 
 func (r *reign) ended(s *fleet.Slot, j *job.Job, h *fleet.Host, now time.Time) {
-	r.log.Debug("task ended", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "cause", s.Cause)
+	if r.debug {
+		r.log.Debug("task ended", "task", job.TaskName(j.ID, s.Task), "host", h.Name, "cause", s.Cause)
+	}
 	s.Settled = true
 	if j.Phase != "" {
 		return
@@ -316,9 +319,17 @@
 	r.log.Info("job fails, holding it back", "job", j.ID, "for", j.Backoff, "hosts", len(j.ErrorHosts))
 }
 
+// scanEvery spaces the looks at every machine and every job: in a large fleet one
+// after each message would take most of the processor.
+const scanEvery = 100 * time.Millisecond
+
 // turn is what the actor does after each batch of messages.
 func (r *reign) turn(now time.Time) {
-	r.handle(r.fleet.Expire(now), now)
+	scan := now.Sub(r.scanAt) >= scanEvery
+	if scan {
+		r.scanAt = now
+		r.handle(r.fleet.Expire(now), now)
+	}
 	if !r.c.Entitled(r.term) {
 		return
 	}
@@ -326,16 +337,27 @@
 	r.tidy()
 	r.cloud(now)
 	r.place(now)
-	r.register()
-	for _, h := range r.fleet.All() {
-		if h.Calling || h.Lost || h.Addr == "" || !h.Durable || now.Before(h.NextCall) {
-			continue
+	r.register(now)
+	for _, h := range r.fleet.Awake() {
+		if r.reachable(h, now) && h.Urgent(now) {
+			r.call(h, now)
 		}
-		if !h.Fenced || h.Urgent(now) {
+	}
+	if !scan {
+		return
+	}
+	for _, h := range r.fleet.All() {
+		if !h.Fenced && r.reachable(h, now) {
 			r.call(h, now)
 		}
 	}
 	r.sweep()
+	r.sweepNotes()
+}
+
+// reachable reports whether a direct command may be sent now.
+func (r *reign) reachable(h *fleet.Host, now time.Time) bool {
+	return r.calls < r.maxCalls && !h.Calling && !h.Lost && h.Addr != "" && h.Durable && !now.Before(h.NextCall)
 }
 
 // call sends a direct command: it fences a worker after a takeover, and brings
@@ -350,6 +372,7 @@
 		return
 	}
 	h.Calling = true
+	r.calls++
 	addr := h.Addr
 	go func() {
 		status, rep, reached, err := r.do(addr, body)
@@ -387,9 +410,12 @@
 	return res.StatusCode, rep, true, nil
 }
 
+const maxCallPause = 4 * time.Second
+
 func (r *reign) called(h *fleet.Host, status int, rep *wire.Report, reached bool, err error, sent []*fleet.Slot) {
 	now := time.Now()
 	h.Calling = false
+	r.calls--
 	if r.fleet.Hosts[h.Name] != h {
 		return
 	}
@@ -399,9 +425,12 @@
 	}
 	if rep == nil {
 		r.log.Debug("direct command failed", "host", h.Name, "status", status, "error", err)
-		h.NextCall = now.Add(time.Second)
+		// Silent machines must not hold the few calls at a time that there are.
+		h.NextCall = now.Add(min(maxCallPause, time.Second<<min(h.Failures, 8)))
+		h.Failures++
 		return
 	}
+	h.Failures = 0
 	if rep.Host != "" && rep.Host != h.Name {
 		h.NextCall = now.Add(10 * time.Second)
 		return
@@ -409,86 +438,10 @@
 	r.observe(h, rep, false, now)
 }
 
-// register makes machines durable before their first command, with the jobs that
-// may be on them.
-func (r *reign) register() {
-	if r.storing {
-		return
-	}
-	var hs []*fleet.Host
-	var notes []map[*job.Job]bool
-	var writes []state.Write
-	for _, h := range r.fleet.All() {
-		if h.Booting || h.Addr == "" || !h.Known || !h.Fenced || h.Lost || h.Releasing || (h.Durable && !h.Unnoted()) ||
-			len(writes) >= r.batch {
-			continue
-		}
-		rec := hostRecord{Addr: h.Addr, Type: r.types[h.Type].Name, Zone: r.zones[h.Zone], Spot: h.Spot, Jobs: []string{}}
-		note := map[*job.Job]bool{}
-		for _, s := range h.Slots {
-			if !note[s.Job] {
-				note[s.Job] = true
-				rec.Jobs = append(rec.Jobs, s.Job.ID)
-			}
-		}
-		w, err := state.Put(hostPrefix+h.Name, rec)
-		if err != nil {
-			continue
-		}
-		// From the sending on the record may be the old one or the new one: only
-		// what both name may be launched.
-		for j := range h.Noted {
-			if !note[j] {
-				delete(h.Noted, j)
-			}
-		}
-		hs, notes, writes = append(hs, h), append(notes, note), append(writes, w)
-	}
-	if len(hs) == 0 {
-		return
-	}
-	// On each record's version, so that an unclear write that is applied late
-	// cannot take the place of a newer one.
-	txn := state.Txn{If: []state.Cond{r.fence}, Writes: writes}
-	for _, h := range hs {
-		txn.If = append(txn.If, state.Cond{Key: hostPrefix + h.Name, Version: h.Version})
-	}
-	r.storing = true
-	go func() {
-		version, err := r.c.State.Commit(r.ctx, txn)
-		found := map[*fleet.Host]uint64{}
-		if err != nil {
-			r.pause(100 * time.Millisecond)
-		}
-		if errors.Is(err, state.ErrConflict) {
-			for _, h := range hs {
-				e, gerr := r.c.State.Get(r.ctx, hostPrefix+h.Name)
-				if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
-					found[h] = e.Version
-				}
-			}
-		}
-		r.post(func() {
-			r.storing = false
-			for h, v := range found {
-				h.Version = v
-			}
-			if err != nil {
-				r.smaller(err)
-				return
-			}
-			for i, h := range hs {
-				h.Durable, h.Noted, h.Version = true, notes[i], version
-			}
-			r.dirty = true
-		})
-	}()
-}
-
 // tidy drops results of jobs that are over. It comes after the final record and
 // apart from it, so that ending a job takes a small transaction.
 func (r *reign) tidy() {
-	if r.dropping || len(r.orphans) == 0 {
+	if r.dropping || len(r.orphans) == 0 || r.c.State.Spare() < 2*r.batch {
 		return
 	}
 	keys := r.orphans[:min(len(r.orphans), r.batch)]
@@ -510,8 +463,9 @@
 // have become tighter than the settings say, and the same transaction again
 // would stop all placing.
 func (r *reign) smaller(err error) {
-	if errors.Is(err, state.ErrRejected) && r.batch > 1 {
+	if errors.Is(err, state.ErrRejected) && (r.batch > 1 || r.registry.limit > 512) {
 		r.batch = max(1, r.batch/2)
+		r.registry.limit = max(512, r.registry.limit/2)
 		r.log.Error("state service rejects a transaction, making them smaller", "writes", r.batch, "error", err)
 	}
 }
@@ -530,7 +484,7 @@
 
 // flush stores results, so that the workers may forget them.
 func (r *reign) flush(now time.Time) {
-	if r.flushing || now.Before(r.flushAt) {
+	if r.flushing || now.Before(r.flushAt) || r.c.State.Spare() < r.batch {
 		return
 	}
 	type part struct {
@@ -594,17 +548,17 @@
 	out := map[*job.Job]bool{}
 	for _, h := range r.inherited {
 		used := map[int]bool{}
-		for _, id := range h.Old {
-			j := r.jobs[id]
-			if j == nil || j.TeamIdx < 0 {
-				// Over, and its team forgotten: it may be any.
-				for t := range teams {
-					used[t] = true
-				}
+		for _, past := range h.Old {
+			if j := r.jobs[past.ID]; j != nil {
+				out[j] = true
+			}
+			if past.Team >= 0 {
+				used[past.Team] = true
 				continue
 			}
-			out[j] = true
-			used[j.TeamIdx] = true
+			for t := range teams {
+				used[t] = true // its team is not known here: it may be any
+			}
 		}
 		t := &r.types[h.Type]
 		for i := range used {
@@ -615,12 +569,17 @@
 	return out
 }
 
-// placeEvery keeps bursts of messages from making a plan each.
-const placeEvery = 50 * time.Millisecond
+// placeEvery keeps bursts of messages from making a plan each; and a plan may
+// take one part in placeShare of the time, so that reports, aborts and the lease
+// are served while a large fleet is full of work.
+const (
+	placeEvery = 50 * time.Millisecond
+	placeShare = 4
+)
 
 // place makes and carries out a plan, if anything has changed.
 func (r *reign) place(now time.Time) {
-	if now.Sub(r.passAt) < placeEvery || (!r.dirty && now.Sub(r.passAt) < time.Second) {
+	if now.Sub(r.passAt) < max(placeEvery, placeShare*r.passTook) || (!r.dirty && now.Sub(r.passAt) < time.Second) {
 		return
 	}
 	if !r.ready {
@@ -646,6 +605,7 @@
 		}
 	}
 	r.passAt, r.dirty = now, false
+	defer func() { r.passTook = time.Since(now) }()
 	in, ms, slots := r.input(now)
 	if len(in.Demands) == 0 {
 		r.wants = nil
@@ -667,8 +627,11 @@
 			n = r.attempt()
 			attempts[j] = n
 		}
-		r.log.Debug("task is placed", "task", job.TaskName(j.ID, a.Task), "host", h.Name, "waited", now.Sub(j.WaitFrom))
+		if r.debug {
+			r.log.Debug("task is placed", "task", job.TaskName(j.ID, a.Task), "host", h.Name, "waited", now.Sub(j.WaitFrom))
+		}
 		r.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
+		r.registry.note(j, h)
 		j.LastHost = h.Idx
 		j.WaitFrom = now
 		if k, ok := r.keeps[h]; ok && k.job == j {
@@ -729,45 +692,32 @@
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
 			Limit:     place.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
 	}
-	inZone := map[*job.Job][]int{}
-	exits := map[*fleet.Host]map[place.Task]bool{}
-	for _, h := range r.fleet.All() {
-		for _, s := range h.Slots {
-			if !s.On() {
-				if id := r.ids[s.Job]; id != 0 {
-					if exits[h] == nil {
-						exits[h] = map[place.Task]bool{}
-					}
-					exits[h][place.Task{Job: id, Task: s.Task}] = true
-				}
-				continue
-			}
-			if s.Job.TeamIdx >= 0 {
-				u := &in.Teams[s.Job.TeamIdx].Used
-				u.CPUs, u.GPUs = u.CPUs+s.Job.CPUs, u.GPUs+s.Job.GPUs
-			}
-			z := inZone[s.Job]
-			if z == nil {
-				z = make([]int, len(r.zones))
-				inZone[s.Job] = z
-			}
-			if h.Zone >= 0 {
-				z[h.Zone]++
+	for _, j := range r.jobs {
+		if j.TeamIdx < 0 {
+			continue
+		}
+		n := 0.0
+		for s := range r.fleet.On(j) {
+			if s.On() {
+				n++
 			}
 		}
+		u := &in.Teams[j.TeamIdx].Used
+		u.CPUs, u.GPUs = u.CPUs+n*j.CPUs, u.GPUs+n*j.GPUs
 	}
 	blocked := r.blocked(in.Teams)
+	preempts := false
 	for _, j := range r.jobs {
 		if j.Phase != "" || j.Closing != "" || r.strangers[j] || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] {
 			continue
 		}
-		if j.Shape == job.Gang && (j.GangBroken || j.GangRan) {
+		if j.Waiting() <= 0 || (j.Shape == job.Gang && (j.GangBroken || j.GangRan)) {
 			continue
 		}
 		d := place.Demand{ID: r.ids[j], Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
 			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
 			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
-			Total: j.Tasks, InZone: inZone[j], LatestStart: r.latestStart(j)}
+			Total: j.Tasks, InZone: r.inZone(j), LatestStart: r.latestStart(j)}
 		limit := maxPending
 		if !j.Worked && j.Backoff > 0 {
 			limit = 2 // a job that has only failed so far is tried with little
@@ -784,12 +734,13 @@
 		if len(d.Pending) == 0 {
 			continue
 		}
-		if d.InZone == nil {
-			d.InZone = make([]int, len(r.zones))
-		}
 		waited := now.Sub(j.WaitFrom)
 		late := d.LatestStart-now.Sub(r.since).Seconds() < 5
-		d.Preempts = waited > 300*time.Millisecond && (j.Shape != job.Array || late)
+		if waited > 300*time.Millisecond && (j.Shape != job.Array || late) && now.Sub(r.preempted[j]) >= preemptEvery {
+			d.Preempts = true
+			preempts = true
+			r.preempted[j] = now
+		}
 		in.Demands = append(in.Demands, d)
 	}
 	sort.Slice(in.Demands, func(a, b int) bool { return in.Demands[a].ID < in.Demands[b].ID })
@@ -810,7 +761,7 @@
 		m := place.Machine{ID: h.Idx, Type: h.Type, Zone: h.Zone, Spot: h.Spot,
 			Total: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB},
 			Free:  place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB},
-			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: exits[h],
+			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: r.exits(h),
 			Scale: smallest / t.CPUs, Price: cpuPrice(t, h.Spot) / cheapest}
 		for _, im := range h.Images {
 			m.Images = append(m.Images, im.Idx)
@@ -823,6 +774,11 @@
 				m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
 			}
 		}
+		if !preempts {
+			in.Machines = append(in.Machines, m)
+			ms = append(ms, h)
+			continue
+		}
 		for _, s := range h.Slots {
 			if !s.On() || s.Stopping || !s.Sent || s.Job.Closing != "" || s.Job.Phase != "" {
 				continue
@@ -840,3 +796,42 @@
 	}
 	return in, ms, slots
 }
+
+// preemptEvery is how often a waiting job looks for work to stop: the look is at
+// every task of the fleet.
+const preemptEvery = 500 * time.Millisecond
+
+// inZone counts, per zone, what may be running of a job.
+func (r *reign) inZone(j *job.Job) []int {
+	z := make([]int, len(r.zones))
+	if j.Shape == job.Array && !j.OneZone && !j.Spread {
+		return z // nothing depends on it
+	}
+	for s := range r.fleet.On(j) {
+		if s.On() && s.Host.Zone >= 0 {
+			z[s.Host.Zone]++
+		}
+	}
+	return z
+}
+
+// exits are the tasks whose exits the worker still reports and that may be
+// placed again.
+func (r *reign) exits(h *fleet.Host) map[place.Task]bool {
+	if h.Exits == 0 {
+		return nil
+	}
+	var out map[place.Task]bool
+	for _, s := range h.Slots {
+		if s.On() || (s.Job.IsDone(s.Task) && s.Job.Shape != job.Service) {
+			continue
+		}
+		if id := r.ids[s.Job]; id != 0 {
+			if out == nil {
+				out = map[place.Task]bool{}
+			}
+			out[place.Task{Job: id, Task: s.Task}] = true
+		}
+	}
+	return out
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"vetchstream/internal/job"
@@ -47,6 +48,8 @@
 	// Settled: the exit has been dealt with, durably where it matters, so the
 	// worker may forget it.
 	Settled bool
+	// shown is the last message of the worker that has the slot, by Host.messages.
+	shown uint64
 }
 
 // On reports whether the task may take room on its machine.
@@ -74,6 +77,7 @@
 
 // Host is a machine.
 type Host struct {
+	// Idx is dense: it is used again once the machine and its record are gone.
 	Idx     int
 	Name    string
 	Addr    string
@@ -82,16 +86,11 @@
 	Spot    bool
 	Known   bool // type and zone are known
 	Durable bool // in the registry
-	// Version is that of its registry record; 0: none.
-	Version uint64
 	// Inherited: registered by an earlier leader and not settled since.
 	Inherited bool
-	// Noted are the jobs that the registry names for the machine. Only these are
-	// launched here, so that a successor knows what a silent machine may run.
-	Noted map[*job.Job]bool
-	// Old are the ids that the registry named when this reign began; they hold
+	// Old are the jobs that the registry named when this reign began; they hold
 	// until the machine is settled.
-	Old     []string
+	Old     []Past
 	Born    time.Time
 	Booting bool // never heard of
 
@@ -110,8 +109,9 @@
 	Slots map[Key]*Slot
 	// Calling: a direct command is under way.
 	Calling bool
-	// NextCall holds back direct commands after a failure.
+	// NextCall holds back direct commands after failures, Failures in a row.
 	NextCall  time.Time
+	Failures  int
 	Releasing bool
 	Draining  bool // no more launches, ever
 	IdleFrom  time.Time
@@ -127,6 +127,18 @@
 	// What the placements take, kept by recount.
 	CPUs, GPUs, MemGB float64
 	Queue, Jobs       int
+	// Exits counts the exits that the worker still reports.
+	Exits int
+
+	messages uint64
+	awake    bool
+}
+
+// Past is a job that an earlier leader may have launched on a machine. The team
+// is kept for a job that is over, and is -1 where it is not known.
+type Past struct {
+	ID   string
+	Team int
 }
 
 // Image is a cached image.
@@ -171,12 +183,16 @@
 	Hosts map[string]*Host
 	order []*Host
 	next  int
+	spare []int // indices below next that are free
+	jobs  map[*job.Job]map[*Slot]struct{}
+	awake []*Host
 }
 
 // New makes an empty fleet for a term. The lease is lengthened by the drift of
 // the worker's clock and a margin for the granularity of its timers.
 func New(term uint64, lease time.Duration) *Fleet {
-	return &Fleet{Term: term, Lease: lease + lease/1000 + 500*time.Millisecond, Hosts: map[string]*Host{}}
+	return &Fleet{Term: term, Lease: lease + lease/1000 + 500*time.Millisecond, Hosts: map[string]*Host{},
+		jobs: map[*job.Job]map[*Slot]struct{}{}}
 }
 
 // All returns the machines in the order in which they were met.
@@ -189,14 +205,76 @@
 	if h := f.Hosts[name]; h != nil {
 		return h
 	}
-	h := &Host{Idx: f.next, Name: name, Type: -1, Zone: -1, Born: since, Booting: true, heard: since, IdleFrom: since,
-		Slots: map[Key]*Slot{}, Noted: map[*job.Job]bool{}, ErrorJobs: map[*job.Job]bool{}}
-	f.next++
+	idx := f.next
+	if n := len(f.spare); n > 0 {
+		idx, f.spare = f.spare[n-1], f.spare[:n-1]
+	} else {
+		f.next++
+	}
+	return f.insert(name, idx, since)
+}
+
+// AddAt is Add for a machine whose index the registry names. All of these come
+// before the first Add, and no index twice.
+func (f *Fleet) AddAt(name string, idx int, since time.Time) *Host {
+	for ; f.next < idx; f.next++ {
+		f.spare = append(f.spare, f.next)
+	}
+	f.next = max(f.next, idx+1)
+	f.spare = slices.DeleteFunc(f.spare, func(i int) bool { return i == idx })
+	return f.insert(name, idx, since)
+}
+
+func (f *Fleet) insert(name string, idx int, since time.Time) *Host {
+	h := &Host{Idx: idx, Name: name, Type: -1, Zone: -1, Born: since, Booting: true, heard: since, IdleFrom: since,
+		Slots: map[Key]*Slot{}, ErrorJobs: map[*job.Job]bool{}}
 	f.Hosts[name] = h
 	f.order = append(f.order, h)
 	return h
 }
 
+// Free gives the index of a machine that is gone back. The registry must not
+// name the machine any more: two machines of one index would be one to it.
+func (f *Fleet) Free(idx int) { f.spare = append(f.spare, idx) }
+
+// On returns the slots of a job, exits that are still reported included.
+func (f *Fleet) On(j *job.Job) map[*Slot]struct{} { return f.jobs[j] }
+
+func (f *Fleet) link(h *Host, s *Slot) {
+	h.Slots[s.Key] = s
+	of := f.jobs[s.Job]
+	if of == nil {
+		of = map[*Slot]struct{}{}
+		f.jobs[s.Job] = of
+	}
+	of[s] = struct{}{}
+	s.Job.AddLive(s.Task, 1)
+}
+
+// wake puts a machine on the list of those that wait for a command.
+func (f *Fleet) wake(h *Host) {
+	if !h.awake {
+		h.awake = true
+		f.awake = append(f.awake, h)
+	}
+}
+
+// Awake returns the machines that have a launch or a halt to come. It is kept as
+// a list because a look at every slot of a large fleet after each message would
+// take most of the processor.
+func (f *Fleet) Awake() []*Host {
+	f.awake = slices.DeleteFunc(f.awake, func(h *Host) bool {
+		for _, s := range h.Slots {
+			if !s.Sent || (s.Stopping && s.On()) {
+				return false
+			}
+		}
+		h.awake = false
+		return true
+	})
+	return f.awake
+}
+
 // Remove forgets a machine whose release was answered: everything on it is gone.
 func (f *Fleet) Remove(h *Host) []Event {
 	ev := f.drop(h)
@@ -221,6 +299,12 @@
 
 func (f *Fleet) remove(h *Host, s *Slot, kind EventKind) []Event {
 	delete(h.Slots, s.Key)
+	if of := f.jobs[s.Job]; of != nil {
+		delete(of, s)
+		if len(of) == 0 {
+			delete(f.jobs, s.Job)
+		}
+	}
 	if !s.On() {
 		return nil
 	}
@@ -231,9 +315,10 @@
 
 // Recount sums up what the placements take.
 func (h *Host) Recount() {
-	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs = 0, 0, 0, 0, 0
+	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs, h.Exits = 0, 0, 0, 0, 0, 0
 	for _, s := range h.Slots {
 		if !s.On() {
+			h.Exits++
 			continue
 		}
 		h.CPUs += s.Job.CPUs
@@ -258,9 +343,9 @@
 // or direct command.
 func (f *Fleet) Assign(h *Host, k Key, now time.Time) *Slot {
 	s := &Slot{Key: k, Host: h, At: now}
-	h.Slots[k] = s
-	k.Job.AddLive(k.Task, 1)
+	f.link(h, s)
 	h.Recount()
+	f.wake(h)
 	return s
 }
 
@@ -277,6 +362,7 @@
 	}
 	if !s.Stopping || grace < s.Grace {
 		s.Stopping, s.Grace, s.Halted = true, grace, time.Time{}
+		f.wake(s.Host)
 	}
 	return nil
 }
@@ -334,7 +420,7 @@
 	if m.Notice != nil {
 		h.RecallAt = now.Add(time.Duration(max(0.001, *m.Notice) * float64(time.Second)))
 	}
-	shown := make(map[Key]bool, len(m.Tasks))
+	h.messages++
 	for i := range m.Tasks {
 		t := &m.Tasks[i]
 		id, task, ok := job.SplitTask(t.Task)
@@ -342,19 +428,19 @@
 			continue
 		}
 		j := find(id)
+		if int(task) >= j.Tasks {
+			continue // the job has no such task
+		}
 		k := Key{j, task, t.Attempt}
-		shown[k] = true
 		s := h.Slots[k]
 		if s == nil {
+			s = &Slot{Key: k, Host: h, Adopted: true, At: now}
 			if t.Phase == wire.Exited {
-				s = &Slot{Key: k, Host: h, Sent: true, Adopted: true, At: now, Phase: wire.Pulling}
-				h.Slots[k] = s
-				j.AddLive(task, 1)
-			} else {
-				s = f.Assign(h, k, now)
-				s.Sent, s.Adopted = true, true
+				s.Phase = wire.Pulling
 			}
+			f.link(h, s)
 		}
+		s.shown = h.messages
 		s.Sent, s.Seen, s.Direct = true, true, false
 		was := s.Phase
 		if was == wire.Exited {
@@ -370,9 +456,9 @@
 			r.Events = append(r.Events, Event{Started, s})
 		}
 	}
-	for k, s := range h.Slots {
+	for _, s := range h.Slots {
 		switch {
-		case shown[k] || !s.Sent:
+		case s.shown == h.messages || !s.Sent:
 		case s.Seen:
 			r.Events = append(r.Events, f.remove(h, s, Gone)...)
 		case s.Direct:
@@ -411,7 +497,7 @@
 				ev = append(ev, f.remove(h, s, Never)...)
 				continue
 			}
-			if !launches || !h.Fenced || !h.Durable || h.Lost || !h.Noted[s.Job] {
+			if !launches || !h.Fenced || !h.Durable || h.Lost || !s.Job.Noted.Has(h.Idx) {
 				continue
 			}
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
@@ -431,7 +517,7 @@
 // Urgent reports whether something waits that is worth a direct command.
 func (h *Host) Urgent(now time.Time) bool {
 	for _, s := range h.Slots {
-		if !s.Sent && h.Usable() && h.Noted[s.Job] {
+		if !s.Sent && h.Usable() && s.Job.Noted.Has(h.Idx) {
 			return true
 		}
 		if s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)) {
@@ -479,13 +565,3 @@
 	}
 	return open
 }
-
-// Unnoted reports whether a placement waits for its job to be noted.
-func (h *Host) Unnoted() bool {
-	for _, s := range h.Slots {
-		if !s.Sent && !h.Noted[s.Job] {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,7 +27,7 @@
 		j: job.New(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "array", RankName: "standard", Tasks: 4, CPUs: 1}}, now)}
 	b.h = b.f.Add("host-1", now)
 	b.h.Known, b.h.Durable, b.h.Type, b.h.Zone = true, true, 0, 0
-	b.h.Noted[b.j] = true
+	b.j.Noted.Add(b.h.Idx)
 	return b
 }
 
@@ -87,14 +87,11 @@
 		}},
 		{"6: nothing is launched before the job is noted for the machine", func(b *bed) {
 			b.msg(true, 1, 1, term, nil)
-			clear(b.h.Noted)
+			b.j.Noted.Drop(b.h.Idx)
 			b.assign(1)
-			if !b.h.Unnoted() {
-				b.t.Error("the placement does not ask to be noted")
-			}
 			b.orders(b.compose(1, true), "")
 			b.orders(b.compose(0, true), "")
-			b.h.Noted[b.j] = true
+			b.j.Noted.Add(b.h.Idx)
 			b.orders(b.compose(0, true), "launch 1;")
 		}},
 		{"6: a machine of an earlier leader is open until it is fenced or lost", func(b *bed) {
--- a/internal/hosts/plan.go
+++ b/internal/hosts/plan.go
@@ -73,6 +73,9 @@
 	Now      time.Time
 }
 
+// mostAtOnce bounds what one look rents, in machines.
+const mostAtOnce = 150
+
 // Rentals decides what to rent: waiting work goes first to the machines that
 // are coming, and what is left to the offer that runs it at the lowest cost, if
 // the work can fill enough of it or has waited for long.
@@ -109,7 +112,7 @@
 			out[o]++
 			coming = append(coming, Coming{o, minus(total, d.Need, n)})
 			left -= n
-			if len(coming) > len(s.Coming)+20 {
+			if len(coming) > len(s.Coming)+mostAtOnce {
 				return out // the rest at the next look, when capacity has shown itself
 			}
 		}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -61,6 +61,12 @@
 
 	// Live counts, for each task, the placements that may be on a machine.
 	Live map[int32]int
+	// undone counts the tasks of Live that have not completed.
+	undone int
+	// Noted are the machines for which the registry certainly names the job. It is
+	// launched on these alone, so that a successor knows what a silent machine may
+	// run.
+	Noted Set
 	// scan is the lowest task that may still need a placement.
 	scan int32
 
@@ -118,7 +124,9 @@
 }
 
 // IsDone reports whether a task has completed.
-func (j *Job) IsDone(task int32) bool { return j.done[task/64]&(1<<(task%64)) != 0 }
+func (j *Job) IsDone(task int32) bool {
+	return int(task) < j.Tasks && j.done[task/64]&(1<<(task%64)) != 0
+}
 
 // SetDone records a completed task and reports whether that is news.
 func (j *Job) SetDone(task int32) bool {
@@ -127,6 +135,9 @@
 	}
 	j.done[task/64] |= 1 << (task % 64)
 	j.DoneCount++
+	if j.Live[task] > 0 {
+		j.undone--
+	}
 	j.dirty[int(task)/chunkTasks] = true
 	return true
 }
@@ -136,6 +147,14 @@
 	return j.Shape != Service && j.DoneCount == j.Tasks
 }
 
+// Waiting is the number of tasks that need a placement.
+func (j *Job) Waiting() int {
+	if j.Shape == Service {
+		return j.Tasks - len(j.Live)
+	}
+	return j.Tasks - j.DoneCount - j.undone
+}
+
 // Needs calls yield for each task that needs a placement, until it says stop.
 func (j *Job) Needs(yield func(task int32) bool) {
 	if j.Shape != Service {
@@ -159,11 +178,41 @@
 
 // AddLive changes the number of placements that may be on a machine.
 func (j *Job) AddLive(task int32, by int) {
-	if n := j.Live[task] + by; n > 0 {
+	was := j.Live[task]
+	n := was + by
+	if n > 0 {
 		j.Live[task] = n
 	} else {
 		delete(j.Live, task)
 	}
+	if (was > 0) != (n > 0) && !j.IsDone(task) {
+		if n > 0 {
+			j.undone++
+		} else {
+			j.undone--
+		}
+	}
+}
+
+// Become replaces what is known of a job by its record; what may be on machines
+// stays.
+func (j *Job) Become(r *Record, submitted time.Time) {
+	live, noted := j.Live, j.Noted
+	*j = *New(r, submitted)
+	j.Live, j.Noted = live, noted
+	j.recount()
+}
+
+func (j *Job) recount() {
+	j.DoneCount, j.undone = 0, 0
+	for _, w := range j.done {
+		j.DoneCount += bits.OnesCount64(w)
+	}
+	for t := range j.Live {
+		if int(t) < j.Tasks && !j.IsDone(t) {
+			j.undone++
+		}
+	}
 }
 
 // Dirty returns the chunks that have not been stored as they stand.
@@ -223,10 +272,7 @@
 	if r := j.Tasks % 64; r != 0 {
 		j.done[len(j.done)-1] &= 1<<r - 1
 	}
-	j.DoneCount = 0
-	for _, w := range j.done {
-		j.DoneCount += bits.OnesCount64(w)
-	}
+	j.recount()
 	j.saved[c] = true
 	return nil
 }
--- /dev/null
+++ b/internal/node/door.go
@@ -0,0 +1,124 @@
+package node
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/control"
+)
+
+// outgoing is what state service, cloud, siblings and listeners take of the
+// sockets, besides direct commands.
+const outgoing = 40
+
+// inbound is how many connections users, workers and health checks may have
+// open: all sockets but those that the controller itself needs. A direct command
+// may be under way while as many connections are kept for the next.
+func inbound(set *config.Settings) int {
+	n := set.Facts.Resources.MaxSockets
+	return max(8, n-2*control.DirectCalls(n)-outgoing)
+}
+
+// door limits the connections that are open at a time. At the limit a new one
+// takes the place of the one that has been idle for longest, so that a flood, or
+// a fleet that has moved on to another leader, does not shut out health checks
+// and users.
+type door struct {
+	net.Listener
+	most  int
+	freed chan struct{}
+
+	mu   sync.Mutex
+	open int
+	idle *list.List // of *doorConn, longest idle first
+}
+
+type doorConn struct {
+	net.Conn
+	d    *door
+	once sync.Once
+	at   *list.Element // nil: a request is under way
+}
+
+func newDoor(l net.Listener, most int) *door {
+	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), idle: list.New()}
+}
+
+// Accept waits for a connection and for room for it.
+func (d *door) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for !d.admit() {
+		<-d.freed
+	}
+	return &doorConn{Conn: c, d: d}, nil
+}
+
+// admit takes a place, for which it closes an idle connection at the limit.
+func (d *door) admit() bool {
+	d.mu.Lock()
+	if d.open < d.most {
+		d.open++
+		d.mu.Unlock()
+		return true
+	}
+	var oldest *doorConn
+	if e := d.idle.Front(); e != nil {
+		oldest = e.Value.(*doorConn)
+		d.busy(oldest)
+	}
+	d.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	_ = oldest.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open < d.most {
+		d.open++
+		return true
+	}
+	return false
+}
+
+// busy takes a connection off the list of idle ones; the caller holds the lock.
+func (d *door) busy(c *doorConn) {
+	if c.at != nil {
+		d.idle.Remove(c.at)
+		c.at = nil
+	}
+}
+
+// state follows the server's connections.
+func (d *door) state(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*doorConn)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy(c)
+	if s == http.StateIdle {
+		c.at = d.idle.PushBack(c)
+	}
+}
+
+// Close closes the connection and gives its place back.
+func (c *doorConn) Close() error {
+	c.once.Do(func() {
+		c.d.mu.Lock()
+		c.d.busy(c)
+		c.d.open--
+		c.d.mu.Unlock()
+		select {
+		case c.d.freed <- struct{}{}:
+		default:
+		}
+	})
+	return c.Conn.Close()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 	log = log.With("member", set.Member)
 	// The leader makes nearly all requests; the others read for users and watch.
 	st := state.New(set.Outside.State, nw.Dial, state.Budget{
-		RPS: set.Facts.State.RPS * 0.6, WriteRPS: set.Facts.State.WriteRPS * 0.7})
+		RPS: set.Facts.State.RPS * 0.6, WriteRPS: set.Facts.State.WriteRPS * 0.8})
 	n := &Node{set: set, log: log, state: st}
 	n.ctl = control.New(control.Deps{Settings: set, Tuning: tun, State: st,
 		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log,
@@ -72,7 +72,8 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := &http.Server{Handler: api.New(n, log).Handler(), ReadHeaderTimeout: 10 * time.Second,
+	d := newDoor(hl, inbound(set))
+	srv := &http.Server{ConnState: d.state, Handler: api.New(n, log).Handler(), ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -86,7 +87,7 @@
 		}
 	})
 	wg.Go(func() {
-		if err := srv.Serve(bound(hl, set.Facts.Resources.MaxSockets/2)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(d); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			cancel(fmt.Errorf("listen: %w", err))
 		}
 	})
@@ -183,34 +184,3 @@
 	}
 	return time.Since(n.useless) < patience
 }
-
-// boundedListener limits the connections that are open at a time, so that the
-// sockets for the state service, the workers and the siblings are never used up.
-type boundedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func bound(l net.Listener, n int) net.Listener {
-	return &boundedListener{l, make(chan struct{}, max(8, n))}
-}
-
-func (b *boundedListener) Accept() (net.Conn, error) {
-	b.slots <- struct{}{}
-	c, err := b.Listener.Accept()
-	if err != nil {
-		<-b.slots
-		return nil, err
-	}
-	return &boundedConn{Conn: c, free: sync.OnceFunc(func() { <-b.slots })}, nil
-}
-
-type boundedConn struct {
-	net.Conn
-	free func()
-}
-
-func (c *boundedConn) Close() error {
-	c.free()
-	return c.Conn.Close()
-}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,6 +7,8 @@
 package place
 
 import (
+	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 	"sort"
@@ -197,6 +199,36 @@
 type planner struct {
 	Input
 	plan Plan
+	// byZone lists the machines of each zone, in their order.
+	byZone [][]int
+	// sorted marks the machines whose victims are in the order in which they are
+	// stopped.
+	sorted []bool
+	// lowest is the lowest rank that could be stopped.
+	lowest job.Rank
+	stops  bool // there is anything that could be stopped
+}
+
+// index prepares what the demands share.
+func (p *planner) index() {
+	zones := 0
+	for i := range p.Machines {
+		zones = max(zones, p.Machines[i].Zone+1)
+	}
+	for i := range p.Demands {
+		zones = max(zones, len(p.Demands[i].InZone))
+	}
+	p.byZone = make([][]int, zones)
+	p.sorted = make([]bool, len(p.Machines))
+	for i := range p.Machines {
+		m := &p.Machines[i]
+		p.byZone[m.Zone] = append(p.byZone[m.Zone], i)
+		for v := range m.Victims {
+			if r := m.Victims[v].Rank; !p.stops || r < p.lowest {
+				p.lowest, p.stops = r, true
+			}
+		}
+	}
 }
 
 // fairSeconds is what borrowing the whole fleet costs a team in the order of
@@ -244,6 +276,7 @@
 		}
 		return x.ID < y.ID
 	})
+	p.index()
 	for _, i := range order {
 		if in.Demands[i].Shape == job.Gang {
 			p.gang(i)
@@ -281,36 +314,123 @@
 	return m.Free
 }
 
-func (p *planner) best(d *Demand, task int32, zone int) int {
-	best, length := -1, math.Inf(1)
+// each calls f for the machines of a zone, or of all zones, in their order.
+func (p *planner) each(zone int, f func(i int, m *Machine)) {
+	if zone >= 0 {
+		for _, i := range p.byZone[zone] {
+			f(i, &p.Machines[i])
+		}
+		return
+	}
 	for i := range p.Machines {
-		m := &p.Machines[i]
-		if (zone >= 0 && m.Zone != zone) || !free(m, d).Fits(d.Need) || !p.allowed(m, d) || m.Exits[Task{d.ID, task}] {
+		f(i, &p.Machines[i])
+	}
+}
+
+// queue holds the machines that have room for a task of a demand, the shortest
+// length first and the first machine among equals: what a look at every machine
+// would choose, but with one look for all tasks of the demand, because a
+// placement changes the length of its own machine alone. (For a service it
+// changes the zone's; its queue is made anew for each replica.)
+type queue struct {
+	p    *planner
+	d    *Demand
+	zone int
+	at   []candidate
+	room int // tasks that fit, at least
+}
+
+type candidate struct {
+	length  float64
+	machine int
+}
+
+func (q *queue) Len() int { return len(q.at) }
+func (q *queue) Less(a, b int) bool {
+	x, y := &q.at[a], &q.at[b]
+	return x.length < y.length || (x.length == y.length && x.machine < y.machine)
+}
+func (q *queue) Swap(a, b int) { q.at[a], q.at[b] = q.at[b], q.at[a] }
+func (q *queue) Push(x any)    { q.at = append(q.at, x.(candidate)) }
+func (q *queue) Pop() any {
+	c := q.at[len(q.at)-1]
+	q.at = q.at[:len(q.at)-1]
+	return c
+}
+
+func (p *planner) queue(d *Demand, zone int) *queue {
+	q := &queue{p: p, d: d, zone: zone}
+	q.fill()
+	return q
+}
+
+func (q *queue) fill() {
+	q.at, q.room = q.at[:0], 0
+	q.p.each(q.zone, func(i int, m *Machine) {
+		if m.Free.CPUs+slack < q.d.Need.CPUs || !free(m, q.d).Fits(q.d.Need) || !q.p.allowed(m, q.d) {
+			return
+		}
+		q.room += free(m, q.d).Times(q.d.Need)
+		q.at = append(q.at, candidate{Length(&q.p.Weights, m, q.d), i})
+	})
+	heap.Init(q)
+}
+
+// next is the best machine for a task, or -1.
+func (q *queue) next(task int32) int {
+	var aside []candidate
+	best := -1
+	for len(q.at) > 0 {
+		c := q.at[0]
+		m := &q.p.Machines[c.machine]
+		if !free(m, q.d).Fits(q.d.Need) || !q.p.allowed(m, q.d) {
+			heap.Pop(q) // full, or its zone is closed by now: for good
 			continue
 		}
-		if l := Length(&p.Weights, m, d); l < length {
-			best, length = i, l
+		if len(m.Exits) > 0 && m.Exits[Task{q.d.ID, task}] {
+			aside = append(aside, heap.Pop(q).(candidate))
+			continue
 		}
+		best = c.machine
+		break
+	}
+	for _, c := range aside {
+		heap.Push(q, c)
 	}
 	return best
 }
 
+// taken brings the queue up to date after a placement on machine i.
+func (q *queue) taken(i int) {
+	if q.d.Shape == job.Service {
+		q.fill()
+		return
+	}
+	for at := range q.at {
+		if q.at[at].machine == i {
+			q.at[at].length = Length(&q.p.Weights, &q.p.Machines[i], q.d)
+			heap.Fix(q, at)
+			return
+		}
+	}
+}
+
 // take debits a placement, so that a burst does not pile up on one machine.
-func (p *planner) take(d *Demand, i int, k float64) {
+func (p *planner) take(d *Demand, i int) {
 	m := &p.Machines[i]
-	m.Free = m.Free.plus(d.Need, -k)
-	if m.KeptFor == d.ID && k > 0 {
+	m.Free = m.Free.plus(d.Need, -1)
+	if m.KeptFor == d.ID {
 		m.Kept = m.Kept.plus(d.Need, -1)
 		if m.Kept.CPUs < slack && m.Kept.GPUs < slack && m.Kept.MemGB < slack {
 			m.KeptFor, m.Kept = 0, Amount{}
 		}
 	}
-	m.Jobs += int(k)
-	m.Queue += int(k)
-	d.InZone[m.Zone] += int(k)
+	m.Jobs++
+	m.Queue++
+	d.InZone[m.Zone]++
 	if d.Team >= 0 {
 		t := &p.Teams[d.Team]
-		t.Used = t.Used.plus(d.Need, k)
+		t.Used = t.Used.plus(d.Need, 1)
 	}
 }
 
@@ -320,24 +440,22 @@
 	if d.OneZone && zone < 0 {
 		zone = p.roomiest(d)
 	}
+	q := p.queue(d, zone)
 	for n, t := range d.Pending {
 		if d.Team >= 0 && !p.Teams[d.Team].room(d.Need) {
 			p.plan.Limited[i] = true
 			return
 		}
-		m := p.best(d, t, zone)
+		m := q.next(t)
 		if m < 0 {
 			p.plan.Short[i] = p.within(d, len(d.Pending)-n)
 			if d.Preempts {
-				for range max(0, p.plan.Short[i]-p.keptFor(d)) {
-					if !p.preempt(i) {
-						break
-					}
-				}
+				p.preempt(i, -1, p.plan.Short[i]-p.keptFor(d))
 			}
 			return
 		}
-		p.take(d, m, 1)
+		p.take(d, m)
+		q.taken(m)
 		p.plan.Assign = append(p.plan.Assign, Assignment{i, t, m})
 	}
 }
@@ -408,41 +526,92 @@
 			}
 		}
 		p.plan.Short[i] = len(d.Pending)
-		if d.Preempts && p.keptFor(d) == 0 {
+		if d.Preempts && p.mayStop(d) && p.keptFor(d) == 0 {
 			p.preemptGang(i, zones)
 		}
 		return
 	}
 	for _, a := range best {
-		p.take(d, a.Machine, 1)
+		p.take(d, a.Machine)
 	}
 	p.plan.Assign = append(p.plan.Assign, best...)
 }
 
+// mark remembers what placing tasks of a demand changes, to take it back.
+type mark struct {
+	p      *planner
+	d      *Demand
+	inZone []int
+	team   Team
+	was    []Machine
+	at     []int
+}
+
+func (p *planner) mark(d *Demand) *mark {
+	k := &mark{p: p, d: d, inZone: slices.Clone(d.InZone)}
+	if d.Team >= 0 {
+		k.team = p.Teams[d.Team]
+	}
+	return k
+}
+
+// save is called before machine i is changed.
+func (k *mark) save(i int) { k.was, k.at = append(k.was, k.p.Machines[i]), append(k.at, i) }
+
+func (k *mark) undo() {
+	for n, i := range slices.Backward(k.at) {
+		k.p.Machines[i] = k.was[n]
+	}
+	copy(k.d.InZone, k.inZone)
+	if k.d.Team >= 0 {
+		k.p.Teams[k.d.Team] = k.team
+	}
+}
+
 func (p *planner) tryGang(i, zone int) (set []Assignment, length float64, ok bool) {
 	d := &p.Demands[i]
-	kept := slices.Clone(p.Machines)
-	defer func() {
-		for _, a := range set {
-			p.take(d, a.Machine, -1)
-		}
-		p.Machines = kept
-	}()
+	q := p.queue(d, zone)
+	if q.room < len(d.Pending) {
+		return nil, 0, false
+	}
+	k := p.mark(d)
+	defer k.undo()
 	for _, t := range d.Pending {
 		if d.Team >= 0 && !p.Teams[d.Team].room(d.Need) {
 			return set, 0, false
 		}
-		m := p.best(d, t, zone)
+		m := q.next(t)
 		if m < 0 {
 			return set, 0, false
 		}
 		length += Length(&p.Weights, &p.Machines[m], d)
-		p.take(d, m, 1)
+		k.save(m)
+		p.take(d, m)
+		q.taken(m)
 		set = append(set, Assignment{i, t, m})
 	}
 	return set, length, true
 }
 
+// mayStop reports whether there can be anything at all that the demand may stop.
+func (p *planner) mayStop(d *Demand) bool {
+	if !p.stops {
+		return false
+	}
+	if p.lowest < d.Rank {
+		return true
+	}
+	if d.Team < 0 || !p.Teams[d.Team].within(d.Need) {
+		return false
+	}
+	for t := range p.Teams {
+		if t != d.Team && p.Teams[t].borrows() {
+			return true
+		}
+	}
+	return false
+}
+
 // may reports whether a demand may stop a victim: lower rank, or borrowed work
 // of another team when the demand is within its own team's guarantee.
 func (p *planner) may(d *Demand, v *Victim) bool {
@@ -463,77 +632,90 @@
 	return n
 }
 
-// preempt keeps room for one task of the demand on the machine where that
-// throws away the least work.
-func (p *planner) preempt(i int) bool { return p.preemptIn(i, -1) }
-
-func (p *planner) preemptIn(i, zone int) bool {
+// preempt keeps room for up to n tasks of the demand, each on another machine,
+// where that throws away the least work, and returns for how many it did.
+func (p *planner) preempt(i, zone, n int) int {
 	d := &p.Demands[i]
-	best, loss := -1, math.Inf(1)
-	var victims []int
-	for mi := range p.Machines {
-		m := &p.Machines[mi]
-		if (zone >= 0 && m.Zone != zone) || m.KeptFor != 0 || m.Unreliable || !p.allowed(m, d) || !m.Total.Fits(d.Need) {
-			continue
+	if n <= 0 || !p.mayStop(d) {
+		return 0
+	}
+	type choice struct {
+		machine, victims int
+		loss             float64
+	}
+	var all []choice
+	p.each(zone, func(mi int, m *Machine) {
+		if m.KeptFor != 0 || m.Unreliable || len(m.Victims) == 0 || !m.Total.Fits(d.Need) || !p.allowed(m, d) {
+			return
 		}
-		room, sum := m.Free, 0.0
-		var ids []int
-		vs := slices.Clone(m.Victims)
-		sort.SliceStable(vs, func(a, b int) bool {
-			if vs[a].Rank != vs[b].Rank {
-				return vs[a].Rank < vs[b].Rank
-			}
-			return vs[a].Loss < vs[b].Loss
-		})
-		for _, v := range vs {
+		room, c := m.Free, choice{machine: mi}
+		for v := range p.victims(mi) {
 			if room.Fits(d.Need) {
 				break
 			}
-			if !p.may(d, &v) {
-				continue
+			if p.may(d, &m.Victims[v]) {
+				room = room.plus(m.Victims[v].Need, 1)
+				c.loss += m.Victims[v].Loss
+				c.victims++
 			}
-			room = room.plus(v.Need, 1)
-			sum += v.Loss
-			ids = append(ids, v.ID)
 		}
-		if room.Fits(d.Need) && sum < loss {
-			best, loss, victims = mi, sum, ids
+		if c.victims > 0 && room.Fits(d.Need) {
+			all = append(all, c)
+		}
+	})
+	slices.SortFunc(all, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.machine, b.machine))
+	})
+	n = min(n, len(all))
+	for _, c := range all[:n] {
+		m := &p.Machines[c.machine]
+		var ids []int
+		for v := range m.Victims {
+			if len(ids) < c.victims && p.may(d, &m.Victims[v]) {
+				ids = append(ids, m.Victims[v].ID)
+			}
 		}
+		m.KeptFor, m.Kept = d.ID, d.Need
+		p.plan.Preempt = append(p.plan.Preempt, Preemption{i, c.machine, ids})
 	}
-	if best < 0 || len(victims) == 0 {
-		return false
+	return n
+}
+
+// victims returns a machine's victims in the order in which they are stopped.
+func (p *planner) victims(i int) []Victim {
+	m := &p.Machines[i]
+	if !p.sorted[i] {
+		p.sorted[i] = true
+		slices.SortStableFunc(m.Victims, func(a, b Victim) int {
+			return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Loss, b.Loss))
+		})
 	}
-	m := &p.Machines[best]
-	m.KeptFor, m.Kept = d.ID, d.Need
-	m.Victims = slices.DeleteFunc(slices.Clone(m.Victims), func(v Victim) bool { return slices.Contains(victims, v.ID) })
-	p.plan.Preempt = append(p.plan.Preempt, Preemption{i, best, victims})
-	return true
+	return m.Victims
 }
 
 // preemptGang stops work for a gang only where that makes room for all of it.
 func (p *planner) preemptGang(i int, zones []int) {
 	d := &p.Demands[i]
 	for _, z := range zones {
-		kept, planned := slices.Clone(p.Machines), len(p.plan.Preempt)
-		need := 0
-		for range d.Pending {
-			if m := p.best(d, -1, z); m >= 0 {
-				mm := &p.Machines[m]
-				mm.Free = mm.Free.plus(d.Need, -1)
-				continue
-			}
-			need++
-		}
-		ok := true
-		for range need {
-			if !p.preemptIn(i, z) {
-				ok = false
+		k, planned := p.mark(d), len(p.plan.Preempt)
+		q, need := p.queue(d, z), len(d.Pending)
+		for need > 0 {
+			m := q.next(-1)
+			if m < 0 {
 				break
 			}
+			k.save(m)
+			p.Machines[m].Free = p.Machines[m].Free.plus(d.Need, -1)
+			q.taken(m)
+			need--
 		}
-		if ok {
+		if got := p.preempt(i, z, need); got == need {
 			return
 		}
-		p.Machines, p.plan.Preempt = kept, p.plan.Preempt[:planned]
+		for _, e := range p.plan.Preempt[planned:] {
+			p.Machines[e.Machine].KeptFor, p.Machines[e.Machine].Kept = 0, Amount{}
+		}
+		k.undo()
+		p.plan.Preempt = p.plan.Preempt[:planned]
 	}
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -220,6 +220,10 @@
 	return out.Epoch, err
 }
 
+// Spare is the number of writes that the budget has left at the moment. Work that
+// can wait looks at it, so that users' requests find room.
+func (c *Client) Spare() int { return int(c.writes.Tokens()) }
+
 // Grant opens a lease. Leases are never held up by the budget: everything else
 // depends on them.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
