Gangs: machines are reserved where room comes soonest; rooms kept end by themselves

Change: a gang that cannot stop enough reserves the machines whose work leaves room soonest (within 60 s), renewed at each look.

--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -28,6 +28,8 @@
 type keep struct {
 	job   *job.Job
 	until time.Time
+	// reserved: the room comes by itself, nothing is stopped for it.
+	reserved bool
 }
 
 // reign is the actor. Everything below inbox is touched by its goroutine alone;
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -346,6 +346,13 @@
 	if !scan {
 		return
 	}
+	for h, k := range r.keeps {
+		// Here, and not where work is placed: a machine must not be kept for as long
+		// as no work comes.
+		if now.After(k.until) || k.job.Phase+k.job.Closing != "" {
+			delete(r.keeps, h)
+		}
+	}
 	for _, h := range r.fleet.All() {
 		if !h.Fenced && r.reachable(h, now) {
 			r.call(h, now)
@@ -641,11 +648,12 @@
 	for _, p := range plan.Preempt {
 		j, h := r.byID[in.Demands[p.Demand].ID], ms[p.Machine]
 		r.log.Info("making room", "job", j.ID, "host", h.Name, "stops", len(p.Victims))
-		r.keeps[h] = keep{j, now.Add(15 * time.Second)}
+		r.keeps[h] = keep{job: j, until: now.Add(15 * time.Second)}
 		for _, v := range p.Victims {
 			r.stopSlot(slots[v], saveGrace(slots[v].Job))
 		}
 	}
+	r.reserve(now, in, plan.Reserve, ms)
 	r.wants = r.wants[:0]
 	for i := range in.Demands {
 		d := &in.Demands[i]
@@ -717,7 +725,7 @@
 		d := place.Demand{ID: r.ids[j], Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
 			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
 			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
-			Total: j.Tasks, InZone: r.inZone(j), LatestStart: r.latestStart(j)}
+			Total: j.Tasks, Waiting: j.Waiting(), InZone: r.inZone(j), LatestStart: r.latestStart(j)}
 		limit := maxPending
 		if !j.Worked && j.Backoff > 0 {
 			limit = 2 // a job that has only failed so far is tried with little
@@ -767,12 +775,8 @@
 			m.Images = append(m.Images, im.Idx)
 		}
 		if k, ok := r.keeps[h]; ok {
-			if now.After(k.until) || k.job.Phase+k.job.Closing != "" {
-				delete(r.keeps, h)
-			} else {
-				m.KeptFor = r.ids[k.job]
-				m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
-			}
+			m.KeptFor, m.Reserved = r.ids[k.job], k.reserved
+			m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
 		}
 		if !preempts {
 			in.Machines = append(in.Machines, m)
@@ -788,7 +792,7 @@
 				loss = now.Sub(s.RunAt).Seconds() * s.Job.CPUs
 			}
 			m.Victims = append(m.Victims, place.Victim{ID: len(slots), Rank: s.Job.Rank, Team: s.Job.TeamIdx,
-				Need: place.Amount{CPUs: s.Job.CPUs, GPUs: s.Job.GPUs, MemGB: s.Job.MemGB}, Loss: loss})
+				Need: place.Amount{CPUs: s.Job.CPUs, GPUs: s.Job.GPUs, MemGB: s.Job.MemGB}, Loss: loss, Left: left(s, now)})
 			slots = append(slots, s)
 		}
 		in.Machines = append(in.Machines, m)
@@ -835,3 +839,32 @@
 	}
 	return out
 }
+
+// left is the time in which a task is expected to end by itself, in seconds. One
+// that runs longer than expected may go on for a while.
+func left(s *fleet.Slot, now time.Time) float64 {
+	run := estimate(s.Job)
+	if s.RunAt.IsZero() {
+		return run
+	}
+	return max(run/5, run-now.Sub(s.RunAt).Seconds())
+}
+
+// reserve keeps the machines that a plan has chosen for gangs until the next look,
+// and gives back those that it has not chosen again.
+func (r *reign) reserve(now time.Time, in place.Input, chosen []place.Reservation, ms []*fleet.Host) {
+	looked := map[*job.Job]bool{}
+	for i := range in.Demands {
+		if in.Demands[i].Preempts {
+			looked[r.byID[in.Demands[i].ID]] = true
+		}
+	}
+	for h, k := range r.keeps {
+		if k.reserved && looked[k.job] {
+			delete(r.keeps, h)
+		}
+	}
+	for _, c := range chosen {
+		r.keeps[ms[c.Machine]] = keep{job: r.byID[in.Demands[c.Demand].ID], until: now.Add(4 * preemptEvery), reserved: true}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -54,8 +54,9 @@
 	Rank job.Rank
 	Team int
 	Need Amount
-	// Loss is the work that stopping it would throw away, in CPU seconds.
-	Loss float64
+	// Loss is the work that stopping it would throw away, in CPU seconds, and
+	// Left the time in which it is expected to end by itself, in seconds.
+	Loss, Left float64
 }
 
 // Machine is a machine that may get launches.
@@ -76,9 +77,11 @@
 	Images []int
 	// Unreliable: a task failed here recently.
 	Unreliable bool
-	// Kept is the room that is kept for the demand KeptFor (0: none).
-	KeptFor int
-	Kept    Amount
+	// Kept is the room that is kept for the demand KeptFor (0: none). Reserved:
+	// nothing has been stopped for it yet.
+	KeptFor  int
+	Kept     Amount
+	Reserved bool
 	Victims []Victim
 	// Exits are tasks whose exits the worker still reports: it would refuse
 	// another attempt of them.
@@ -107,6 +110,8 @@
 	LastMachine int
 	Total       int
 	Pending     []int32
+	// Waiting is the number of tasks that wait, of which Pending may hold a part.
+	Waiting int
 	// InZone counts, per zone, what may be running of the job.
 	InZone []int
 	// LatestStart orders demands of one rank: when the job has to start to be
@@ -161,10 +166,14 @@
 	Victims []int // ids
 }
 
+// Reservation keeps a machine for a gang until its room has come together.
+type Reservation struct{ Demand, Machine int }
+
 // Plan is the outcome.
 type Plan struct {
 	Assign  []Assignment
 	Preempt []Preemption
+	Reserve []Reservation
 	// Short counts, per demand, the tasks that found no machine although their
 	// team has room for them.
 	Short []int
@@ -448,7 +457,7 @@
 		}
 		m := q.next(t)
 		if m < 0 {
-			p.plan.Short[i] = p.within(d, len(d.Pending)-n)
+			p.plan.Short[i] = p.within(d, max(d.Waiting, len(d.Pending))-n)
 			if d.Preempts {
 				p.preempt(i, -1, p.plan.Short[i]-p.keptFor(d))
 			}
@@ -526,8 +535,8 @@
 			}
 		}
 		p.plan.Short[i] = len(d.Pending)
-		if d.Preempts && p.mayStop(d) && p.keptFor(d) == 0 {
-			p.preemptGang(i, zones)
+		if d.Preempts && p.stops && p.keptFor(d) == 0 {
+			p.makeRoom(i, zones)
 		}
 		return
 	}
@@ -625,7 +634,7 @@
 // keptFor counts the machines on which room is being made for the demand.
 func (p *planner) keptFor(d *Demand) (n int) {
 	for i := range p.Machines {
-		if p.Machines[i].KeptFor == d.ID {
+		if p.Machines[i].KeptFor == d.ID && !p.Machines[i].Reserved {
 			n++
 		}
 	}
@@ -645,7 +654,7 @@
 	}
 	var all []choice
 	p.each(zone, func(mi int, m *Machine) {
-		if m.KeptFor != 0 || m.Unreliable || len(m.Victims) == 0 || !m.Total.Fits(d.Need) || !p.allowed(m, d) {
+		if p.kept(m, d) || m.Unreliable || len(m.Victims) == 0 || !m.Total.Fits(d.Need) || !p.allowed(m, d) {
 			return
 		}
 		room, c := m.Free, choice{machine: mi}
@@ -675,7 +684,7 @@
 				ids = append(ids, m.Victims[v].ID)
 			}
 		}
-		m.KeptFor, m.Kept = d.ID, d.Need
+		m.KeptFor, m.Kept, m.Reserved = d.ID, d.Need, false
 		p.plan.Preempt = append(p.plan.Preempt, Preemption{i, c.machine, ids})
 	}
 	return n
@@ -693,29 +702,109 @@
 	return m.Victims
 }
 
-// preemptGang stops work for a gang only where that makes room for all of it.
-func (p *planner) preemptGang(i int, zones []int) {
-	d := &p.Demands[i]
+// kept reports whether room is being kept here that is not the demand's to use
+// anew: another's, or its own for which work is being stopped already.
+func (p *planner) kept(m *Machine, d *Demand) bool {
+	return m.KeptFor != 0 && (m.KeptFor != d.ID || !m.Reserved)
+}
+
+// makeRoom makes room for a whole gang in one of the zones: at once where that
+// needs nothing but what the gang may stop, and otherwise where it comes soonest
+// by itself. There the machines are reserved, because arrays would fill up each
+// CPU as it comes free and the gang would wait for as long as they come.
+func (p *planner) makeRoom(i int, zones []int) {
+	best, soonest := []int(nil), math.Inf(1)
 	for _, z := range zones {
-		k, planned := p.mark(d), len(p.plan.Preempt)
-		q, need := p.queue(d, z), len(d.Pending)
-		for need > 0 {
-			m := q.next(-1)
-			if m < 0 {
-				break
-			}
-			k.save(m)
-			p.Machines[m].Free = p.Machines[m].Free.plus(d.Need, -1)
-			q.taken(m)
-			need--
+		done, machines, after := p.makeRoomIn(i, z)
+		if done {
+			return
 		}
-		if got := p.preempt(i, z, need); got == need {
+		if machines != nil && after < soonest {
+			best, soonest = machines, after
+		}
+	}
+	if soonest > mostReserved {
+		return
+	}
+	d := &p.Demands[i]
+	for _, m := range best {
+		p.Machines[m].KeptFor, p.Machines[m].Kept, p.Machines[m].Reserved = d.ID, d.Need, true
+		p.plan.Reserve = append(p.plan.Reserve, Reservation{i, m})
+	}
+}
+
+// mostReserved is how long machines may be kept from others for a gang, in
+// seconds: room that comes later is better used until then.
+const mostReserved = 60
+
+// makeRoomIn makes room in a zone by stopping work, or else returns the machines
+// whose work leaves room for the gang soonest, and in how many seconds.
+func (p *planner) makeRoomIn(i, zone int) (done bool, machines []int, after float64) {
+	d := &p.Demands[i]
+	k, planned := p.mark(d), len(p.plan.Preempt)
+	q, need := p.queue(d, zone), len(d.Pending)
+	for need > 0 {
+		m := q.next(-1)
+		if m < 0 {
+			break
+		}
+		k.save(m)
+		p.Machines[m].Free = p.Machines[m].Free.plus(d.Need, -1)
+		q.taken(m)
+		need--
+		machines = append(machines, m)
+	}
+	if p.preempt(i, zone, need) == need {
+		return true, nil, 0
+	}
+	for _, e := range p.plan.Preempt[planned:] {
+		p.Machines[e.Machine].KeptFor, p.Machines[e.Machine].Kept = 0, Amount{}
+	}
+	p.plan.Preempt = p.plan.Preempt[:planned]
+	type room struct {
+		machine int
+		after   float64
+	}
+	var all []room
+	p.each(zone, func(mi int, m *Machine) {
+		if p.kept(m, d) || m.Unreliable || !m.Total.Fits(d.Need) || !p.allowed(m, d) || m.Free.Fits(d.Need) {
 			return
 		}
-		for _, e := range p.plan.Preempt[planned:] {
-			p.Machines[e.Machine].KeptFor, p.Machines[e.Machine].Kept = 0, Amount{}
+		if at := p.roomAfter(m, d); !math.IsInf(at, 1) {
+			all = append(all, room{mi, at})
+		}
+	})
+	k.undo()
+	if len(all) < need {
+		return false, nil, 0
+	}
+	slices.SortFunc(all, func(a, b room) int {
+		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.machine, b.machine))
+	})
+	for _, r := range all[:need] {
+		machines = append(machines, r.machine)
+		after = r.after
+	}
+	return false, machines, after
+}
+
+// roomAfter is when a machine has room for a task of the demand, in seconds: what
+// the demand may stop goes at once, the rest when it ends.
+func (p *planner) roomAfter(m *Machine, d *Demand) float64 {
+	vs := slices.Clone(m.Victims)
+	left := func(v *Victim) float64 {
+		if p.may(d, v) {
+			return 0
+		}
+		return v.Left
+	}
+	slices.SortFunc(vs, func(a, b Victim) int { return cmp.Compare(left(&a), left(&b)) })
+	free := m.Free
+	for i := range vs {
+		free = free.plus(vs[i].Need, 1)
+		if free.Fits(d.Need) {
+			return left(&vs[i])
 		}
-		k.undo()
-		p.plan.Preempt = p.plan.Preempt[:planned]
 	}
+	return math.Inf(1)
 }
