--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -82,7 +82,7 @@
 	KeptFor  int
 	Kept     Amount
 	Reserved bool
-	Victims []Victim
+	Victims  []Victim
 	// Exits are tasks whose exits the worker still reports: it would refuse
 	// another attempt of them.
 	Exits map[Task]bool
