Door: a connection that waits for room takes the place of one that becomes idle

Found by a test of the door: with all places busy, a waiting connection was let in only when one closed, not when one became idle, and closing the server waited for it for ever.

--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -28,8 +28,11 @@
 // and users.
 type door struct {
 	net.Listener
-	most  int
+	most int
+	// freed tells that a place or an idle connection may have come.
 	freed chan struct{}
+	ended chan struct{}
+	once  sync.Once
 
 	mu   sync.Mutex
 	open int
@@ -44,7 +47,7 @@
 }
 
 func newDoor(l net.Listener, most int) *door {
-	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), idle: list.New()}
+	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), ended: make(chan struct{}), idle: list.New()}
 }
 
 // Accept waits for a connection and for room for it.
@@ -54,11 +57,30 @@
 		return nil, err
 	}
 	for !d.admit() {
-		<-d.freed
+		select {
+		case <-d.freed:
+		case <-d.ended:
+			_ = c.Close()
+			return nil, net.ErrClosed
+		}
 	}
 	return &doorConn{Conn: c, d: d}, nil
 }
 
+// Close stops accepting, also while a connection waits for room.
+func (d *door) Close() error {
+	d.once.Do(func() { close(d.ended) })
+	return d.Listener.Close()
+}
+
+// wake lets a connection that waits for room look again.
+func (d *door) wake() {
+	select {
+	case d.freed <- struct{}{}:
+	default:
+	}
+}
+
 // admit takes a place, for which it closes an idle connection at the limit.
 func (d *door) admit() bool {
 	d.mu.Lock()
@@ -105,6 +127,7 @@
 	d.busy(c)
 	if s == http.StateIdle {
 		c.at = d.idle.PushBack(c)
+		d.wake()
 	}
 }
 
@@ -115,10 +138,7 @@
 		c.d.busy(c)
 		c.d.open--
 		c.d.mu.Unlock()
-		select {
-		case c.d.freed <- struct{}{}:
-		default:
-		}
+		c.d.wake()
 	})
 	return c.Conn.Close()
 }
--- a/internal/node/outside_test.go
+++ b/internal/node/outside_test.go
@@ -240,6 +240,7 @@
 	wg      sync.WaitGroup
 	end     chan struct{}
 	faulty  map[string]bool
+	most    int // machines that the cloud has
 }
 
 func (w *world) break_(format string, a ...any) {
@@ -329,7 +330,7 @@
 			encode(rw, 200, wire.HostNames{Hosts: old})
 			return
 		}
-		n := min(in.Count, 12-len(w.workers))
+		n := min(in.Count, w.most-len(w.workers))
 		if n <= 0 {
 			encode(rw, 503, wire.Error{Error: "no capacity"})
 			return
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -20,7 +20,7 @@
 	"vetchstream/internal/wire"
 )
 
-func settings(t *testing.T, i int) *config.Settings {
+func settings(t *testing.T, i, scale int) *config.Settings {
 	t.Helper()
 	text := fmt.Sprintf("member = \"n%d\"\nsite = \"a\"\nlisten = \"n%d:80\"\npeer_listen = \"n%d:81\"\n", i, i, i)
 	for j := range 3 {
@@ -38,9 +38,7 @@
 skew_ms = 100.0
 [[facts.teams]]
 name = "red"
-cpus = 8.0
-cpus_max = 14.0
-[[facts.teams]]
+` + fmt.Sprintf("cpus = %d.0\ncpus_max = %d.0\n", 8*scale, 14*scale) + `[[facts.teams]]
 name = "blue"
 [facts.workers]
 report_s = 2.0
@@ -73,6 +71,7 @@
 	t     *testing.T
 	nodes [3]context.CancelFunc
 	ended [3]chan struct{}
+	scale int // machines, tasks and limits are that many times as many
 	cuts  map[string]func(from, to string) bool
 }
 
@@ -89,7 +88,7 @@
 		}
 		return dial(c, network, addr)
 	}}
-	set := settings(s.t, i)
+	set := settings(s.t, i, s.scale)
 	ended := make(chan struct{})
 	s.nodes[i], s.ended[i] = cancel, ended
 	go func() {
@@ -412,18 +411,41 @@
 	}
 	for _, day := range days {
 		t.Run(day.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playDay(t, day.faults) })
+			synctest.Test(t, func(t *testing.T) { playDay(t, 1, day.faults) })
 		})
 	}
 }
 
-func playDay(t *testing.T, faults []fault) {
+// TestRulesAtSize plays days of several hundred machines: takeovers that load and
+// fence a whole fleet, registry pages and returns of many machines at once.
+func TestRulesAtSize(t *testing.T) {
+	const scale = 20
+	days := []struct {
+		name   string
+		faults []fault
+	}{
+		{"workers cut while the leader changes, then all crash (4, 6, 9, 15)", []fault{
+			{14 * time.Second, cutWorkers(rand.New(rand.NewPCG(11, 1)), 2*scale, 18*time.Second)},
+			{16 * time.Second, crash(1)}, {45 * time.Second, crash(3)}}},
+		{"state service out, then workers hang while the leader is cut off (2, 3, 8, 17)", []fault{
+			{12 * time.Second, outage(9 * time.Second)},
+			{30 * time.Second, hang(rand.New(rand.NewPCG(12, 1)), 2*scale, 9*time.Second)},
+			{45 * time.Second, cutLeader(func(string) bool { return true }, 15*time.Second)}}},
+	}
+	for _, day := range days {
+		t.Run(day.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playDay(t, scale, day.faults) })
+		})
+	}
+}
+
+func playDay(t *testing.T, scale int, faults []fault) {
 	n := newSimNet()
 	w := &world{net: n, store: newStore(), specs: map[string]*job.Spec{}, workers: map[string]*worker{}, hires: map[string][]string{},
 		told: map[string]string{}, aborted: map[string]time.Time{}, doneSet: map[string]map[int32]bool{}, faulty: map[string]bool{},
-		lease: 10 * time.Second, cancel: 25 * time.Second, limit: map[string]float64{"red": 14},
+		lease: 10 * time.Second, cancel: 25 * time.Second, limit: map[string]float64{"red": 14 * float64(scale)}, most: 12 * scale,
 		ctlAddr: []string{"n0:80", "n1:80", "n2:80"}, end: make(chan struct{})}
-	s := &sim{world: w, t: t, cuts: map[string]func(string, string) bool{}}
+	s := &sim{world: w, t: t, cuts: map[string]func(string, string) bool{}, scale: scale}
 	var servers []*http.Server
 	for addr, h := range map[string]http.Handler{"state:1": w.store, "cloud:1": w} {
 		l, err := n.listen(addr)
@@ -435,9 +457,11 @@
 		go func() { _ = srv.Serve(l) }()
 	}
 	w.mu.Lock()
-	w.boot("large", "a", false, 0)
-	w.boot("small", "b", false, 0)
-	w.boot("small", "c", true, 0)
+	for range scale {
+		w.boot("large", "a", false, 0)
+		w.boot("small", "b", false, 0)
+		w.boot("small", "c", true, 0)
+	}
 	w.mu.Unlock()
 	for i := range 3 {
 		s.startNode(i)
@@ -454,10 +478,10 @@
 	sec := time.Second
 	for i := range 5 {
 		at := time.Duration(1+9*i) * sec
-		add("array", "red", 12, 1, 5, at, 0, nil)
-		add("array", "blue", 10, 2, 8, at+sec, 0, func(j *job.Spec) { j.Checkpoint, j.SaveS, j.Spot = 2, 1, false })
-		add("ensemble", "blue", 3, 2, 10, at+2*sec, 0, func(j *job.Spec) { j.OneZone, j.RankName = true, "urgent" })
-		add("array", "red", 8, 2, 30, at+3*sec, 9*sec, nil)
+		add("array", "red", 12*scale, 1, 5, at, 0, nil)
+		add("array", "blue", 10*scale, 2, 8, at+sec, 0, func(j *job.Spec) { j.Checkpoint, j.SaveS, j.Spot = 2, 1, false })
+		add("ensemble", "blue", min(3*scale, 24), 2, 10, at+2*sec, 0, func(j *job.Spec) { j.OneZone, j.RankName = true, "urgent" })
+		add("array", "red", 8*scale, 2, 30, at+3*sec, 9*sec, nil)
 	}
 	add("daemon", "blue", 3, 1, 0, 2*sec, 60*sec, nil)
 	done := make(chan struct{})
@@ -506,7 +530,7 @@
 	if left > 0 {
 		t.Errorf("%d jobs are not over: %v", left, w.told)
 	}
-	if w.starts < 100 {
+	if w.starts < 100*scale {
 		t.Errorf("only %d tasks were started", w.starts)
 	}
 }
