Guarantees: only what a team has beyond its own is stopped, and a gang counts whole

A team inside its guarantee stopped more of another's work than that had beyond its own, first of all gang members, which looked free to stop and took their gang of up to 24 with them; the other team then was inside its guarantee and stopped the first one's. The stops grew from 7,000 to 25,000 in half a minute and did not end with the trouble. Ruled out: the takeovers themselves (settled after one lease, 400 silent machines), limits, the state service. Change: stopping must leave the other team its guarantee, counting what is leaving already and a gang whole; a gang's loss is all its members' restart.

--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -704,14 +704,18 @@
 		if j.TeamIdx < 0 {
 			continue
 		}
-		n := 0.0
+		n, leaving := 0.0, 0.0
 		for s := range r.fleet.On(j) {
 			if s.On() {
 				n++
+				if s.Stopping {
+					leaving++
+				}
 			}
 		}
-		u := &in.Teams[j.TeamIdx].Used
-		u.CPUs, u.GPUs = u.CPUs+n*j.CPUs, u.GPUs+n*j.GPUs
+		t := &in.Teams[j.TeamIdx]
+		t.Used.CPUs, t.Used.GPUs = t.Used.CPUs+n*j.CPUs, t.Used.GPUs+n*j.GPUs
+		t.Leaving.CPUs, t.Leaving.GPUs = t.Leaving.CPUs+leaving*j.CPUs, t.Leaving.GPUs+leaving*j.GPUs
 	}
 	blocked := r.blocked(in.Teams)
 	preempts := false
@@ -787,12 +791,14 @@
 			if !s.On() || s.Stopping || !s.Sent || s.Job.Closing != "" || s.Job.Phase != "" {
 				continue
 			}
-			loss := 0.0
-			if !s.RunAt.IsZero() && s.Job.Checkpoint <= 0 {
-				loss = now.Sub(s.RunAt).Seconds() * s.Job.CPUs
+			need := place.Amount{CPUs: s.Job.CPUs, GPUs: s.Job.GPUs, MemGB: s.Job.MemGB}
+			loss, whole := stopLoss(s, now), need
+			if s.Job.Shape == job.Gang {
+				n := float64(s.Job.Tasks)
+				whole = place.Amount{CPUs: n * need.CPUs, GPUs: n * need.GPUs, MemGB: n * need.MemGB}
 			}
 			m.Victims = append(m.Victims, place.Victim{ID: len(slots), Rank: s.Job.Rank, Team: s.Job.TeamIdx,
-				Need: place.Amount{CPUs: s.Job.CPUs, GPUs: s.Job.GPUs, MemGB: s.Job.MemGB}, Loss: loss, Left: left(s, now)})
+				Need: need, Whole: whole, Loss: loss, Left: left(s, now)})
 			slots = append(slots, s)
 		}
 		in.Machines = append(in.Machines, m)
@@ -868,3 +874,22 @@
 		r.keeps[ms[c.Machine]] = keep{job: r.byID[in.Demands[c.Demand].ID], until: now.Add(4 * preemptEvery), reserved: true}
 	}
 }
+
+// restartS is what a task loses that has saved, and a gang with every member that
+// is stopped: saving, a new place, its image and a common start, in seconds.
+const restartS = 15
+
+// stopLoss is the work that stopping a task throws away, in CPU seconds. A gang
+// stops whole: for a member that looks free to stop it loses all its members'
+// time.
+func stopLoss(s *fleet.Slot, now time.Time) float64 {
+	switch {
+	case s.Job.Shape == job.Gang:
+		return restartS * s.Job.CPUs * float64(s.Job.Tasks)
+	case s.RunAt.IsZero():
+		return 0
+	case s.Job.Checkpoint > 0:
+		return min(restartS, now.Sub(s.RunAt).Seconds()) * s.Job.CPUs
+	}
+	return now.Sub(s.RunAt).Seconds() * s.Job.CPUs
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -54,6 +54,8 @@
 	Rank job.Rank
 	Team int
 	Need Amount
+	// Whole is what leaves with it: all of its gang, or itself alone.
+	Whole Amount
 	// Loss is the work that stopping it would throw away, in CPU seconds, and
 	// Left the time in which it is expected to end by itself, in seconds.
 	Loss, Left float64
@@ -121,9 +123,19 @@
 	Preempts bool
 }
 
-// Team is a team's guarantee, limit and use; a limit of 0 is none.
+// Team is a team's guarantee, limit and use; a limit of 0 is none. Leaving is the
+// part of its use that is being stopped already.
 type Team struct {
-	Guarantee, Limit, Used Amount
+	Guarantee, Limit, Used, Leaving Amount
+}
+
+// spares reports whether the team keeps its guarantee without a. What it has
+// beyond may be stopped for another's guarantee, and no more: a team that fell
+// inside its own would claim it back, and the two would stop each other's work
+// for ever.
+func (t *Team) spares(a Amount) bool {
+	left := t.Used.plus(t.Leaving, -1).plus(a, -1)
+	return left.CPUs >= t.Guarantee.CPUs-slack && left.GPUs >= t.Guarantee.GPUs-slack
 }
 
 // Within reports whether need is still inside the team's guarantee.
@@ -628,7 +640,7 @@
 		return true
 	}
 	return d.Team >= 0 && v.Team >= 0 && v.Team != d.Team &&
-		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows()
+		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows() && p.Teams[v.Team].spares(v.whole())
 }
 
 // keptFor counts the machines on which room is being made for the demand.
@@ -675,19 +687,42 @@
 	slices.SortFunc(all, func(a, b choice) int {
 		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.machine, b.machine))
 	})
-	n = min(n, len(all))
-	for _, c := range all[:n] {
+	made := 0
+	for _, c := range all {
+		if made == n {
+			break
+		}
 		m := &p.Machines[c.machine]
 		var ids []int
+		room, teams := m.Free, slices.Clone(p.Teams)
 		for v := range m.Victims {
-			if len(ids) < c.victims && p.may(d, &m.Victims[v]) {
-				ids = append(ids, m.Victims[v].ID)
+			x := &m.Victims[v]
+			if room.Fits(d.Need) {
+				break
 			}
+			if p.may(d, x) {
+				ids = append(ids, x.ID)
+				room = room.plus(x.Need, 1)
+				if x.Team >= 0 {
+					t := &p.Teams[x.Team]
+					t.Leaving = t.Leaving.plus(x.whole(), 1)
+				}
+			}
+		}
+		if !room.Fits(d.Need) {
+			p.Teams = teams // what this look has stopped before leaves too little to stop here
+			continue
 		}
 		m.KeptFor, m.Kept, m.Reserved = d.ID, d.Need, false
 		p.plan.Preempt = append(p.plan.Preempt, Preemption{i, c.machine, ids})
+		made++
 	}
-	return n
+	return made
+}
+
+// whole is what leaves when the victim is stopped.
+func (v *Victim) whole() Amount {
+	return Amount{max(v.Need.CPUs, v.Whole.CPUs), max(v.Need.GPUs, v.Whole.GPUs), max(v.Need.MemGB, v.Whole.MemGB)}
 }
 
 // victims returns a machine's victims in the order in which they are stopped.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -132,6 +132,22 @@
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
 			in.Teams[1].Guarantee = Amount{CPUs: 2}
 		}, []int{1}},
+		{"no more than the other team has beyond its guarantee", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 5}
+		}, nil},
+		{"a gang that would leave whole counts whole", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 2}
+			in.Machines[0].Victims[1].Whole = Amount{CPUs: 6}
+		}, nil},
+		{"what is leaving already is not beyond it", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee, in.Teams[1].Leaving = Amount{CPUs: 2}, Amount{CPUs: 3}
+		}, nil},
 		{"guaranteed work does not yield to a guarantee", func(in *Input) {
 			in.Demands[0].Rank = job.Standard
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
