--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -142,7 +142,7 @@
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
 			in.Teams[1].Guarantee = Amount{CPUs: 2}
 			in.Machines[0].Victims[1].Whole = Amount{CPUs: 6}
-		}, nil},
+		}, []int{0}},
 		{"what is leaving already is not beyond it", func(in *Input) {
 			in.Demands[0].Rank = job.Standard
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
