--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,6 +7,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
 	"vetchstream/internal/peer"
+	"vetchstream/internal/place"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
 )
@@ -131,11 +133,11 @@
 	switch q.Kind {
 	case peer.KindSubmit:
 		id, spec, err := submission(q.Body)
-		do = func(r *reign, back func(*peer.Reply)) { r.submit(id, spec, err, back) }
+		do = func(r *reign, back func(*peer.Reply)) { r.admission.submit(id, spec, err, back) }
 	case peer.KindStatus:
-		do = func(r *reign, back func(*peer.Reply)) { r.status(q.ID, back) }
+		do = func(r *reign, back func(*peer.Reply)) { r.admission.status(q.ID, back) }
 	case peer.KindAbort:
-		do = func(r *reign, back func(*peer.Reply)) { r.abort(q.ID, back) }
+		do = func(r *reign, back func(*peer.Reply)) { r.endings.abort(q.ID, back) }
 	case peer.KindReport:
 		m := &wire.Report{}
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
@@ -174,6 +176,10 @@
 	}
 }
 
+type typesRecord struct {
+	Types []wire.MachineType `codec:"types"`
+}
+
 // lookup reads a job's record afresh; it is nil if the job was never accepted.
 func lookup(ctx context.Context, st *state.Client, id string) (*job.Record, uint64, error) {
 	// Active first: a job that moves between the two reads is found by the second.
@@ -273,7 +279,7 @@
 		return p
 	}
 	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
-	txn, err := admission(rec)
+	txn, err := admissionTxn(rec)
 	if err != nil {
 		return later()
 	}
@@ -302,3 +308,43 @@
 	}
 	return reply(http.StatusOK, recordStatus(rec))
 }
+
+// canNever says why a job can never run, or that it cannot be told yet.
+func (c *Controller) canNever(s *job.Spec, types []wire.MachineType) (why string, known bool) {
+	t := slices.IndexFunc(c.Settings.Facts.Teams, func(t config.Team) bool { return t.Name == s.Team })
+	if t < 0 {
+		return "unknown team", true
+	}
+	if len(types) == 0 {
+		return "", false
+	}
+	need := place.Amount{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
+	fits := false
+	for i := range types {
+		mt := &types[i]
+		if !(place.Amount{CPUs: mt.CPUs, GPUs: mt.GPUs, MemGB: mt.MemGB}).Fits(need) {
+			continue
+		}
+		allowed := s.Types == nil
+		for _, n := range s.Types {
+			allowed = allowed || n == mt.Name
+		}
+		zone := s.Zone == ""
+		for _, z := range mt.Zones {
+			zone = zone || z == s.Zone
+		}
+		fits = fits || (allowed && zone)
+	}
+	if !fits {
+		return "a task fits no allowed machine type", true
+	}
+	k := 1.0
+	if s.ShapeName != "array" {
+		k = float64(s.Tasks)
+	}
+	team := &c.Settings.Facts.Teams[t]
+	if (team.CPUsMax > 0 && s.CPUs*k > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && s.GPUs*k > team.GPUsMax+1e-6) {
+		return "more than the team's limit", true
+	}
+	return "", true
+}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -32,8 +32,13 @@
 
 func (r *reign) host(name string) *fleet.Host { return r.fleet.Add(name, time.Unix(1000, 0)) }
 
+func (r *reign) learn(types []wire.MachineType) {
+	r.names.learn(types)
+	r.book.rebind()
+}
+
 func (r *reign) array(id string) *job.Job {
-	return r.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "array", RankName: "idle", Tasks: 100, CPUs: 1}}, 1, time.Unix(1000, 0))
+	return r.book.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "array", RankName: "idle", Tasks: 100, CPUs: 1}}, 1, time.Unix(1000, 0))
 }
 
 // TestBlame: who is at fault when tasks fail, the machine or the job.
@@ -71,7 +76,7 @@
 				if st.done {
 					s.Cause = wire.CauseDone
 				}
-				r.ended(s, j, r.host(st.host), now)
+				r.work.ended(s, j, r.host(st.host), now)
 			}
 			sick, held := "", ""
 			for _, h := range r.fleet.All() {
@@ -110,7 +115,7 @@
 			j, now := r.array("run-1"), time.Unix(1000, 0)
 			end := func(task int, host string, ran time.Duration, adopted bool) {
 				s := &fleet.Slot{Key: fleet.Key{Job: j, Task: int32(task)}, Cause: wire.CauseDone, RunAt: now.Add(-ran), Adopted: adopted}
-				r.ended(s, j, r.host(host), now)
+				r.work.ended(s, j, r.host(host), now)
 			}
 			for i := range 10 {
 				if tt.adopted {
@@ -147,25 +152,25 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := bench(t, config.Team{Name: "red"}, config.Team{Name: "blue"})
-			r.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
+			r.learn([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
 			for id, team := range map[string]string{"run-1": "red", "run-2": "blue", "run-3": "red"} {
-				r.add(&job.Record{Spec: job.Spec{ID: id, Team: team, ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}, 1, time.Unix(1000, 0))
+				r.book.add(&job.Record{Spec: job.Spec{ID: id, Team: team, ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}, 1, time.Unix(1000, 0))
 			}
 			h := r.host("h1")
-			r.describe(h, "small", "a", false)
+			r.names.describe(h, "small", "a", false)
 			for _, id := range tt.old {
 				team := -1
-				if r.jobs[id] != nil {
-					team = r.jobs[id].TeamIdx
+				if r.book.get(id) != nil {
+					team = r.book.get(id).TeamIdx
 				}
 				h.Old = append(h.Old, fleet.Past{ID: id, Team: team})
 			}
-			r.inherited = []*fleet.Host{h}
+			r.takeover.inherited = []*fleet.Host{h}
 			teams := make([]place.Team, 2)
-			got := r.blocked(teams)
+			got := r.takeover.blocked(teams)
 			names := ""
 			for _, id := range []string{"run-1", "run-2", "run-3"} {
-				if got[r.jobs[id]] {
+				if got[r.book.get(id)] {
 					names += id
 				}
 			}
@@ -197,15 +202,15 @@
 			for i := range tt.fleet {
 				h := r.host(fmt.Sprintf("h%d", i))
 				if i < tt.silent {
-					r.inherited = append(r.inherited, h)
+					r.takeover.inherited = append(r.takeover.inherited, h)
 					if tt.jobs {
 						h.Old = []fleet.Past{{ID: "run-1", Team: -1}}
 					}
 				}
 			}
-			r.silent()
-			if got := len(r.returns) == tt.silent; got != tt.want {
-				t.Errorf("%d given up, want all: %v", len(r.returns), tt.want)
+			r.takeover.silent()
+			if got := len(r.machines.returns) == tt.silent; got != tt.want {
+				t.Errorf("%d given up, want all: %v", len(r.machines.returns), tt.want)
 			}
 		})
 	}
@@ -273,11 +278,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			r := bench(t, config.Team{Name: "red", CPUsMax: 10})
 			if !tt.bare {
-				r.setTypes(types)
+				r.learn(types)
 			}
 			s := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1, MemGB: 1}
 			tt.edit(s)
-			why, known := r.c.canNever(s, r.types)
+			why, known := r.c.canNever(s, r.names.list())
 			if (why != "") != tt.never || known != tt.known {
 				t.Errorf("%q, known %v", why, known)
 			}
--- /dev/null
+++ b/internal/control/names.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/wire"
+)
+
+// names maps the names of machine types, zones, teams and images to the dense
+// indices that the parts work with.
+type names struct {
+	types   []wire.MachineType
+	typeIdx map[string]int
+	zones   []string
+	zoneIdx map[string]int
+	teamIdx map[string]int
+	images  map[string]int
+}
+
+func newNames(zones []string, teams []config.Team) *names {
+	nm := &names{typeIdx: map[string]int{}, zoneIdx: map[string]int{}, teamIdx: map[string]int{}, images: map[string]int{}}
+	for _, z := range zones {
+		nm.zone(z)
+	}
+	for i, t := range teams {
+		nm.teamIdx[t.Name] = i
+	}
+	return nm
+}
+
+// learn takes in a price list. A type keeps its index for as long as the reign
+// lasts.
+func (nm *names) learn(types []wire.MachineType) {
+	for _, t := range types {
+		for _, z := range t.Zones {
+			nm.zone(z)
+		}
+		if i, ok := nm.typeIdx[t.Name]; ok {
+			nm.types[i] = t
+			continue
+		}
+		nm.typeIdx[t.Name] = len(nm.types)
+		nm.types = append(nm.types, t)
+	}
+}
+
+// list is the price list, by index.
+func (nm *names) list() []wire.MachineType { return nm.types }
+
+// typeOf is a machine's type; nil if it is not known.
+func (nm *names) typeOf(h *fleet.Host) *wire.MachineType {
+	if h.Type < 0 || h.Type >= len(nm.types) {
+		return nil
+	}
+	return &nm.types[h.Type]
+}
+
+// team is a team's index; -1: there is none of that name.
+func (nm *names) team(name string) int {
+	if i, ok := nm.teamIdx[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// allowed tells, by index, which of the named types are in the price list.
+func (nm *names) allowed(types []string) []bool {
+	ok := make([]bool, len(nm.types))
+	for _, n := range types {
+		if i, known := nm.typeIdx[n]; known {
+			ok[i] = true
+		}
+	}
+	return ok
+}
+
+// zoneNames are the zones, by index.
+func (nm *names) zoneNames() []string { return nm.zones }
+
+// zonesByName are the zones' indices.
+func (nm *names) zonesByName() map[string]int { return nm.zoneIdx }
+
+func (nm *names) zone(name string) int {
+	if i, ok := nm.zoneIdx[name]; ok {
+		return i
+	}
+	nm.zoneIdx[name] = len(nm.zones)
+	nm.zones = append(nm.zones, name)
+	return len(nm.zones) - 1
+}
+
+func (nm *names) image(name string) int {
+	if i, ok := nm.images[name]; ok {
+		return i
+	}
+	nm.images[name] = len(nm.images)
+	return len(nm.images) - 1
+}
+
+// describe notes a machine's type, zone and kind.
+func (nm *names) describe(h *fleet.Host, typ, zone string, spot bool) {
+	if zone == "" || typ == "" {
+		return
+	}
+	t, ok := nm.typeIdx[typ]
+	if !ok {
+		return
+	}
+	h.Type, h.Zone, h.Spot, h.Known = t, nm.zone(zone), spot, true
+}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -20,99 +20,134 @@
 	placeShare = 4
 )
 
+// keep is room that is being made on a machine for a job.
+type keep struct {
+	job   *job.Job
+	until time.Time
+	// reserved: the room comes by itself, nothing is stopped for it.
+	reserved bool
+}
+
+// planner makes plans and carries them out: what is placed, stopped and kept.
+type planner struct {
+	*core
+	names    *names
+	book     *book
+	registry *registry
+	machines *machines
+	takeover *takeover
+	work     *work
+
+	keeps     map[*fleet.Host]keep
+	attempts  uint64 // made in this term
+	passAt    time.Time
+	passTook  time.Duration
+	preempted map[*job.Job]time.Time // when a job last looked for work to stop
+	logWaitAt time.Time
+}
+
+func newPlanner(co *core) *planner {
+	return &planner{core: co, keeps: map[*fleet.Host]keep{}, preempted: map[*job.Job]time.Time{}}
+}
+
+// kept reports whether room is being kept on a machine.
+func (pl *planner) kept(h *fleet.Host) bool { return pl.keeps[h].job != nil }
+
+// gone forgets a machine that has been returned.
+func (pl *planner) gone(h *fleet.Host) { delete(pl.keeps, h) }
+
+// forget forgets a job that is over.
+func (pl *planner) forget(j *job.Job) { delete(pl.preempted, j) }
+
+// expire ends the keeping of room that nobody came for. It is not left to the
+// next plan: a machine must not be kept for as long as no work comes.
+func (pl *planner) expire(now time.Time) {
+	for h, k := range pl.keeps {
+		if now.After(k.until) || k.job.Phase+k.job.Closing != "" {
+			delete(pl.keeps, h)
+		}
+	}
+}
+
 // place makes and carries out a plan, if anything has changed.
-func (r *reign) place(now time.Time) {
-	if now.Sub(r.passAt) < max(placeEvery, placeShare*r.passTook) || (!r.dirty && now.Sub(r.passAt) < time.Second) {
+func (pl *planner) place(now time.Time) {
+	if now.Sub(pl.passAt) < max(placeEvery, placeShare*pl.passTook) || (!pl.dirty && now.Sub(pl.passAt) < time.Second) {
 		return
 	}
-	if !r.ready {
-		r.inherited = r.fleet.Settle()
-		for _, h := range r.inherited {
-			// What it may take of a team's limit is not known; and give the others
-			// the time of a round trip before the plan is made without them.
-			if !h.Known || now.Sub(r.since) < settleTime {
-				return
-			}
-		}
-		if len(r.inherited) > 0 && !r.metSilent && now.Sub(r.since) > silentTime {
-			r.metSilent = true
-			r.silent()
-		}
-		if len(r.inherited) == 0 {
-			r.ready = true
-			r.log.Info("every machine is settled", "after", now.Sub(r.since).Round(time.Millisecond))
-		}
+	if !pl.takeover.settle(now) {
+		return
 	}
-	if len(r.strangers) > 0 {
+	if len(pl.book.strange()) > 0 {
 		// What a stranger takes is not counted for any team yet.
-		for j := range r.strangers {
+		for j := range pl.book.strange() {
 			if len(j.Live) > 0 {
 				return
 			}
 		}
 	}
-	r.passAt, r.dirty = now, false
-	defer func() { r.passTook = time.Since(now) }()
-	in, ms, slots := r.input(now)
+	pl.passAt, pl.dirty = now, false
+	defer func() { pl.passTook = time.Since(now) }()
+	in, ms, slots := pl.input(now)
 	if len(in.Demands) == 0 {
-		r.wants = nil
+		pl.machines.want(nil)
 		return
 	}
 	plan := place.Make(in)
 	attempts := map[*job.Job]uint64{}
 	for _, a := range plan.Assign {
-		j := r.byID[in.Demands[a.Demand].ID]
+		j := pl.book.at(in.Demands[a.Demand].ID)
 		h := ms[a.Machine]
 		n := attempts[j]
 		switch {
 		case j.Shape == job.Gang && j.GangAttempt != 0:
 			n = j.GangAttempt
 		case j.Shape == job.Gang:
-			n = r.attempt()
+			n = pl.attempt()
 			j.GangAttempt = n
 		case n == 0:
-			n = r.attempt()
+			n = pl.attempt()
 			attempts[j] = n
 		}
-		if r.debug {
-			r.log.Debug("task is placed", "task", job.TaskName(j.ID, a.Task), "host", h.Name, "waited", now.Sub(j.WaitFrom))
+		if pl.debug {
+			pl.log.Debug("task is placed", "task", job.TaskName(j.ID, a.Task), "host", h.Name, "waited", now.Sub(j.WaitFrom))
 		}
-		r.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
-		r.registry.note(j, h)
+		pl.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
+		pl.registry.note(j, h)
 		j.LastHost = h.Idx
 		j.WaitFrom = now
-		if k, ok := r.keeps[h]; ok && k.job == j {
-			delete(r.keeps, h)
+		if k, ok := pl.keeps[h]; ok && k.job == j {
+			delete(pl.keeps, h)
 		}
 	}
 	for _, p := range plan.Preempt {
-		j, h := r.byID[in.Demands[p.Demand].ID], ms[p.Machine]
-		r.log.Info("making room", "job", j.ID, "host", h.Name, "stops", len(p.Victims))
-		r.keeps[h] = keep{job: j, until: now.Add(15 * time.Second)}
+		j, h := pl.book.at(in.Demands[p.Demand].ID), ms[p.Machine]
+		pl.log.Info("making room", "job", j.ID, "host", h.Name, "stops", len(p.Victims))
+		pl.keeps[h] = keep{job: j, until: now.Add(15 * time.Second)}
 		for _, v := range p.Victims {
-			r.stopSlot(slots[v], saveGrace(slots[v].Job))
+			pl.work.stopSlot(slots[v], saveGrace(slots[v].Job))
 		}
 	}
-	r.reserve(now, in, plan.Reserve, ms)
-	r.wants = r.wants[:0]
+	pl.reserve(now, in, plan.Reserve, ms)
+	var wants []hosts.Want
 	for i := range in.Demands {
 		d := &in.Demands[i]
 		if plan.Short[i] == 0 {
 			continue
 		}
-		j := r.byID[d.ID]
-		r.wants = append(r.wants, hosts.Want{Demand: d, Count: plan.Short[i], TaskS: estimate(j), Image: j.ImageGB,
+		j := pl.book.at(d.ID)
+		wants = append(wants, hosts.Want{Demand: d, Count: plan.Short[i], TaskS: estimate(j), Image: j.ImageGB,
 			Waited: now.Sub(j.WaitFrom).Seconds(), Urgent: j.Shape == job.Gang})
 	}
-	sort.SliceStable(r.wants, func(a, b int) bool { return r.wants[a].Demand.LatestStart < r.wants[b].Demand.LatestStart })
-	if now.Sub(r.logWaitAt) > 5*time.Second && len(r.wants) > 0 {
-		r.logWaitAt = now
-		for i, w := range r.wants {
+	sort.SliceStable(wants, func(a, b int) bool { return wants[a].Demand.LatestStart < wants[b].Demand.LatestStart })
+	pl.machines.want(wants)
+	if now.Sub(pl.logWaitAt) > 5*time.Second && len(wants) > 0 {
+		pl.logWaitAt = now
+		for i, w := range wants {
 			if i == 5 {
 				break
 			}
-			j := r.byID[w.Demand.ID]
-			r.log.Info("no machine has room", "job", j.ID, "class", j.Class, "tasks", w.Count, "waited", w.Waited)
+			j := pl.book.at(w.Demand.ID)
+			pl.log.Info("no machine has room", "job", j.ID, "class", j.Class, "tasks", w.Count, "waited", w.Waited)
 		}
 	}
 }
@@ -131,21 +166,21 @@
 const maxPending = 600
 
 // input describes the fleet and the waiting work to the planner.
-func (r *reign) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
-	w := r.c.Tuning.Weights
+func (pl *planner) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
+	w := pl.c.Tuning.Weights
 	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
 		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price}
-	for _, t := range r.c.Settings.Facts.Teams {
+	for _, t := range pl.c.Settings.Facts.Teams {
 		in.Teams = append(in.Teams, place.Team{
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
 			Limit:     place.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
 	}
-	for _, j := range r.jobs {
+	for _, j := range pl.book.all() {
 		if j.TeamIdx < 0 {
 			continue
 		}
 		n, leaving := 0.0, 0.0
-		for s := range r.fleet.On(j) {
+		for s := range pl.fleet.On(j) {
 			if s.On() {
 				n++
 				if s.Stopping {
@@ -157,19 +192,19 @@
 		t.Used.CPUs, t.Used.GPUs = t.Used.CPUs+n*j.CPUs, t.Used.GPUs+n*j.GPUs
 		t.Leaving.CPUs, t.Leaving.GPUs = t.Leaving.CPUs+leaving*j.CPUs, t.Leaving.GPUs+leaving*j.GPUs
 	}
-	blocked := r.blocked(in.Teams)
+	blocked := pl.takeover.blocked(in.Teams)
 	preempts := false
-	for _, j := range r.jobs {
-		if j.Phase != "" || j.Closing != "" || r.strangers[j] || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] {
+	for _, j := range pl.book.all() {
+		if j.Phase != "" || j.Closing != "" || pl.book.stranger(j) || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] {
 			continue
 		}
 		if j.Waiting() <= 0 || (j.Shape == job.Gang && (j.GangBroken || j.GangRan)) {
 			continue
 		}
-		d := place.Demand{ID: r.ids[j], Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
+		d := place.Demand{ID: pl.book.index(j), Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
 			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
 			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
-			Total: j.Tasks, Waiting: j.Waiting(), InZone: r.inZone(j), LatestStart: r.latestStart(j)}
+			Total: j.Tasks, Waiting: j.Waiting(), InZone: pl.inZone(j), LatestStart: pl.book.latestStart(j)}
 		limit := maxPending
 		if !j.Worked && j.Backoff > 0 {
 			limit = 2 // a job that has only failed so far is tried with little
@@ -187,11 +222,11 @@
 			continue
 		}
 		waited := now.Sub(j.WaitFrom)
-		late := d.LatestStart-now.Sub(r.since).Seconds() < 5
-		if waited > 300*time.Millisecond && (j.Shape != job.Array || late) && now.Sub(r.preempted[j]) >= preemptEvery {
+		late := d.LatestStart-now.Sub(pl.since).Seconds() < 5
+		if waited > 300*time.Millisecond && (j.Shape != job.Array || late) && now.Sub(pl.preempted[j]) >= preemptEvery {
 			d.Preempts = true
 			preempts = true
-			r.preempted[j] = now
+			pl.preempted[j] = now
 		}
 		in.Demands = append(in.Demands, d)
 	}
@@ -200,26 +235,26 @@
 		return in, nil, nil
 	}
 	smallest, cheapest := math.Inf(1), math.Inf(1)
-	for i := range r.types {
-		t := &r.types[i]
+	for i := range pl.names.list() {
+		t := &pl.names.list()[i]
 		smallest = min(smallest, t.CPUs)
 		cheapest = min(cheapest, cpuPrice(t, false), cpuPrice(t, true))
 	}
-	for _, h := range r.fleet.All() {
-		if !h.Usable() || h.Type >= len(r.types) {
+	for _, h := range pl.fleet.All() {
+		if !h.Usable() || h.Type >= len(pl.names.list()) {
 			continue
 		}
-		t := &r.types[h.Type]
+		t := &pl.names.list()[h.Type]
 		m := place.Machine{ID: h.Idx, Type: h.Type, Zone: h.Zone, Spot: h.Spot,
 			Total: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB},
 			Free:  place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB},
-			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: r.exits(h),
+			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: pl.exits(h),
 			Scale: smallest / t.CPUs, Price: cpuPrice(t, h.Spot) / cheapest}
 		for _, im := range h.Images {
 			m.Images = append(m.Images, im.Idx)
 		}
-		if k, ok := r.keeps[h]; ok {
-			m.KeptFor, m.Reserved = r.ids[k.job], k.reserved
+		if k, ok := pl.keeps[h]; ok {
+			m.KeptFor, m.Reserved = pl.book.index(k.job), k.reserved
 			m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
 		}
 		if !preempts {
@@ -252,12 +287,12 @@
 const preemptEvery = 500 * time.Millisecond
 
 // inZone counts, per zone, what may be running of a job.
-func (r *reign) inZone(j *job.Job) []int {
-	z := make([]int, len(r.zones))
+func (pl *planner) inZone(j *job.Job) []int {
+	z := make([]int, len(pl.names.zoneNames()))
 	if j.Shape == job.Array && !j.OneZone && !j.Spread {
 		return z // nothing depends on it
 	}
-	for s := range r.fleet.On(j) {
+	for s := range pl.fleet.On(j) {
 		if s.On() && s.Host.Zone >= 0 {
 			z[s.Host.Zone]++
 		}
@@ -267,7 +302,7 @@
 
 // exits are the tasks whose exits the worker still reports and that may be
 // placed again.
-func (r *reign) exits(h *fleet.Host) map[place.Task]bool {
+func (pl *planner) exits(h *fleet.Host) map[place.Task]bool {
 	if h.Exits == 0 {
 		return nil
 	}
@@ -276,7 +311,7 @@
 		if s.On() || (s.Job.IsDone(s.Task) && s.Job.Shape != job.Service) {
 			continue
 		}
-		if id := r.ids[s.Job]; id != 0 {
+		if id := pl.book.index(s.Job); id != 0 {
 			if out == nil {
 				out = map[place.Task]bool{}
 			}
@@ -298,20 +333,20 @@
 
 // reserve keeps the machines that a plan has chosen for gangs until the next look,
 // and gives back those that it has not chosen again.
-func (r *reign) reserve(now time.Time, in place.Input, chosen []place.Reservation, ms []*fleet.Host) {
+func (pl *planner) reserve(now time.Time, in place.Input, chosen []place.Reservation, ms []*fleet.Host) {
 	looked := map[*job.Job]bool{}
 	for i := range in.Demands {
 		if in.Demands[i].Preempts {
-			looked[r.byID[in.Demands[i].ID]] = true
+			looked[pl.book.at(in.Demands[i].ID)] = true
 		}
 	}
-	for h, k := range r.keeps {
+	for h, k := range pl.keeps {
 		if k.reserved && looked[k.job] {
-			delete(r.keeps, h)
+			delete(pl.keeps, h)
 		}
 	}
 	for _, c := range chosen {
-		r.keeps[ms[c.Machine]] = keep{job: r.byID[in.Demands[c.Demand].ID], until: now.Add(4 * preemptEvery), reserved: true}
+		pl.keeps[ms[c.Machine]] = keep{job: pl.book.at(in.Demands[c.Demand].ID), until: now.Add(4 * preemptEvery), reserved: true}
 	}
 }
 
@@ -333,3 +368,9 @@
 	}
 	return now.Sub(s.RunAt).Seconds() * s.Job.CPUs
 }
+
+// attempt makes a number that no other term can make.
+func (pl *planner) attempt() uint64 {
+	pl.attempts++
+	return pl.term<<24 | pl.attempts
+}
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -104,6 +104,12 @@
 }
 
 type registry struct {
+	*core
+	names    *names
+	book     *book
+	takeover *takeover
+	writer   *writer
+
 	pages   []*page // of machines, then of notes as they come
 	next    map[string]int
 	entries map[*fleet.Host]entry
@@ -129,9 +135,38 @@
 // txnBytes bounds the pages of one transaction, below the protocol's 64 KiB.
 const txnBytes = 44 << 10
 
-func newRegistry(valueKB float64) *registry {
-	return &registry{next: map[string]int{}, entries: map[*fleet.Host]entry{}, notes: map[string]*note{},
-		limit: max(512, int(valueKB*1024*pageShare))}
+func newRegistry(co *core, valueKB float64) *registry {
+	g := &registry{core: co, limit: max(leastPage, int(valueKB*1024*pageShare))}
+	g.reset()
+	return g
+}
+
+// reset forgets the pages of a load that failed half-way.
+func (g *registry) reset() {
+	g.pages, g.next, g.entries, g.notes = nil, map[string]int{}, map[*fleet.Host]entry{}, map[string]*note{}
+}
+
+// leastPage is how small pages may become, in bytes.
+const leastPage = 512
+
+// loose reports whether pages may still become smaller.
+func (g *registry) loose() bool { return g.limit > leastPage }
+
+// tighten halves the pages: the state service takes less than its settings say.
+func (g *registry) tighten() { g.limit = max(leastPage, g.limit/2) }
+
+// adopt ties a job to the note that an earlier leader has made of it.
+func (g *registry) adopt(j *job.Job) {
+	if n := g.notes[j.ID]; n != nil {
+		n.job, j.Noted = j, n.sure
+	}
+}
+
+// orphan unties a job that is over and gone from its note.
+func (g *registry) orphan(id string) {
+	if n := g.notes[id]; n != nil {
+		n.job = nil
+	}
 }
 
 // size estimates a page's length in the form in which the limits count.
@@ -251,8 +286,7 @@
 // take chooses the pages of the next transaction and encodes them. From here on
 // a record may be the old one or the new one: only what both name may be
 // launched.
-func (r *reign) take(now time.Time, most int) (out []sent, txn state.Txn) {
-	g := r.registry
+func (g *registry) take(now time.Time, most int) (out []sent, txn state.Txn) {
 	stale := !now.Before(g.staleAt)
 	for i := 0; i < len(g.pages); i++ { // a split appends
 		if p := g.pages[i]; p.urgent {
@@ -261,7 +295,7 @@
 	}
 	bytes := 0
 	together := map[*page]bool{} // in this transaction
-	txn.If = []state.Cond{r.fence}
+	txn.If = []state.Cond{g.fence}
 	for _, p := range g.pages {
 		if !p.urgent && !(p.stale && stale) {
 			continue
@@ -281,14 +315,14 @@
 			rec.Hosts = append(rec.Hosts, g.entries[h].hostRecord)
 		}
 		for _, n := range p.notes {
-			r.prune(n)
+			g.prune(n)
 			set := slices.Clone(n.want)
 			s.sets = append(s.sets, set)
 			rec.Notes = append(rec.Notes, noteRecord{Job: n.id, Team: n.team, Hosts: set.Text()})
 		}
 		w, err := state.Put(p.key, rec)
 		if err != nil {
-			r.log.Error("page does not encode", "key", p.key, "error", err)
+			g.log.Error("page does not encode", "key", p.key, "error", err)
 			continue
 		}
 		for i, n := range s.notes {
@@ -312,28 +346,27 @@
 // anew elsewhere, and a silent machine must not hold it back for an attempt that
 // is over. An array comes back to the machines that it has used, so its note
 // only grows, which spares most writes.
-func (r *reign) prune(n *note) {
-	if n.job == nil || n.job.Shape != job.Gang || !r.ready {
+func (g *registry) prune(n *note) {
+	if n.job == nil || n.job.Shape != job.Gang || !g.takeover.settled() {
 		return
 	}
 	clear(n.want)
-	for s := range r.fleet.On(n.job) {
+	for s := range g.fleet.On(n.job) {
 		n.want.Add(s.Host.Idx)
 	}
 }
 
 // register stores what launches wait for.
-func (r *reign) register(now time.Time) {
-	g := r.registry
+func (g *registry) register(now time.Time) {
 	if g.storing || now.Before(g.nextAt) {
 		return
 	}
 	// What is left of the budget after users, who come first.
-	most := min(r.batch, r.c.State.Spare()-2)
+	most := min(g.writer.size(), g.c.State.Spare()-2)
 	if most < 1 {
 		return
 	}
-	out, txn := r.take(now, most)
+	out, txn := g.take(now, most)
 	if len(out) == 0 {
 		return
 	}
@@ -341,25 +374,25 @@
 	// take the place of a newer one.
 	g.storing, g.nextAt = true, now.Add(noteEvery)
 	go func() {
-		version, err := r.c.State.Commit(r.ctx, txn)
+		version, err := g.c.State.Commit(g.ctx, txn)
 		found := map[*page]uint64{}
 		if err != nil {
-			r.pause(100 * time.Millisecond)
+			g.pause(100 * time.Millisecond)
 		}
 		if errors.Is(err, state.ErrConflict) {
 			for _, s := range out {
-				e, gerr := r.c.State.Get(r.ctx, s.page.key)
+				e, gerr := g.c.State.Get(g.ctx, s.page.key)
 				if gerr == nil || errors.Is(gerr, state.ErrNotFound) {
 					found[s.page] = e.Version
 				}
 			}
 		}
-		r.post(func() { r.stored(out, version, found, err) })
+		g.post(func() { g.stored(out, version, found, err) })
 	}()
 }
 
-func (r *reign) stored(out []sent, version uint64, found map[*page]uint64, err error) {
-	r.registry.storing = false
+func (g *registry) stored(out []sent, version uint64, found map[*page]uint64, err error) {
+	g.storing = false
 	for p, v := range found {
 		p.version = v
 	}
@@ -368,31 +401,30 @@
 			s.page.urgent = true
 			s.page.gone = append(s.page.gone, s.gone...)
 		}
-		r.smaller(err)
+		g.writer.smaller(err)
 		return
 	}
 	for _, s := range out {
 		s.page.version, s.page.stored = version, s.page.taken
 		for _, h := range s.hosts {
-			if r.registry.entries[h].page == s.page {
+			if g.entries[h].page == s.page {
 				h.Durable = true
 			}
 		}
 		for _, idx := range s.gone {
-			r.fleet.Free(idx)
+			g.fleet.Free(idx)
 		}
 		for i, n := range s.notes {
 			n.setSure(s.sets[i])
 		}
 	}
-	r.dirty = true
+	g.changed()
 }
 
-// loadRegistry takes in the pages of an earlier leader.
-func (r *reign) loadRegistry(hosts, notes []state.Entry) error {
-	g := r.registry
+// load takes in the pages of an earlier leader.
+func (g *registry) load(hosts, notes []state.Entry) error {
 	byIdx := map[int]*fleet.Host{}
-	load := func(prefix string, e state.Entry) (*page, *pageRecord, error) {
+	read := func(prefix string, e state.Entry) (*page, *pageRecord, error) {
 		var rec pageRecord
 		var n int
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
@@ -407,7 +439,7 @@
 		return p, &rec, nil
 	}
 	for _, e := range hosts {
-		p, rec, err := load(hostPrefix, e)
+		p, rec, err := read(hostPrefix, e)
 		if err != nil {
 			return err
 		}
@@ -419,16 +451,16 @@
 			if byIdx[hr.Idx] != nil || hr.Idx < 0 {
 				return fmt.Errorf("page %s: index %d is used twice", e.Key, hr.Idx)
 			}
-			h := r.fleet.AddAt(hr.Name, hr.Idx, r.since)
+			h := g.fleet.AddAt(hr.Name, hr.Idx, g.since)
 			byIdx[hr.Idx] = h
 			h.Addr, h.Durable, h.Inherited, h.Booting = hr.Addr, true, true, false
-			r.describe(h, hr.Type, hr.Zone, hr.Spot)
+			g.names.describe(h, hr.Type, hr.Zone, hr.Spot)
 			p.hosts = append(p.hosts, h)
 			g.entries[h] = entry{hr, p}
 		}
 	}
 	for _, e := range notes {
-		p, rec, err := load(notePrefix, e)
+		p, rec, err := read(notePrefix, e)
 		if err != nil {
 			return err
 		}
@@ -452,10 +484,7 @@
 				p.notes = append(p.notes, n)
 				g.notes[n.id] = n
 			}
-			team := -1
-			if t, ok := r.teamIdx[nr.Team]; ok {
-				team = t
-			}
+			team := g.names.team(nr.Team)
 			for idx, h := range byIdx {
 				if set.Has(idx) {
 					h.Old = append(h.Old, fleet.Past{ID: nr.Job, Team: team})
@@ -475,13 +504,13 @@
 
 // sweepNotes drops the notes of jobs that are over, once every machine that they
 // name is settled.
-func (r *reign) sweepNotes() {
-	if !r.ready {
+func (g *registry) sweepNotes() {
+	if !g.takeover.settled() {
 		return
 	}
-	for id, n := range r.registry.notes {
-		if r.jobs[id] == nil {
-			r.registry.forget(n)
+	for id, n := range g.notes {
+		if g.book.get(id) == nil {
+			g.forget(n)
 		}
 	}
 }
--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -65,15 +65,15 @@
 
 func newRegistryBed(t *testing.T) *registryBed {
 	b := &registryBed{reign: bench(t), t: t, shelf: &shelf{kv: map[string]state.Entry{}}, now: time.Unix(1000, 0)}
-	b.setTypes([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
-	b.registry = newRegistry(16)
-	b.ready = true
+	b.learn([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
+	b.registry.limit = newRegistry(b.core, 16).limit
+	b.takeover.ready = true
 	return b
 }
 
 func (b *registryBed) up(name string) *fleet.Host {
 	h := b.host(name)
-	b.describe(h, "small", "a", false)
+	b.names.describe(h, "small", "a", false)
 	h.Addr = "10.0.0.1:1"
 	b.registry.enter(h, "small", "a")
 	return h
@@ -86,7 +86,7 @@
 
 // store takes one transaction and lets fate decide what becomes of it.
 func (b *registryBed) store(fate func(state.Txn) (uint64, error)) (txn state.Txn) {
-	out, txn := b.take(b.now, 12)
+	out, txn := b.registry.take(b.now, 12)
 	version, err := fate(txn)
 	found := map[*page]uint64{}
 	if errors.Is(err, state.ErrConflict) {
@@ -94,7 +94,7 @@
 			found[s.page] = b.shelf.kv[s.page.key].Version
 		}
 	}
-	b.stored(out, version, found, err)
+	b.registry.stored(out, version, found, err)
 	b.sound()
 	return txn
 }
@@ -111,7 +111,7 @@
 	if h == nil {
 		h = b.fleet.AddAt(name, 64*words-1, b.now)
 	}
-	b.registry.note(b.jobs[id], h)
+	b.registry.note(b.book.get(id), h)
 }
 
 // noted puts a job's note on a page.
@@ -128,7 +128,7 @@
 // stored records name for it.
 func (b *registryBed) sound() {
 	b.t.Helper()
-	for id, j := range b.jobs {
+	for id, j := range b.book.all() {
 		named := b.shelf.names(b.t, id)
 		for i := range 64 * len(j.Noted) {
 			if j.Noted.Has(i) && !named[i] {
@@ -141,7 +141,7 @@
 // TestRegistry: point 6 of docs/safety.md, for records that cover many machines.
 func TestRegistry(t *testing.T) {
 	gang := func(b *registryBed, id string) *job.Job {
-		return b.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 1}}, 1, b.now)
+		return b.book.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 1}}, 1, b.now)
 	}
 	tests := []struct {
 		name string
@@ -212,7 +212,7 @@
 			b.store(b.shelf.apply)
 			b.registry.limit = 1000
 			for i := range 40 {
-				b.assign(b.jobs[fmt.Sprintf("run-%d", i)], 1, b.host(fmt.Sprintf("h%d", (i+1)%40)))
+				b.assign(b.book.get(fmt.Sprintf("run-%d", i)), 1, b.host(fmt.Sprintf("h%d", (i+1)%40)))
 			}
 			for _, p := range b.registry.pages {
 				p.urgent = true
@@ -234,7 +234,7 @@
 					notes = append(notes, e)
 				}
 			}
-			if err := next.loadRegistry(hosts, notes); err != nil {
+			if err := next.registry.load(hosts, notes); err != nil {
 				b.t.Fatal(err)
 			}
 			for i := range 40 {
@@ -261,7 +261,7 @@
 				b.store(b.shelf.apply)
 			}
 			for id, w := range map[string]int{"run-1": 60, "run-2": 30, "run-3": 70, "run-4": 15} {
-				if !b.jobs[id].Noted.Has(64*w - 1) {
+				if !b.book.get(id).Noted.Has(64*w - 1) {
 					b.t.Errorf("%s is never noted", id)
 				}
 			}
@@ -276,7 +276,7 @@
 				b.store(b.shelf.apply)
 				b.grow("run-3", 29-w) // and is in demand before each store
 			}
-			if !b.jobs["run-1"].Noted.Has(64*60 - 1) {
+			if !b.book.jobs["run-1"].Noted.Has(64*60 - 1) {
 				b.t.Error("never noted")
 			}
 		}},
@@ -299,14 +299,14 @@
 			j := b.array("run-1")
 			b.assign(j, 0, b.up("h0"))
 			b.store(b.shelf.apply)
-			delete(b.jobs, "run-1")
-			b.ready = false
-			b.sweepNotes()
+			delete(b.book.jobs, "run-1")
+			b.takeover.ready = false
+			b.registry.sweepNotes()
 			if b.registry.notes["run-1"] == nil {
 				b.t.Fatal("dropped before")
 			}
-			b.ready = true
-			b.sweepNotes()
+			b.takeover.ready = true
+			b.registry.sweepNotes()
 			b.now = b.now.Add(time.Minute)
 			b.store(b.shelf.apply)
 			if len(b.shelf.names(b.t, "run-1")) != 0 {
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -14,94 +14,134 @@
 	"vetchstream/internal/wire"
 )
 
+// machines rents, lists and returns machines, and empties those that are taken
+// back.
+type machines struct {
+	*core
+	names    *names
+	book     *book
+	registry *registry
+	takeover *takeover
+	planner  *planner
+	work     *work
+	writer   *writer
+
+	wants     []hosts.Want // what the last plan found no room for
+	removed   map[string]bool
+	renting   map[hosts.Offer]int
+	hires     uint64 // requests made in this term
+	backoff   *hosts.Backoff
+	rentAt    time.Time
+	returns   []*fleet.Host // machines whose release is not answered yet
+	returning bool
+	returnAt  time.Time
+	noticed   map[*fleet.Host]time.Time
+	listAt    time.Time
+	listing   bool
+	typesAt   time.Time
+	typing    bool
+}
+
+func newMachines(co *core) *machines {
+	return &machines{core: co, removed: map[string]bool{}, renting: map[hosts.Offer]int{}, backoff: hosts.NewBackoff(),
+		noticed: map[*fleet.Host]time.Time{}}
+}
+
+// want says what the last plan found no room for, the most urgent first.
+func (mc *machines) want(ws []hosts.Want) { mc.wants = ws }
+
+// gone reports whether a machine of that name has been returned.
+func (mc *machines) gone(name string) bool { return mc.removed[name] }
+
 // cloud looks after the machines: the price list, the machine list, rentals and
 // returns.
-func (r *reign) cloud(now time.Time) {
-	if !r.typing && now.After(r.typesAt) {
-		r.typing = true
+func (mc *machines) cloud(now time.Time) {
+	if !mc.typing && now.After(mc.typesAt) {
+		mc.typing = true
 		go func() {
-			types, err := r.c.Cloud.Types(r.ctx)
-			r.post(func() {
-				r.typing = false
+			types, err := mc.c.Cloud.Types(mc.ctx)
+			mc.post(func() {
+				mc.typing = false
 				if err != nil {
-					r.typesAt = time.Now().Add(2 * time.Second)
+					mc.typesAt = time.Now().Add(2 * time.Second)
 					return
 				}
-				r.typesAt = time.Now().Add(time.Minute)
-				r.newTypes(types)
+				mc.typesAt = time.Now().Add(time.Minute)
+				mc.newTypes(types)
 			})
 		}()
 	}
-	lag := config.Seconds(r.c.Settings.Facts.Cloud.ListLagS)
-	if !r.listing && now.After(r.listAt) {
-		r.listing = true
+	lag := config.Seconds(mc.c.Settings.Facts.Cloud.ListLagS)
+	if !mc.listing && now.After(mc.listAt) {
+		mc.listing = true
 		go func() {
-			list, err := r.c.Cloud.List(r.ctx)
-			r.post(func() {
-				r.listing = false
-				r.listAt = time.Now().Add(max(3*time.Second, lag/2))
+			list, err := mc.c.Cloud.List(mc.ctx)
+			mc.post(func() {
+				mc.listing = false
+				mc.listAt = time.Now().Add(max(3*time.Second, lag/2))
 				if err != nil {
-					r.log.Debug("machine list failed", "error", err)
+					mc.log.Debug("machine list failed", "error", err)
 					return
 				}
-				r.listed(list)
+				mc.listed(list)
 			})
 		}()
 	}
-	if now.Before(r.rentAt) || len(r.types) == 0 {
+	if now.Before(mc.rentAt) || len(mc.names.list()) == 0 {
 		return
 	}
-	r.rentAt = now.Add(500 * time.Millisecond)
-	r.giveBack(now)
-	r.sendReturns(now)
-	r.rent(now)
+	mc.rentAt = now.Add(500 * time.Millisecond)
+	mc.giveBack(now)
+	mc.sendReturns(now)
+	mc.rent(now)
 }
 
-func (r *reign) newTypes(types []wire.MachineType) {
-	first := len(r.types) == 0
-	r.setTypes(types)
-	r.c.mu.Lock()
-	r.c.types = r.types
-	r.c.mu.Unlock()
-	r.dirty = true
+func (mc *machines) newTypes(types []wire.MachineType) {
+	first := len(mc.names.list()) == 0
+	mc.names.learn(types)
+	mc.book.rebind()
+	mc.c.mu.Lock()
+	mc.c.types = mc.names.list()
+	mc.c.mu.Unlock()
+	mc.changed()
 	if first {
 		// Kept for a leader that finds the cloud out of order.
 		if w, err := state.Put(typesKey, typesRecord{Types: types}); err == nil {
-			r.write([]state.Write{w}, func(error) {})
+			mc.writer.write([]state.Write{w}, func(error) {})
 		}
 	}
 }
 
 // listed takes in the machine list. It lags, so a machine that it lacks may be
 // up, and one that it has may be gone.
-func (r *reign) listed(list []wire.CloudHost) {
+func (mc *machines) listed(list []wire.CloudHost) {
 	now := time.Now()
 	for i := range list {
 		c := &list[i]
-		if r.removed[c.Name] {
+		if mc.removed[c.Name] {
 			continue
 		}
-		h := r.fleet.Hosts[c.Name]
+		h := mc.fleet.Hosts[c.Name]
 		if h == nil {
-			h = r.fleet.Add(c.Name, now)
+			h = mc.fleet.Add(c.Name, now)
 			h.Born = now.Add(-config.Seconds(c.AgeS))
-			r.log.Info("machine found in the list", "host", c.Name, "phase", c.Phase)
+			mc.log.Info("machine found in the list", "host", c.Name, "phase", c.Phase)
 		}
 		if !h.Known {
-			r.describe(h, c.Type, c.Zone, c.Spot)
+			mc.names.describe(h, c.Type, c.Zone, c.Spot)
 		}
 		if h.Addr == "" {
 			h.Addr = c.Addr
 		}
 		if c.Phase == "failed" && !h.Releasing {
-			r.release(h, "it has failed")
+			mc.release(h, "it has failed")
 		}
 	}
 }
 
-func (r *reign) boot(h *fleet.Host) time.Duration {
-	if h.Type >= 0 && h.Type < len(r.types) {
-		return config.Seconds(r.types[h.Type].BootS)
+func (mc *machines) boot(h *fleet.Host) time.Duration {
+	if t := mc.names.typeOf(h); t != nil {
+		return config.Seconds(t.BootS)
 	}
 	return time.Minute
 }
@@ -111,37 +151,37 @@
 const lostGrace = 20 * time.Second
 
 // giveBack returns machines that are idle, silent, sick or never came up.
-func (r *reign) giveBack(now time.Time) {
-	if !r.ready {
+func (mc *machines) giveBack(now time.Time) {
+	if !mc.takeover.settled() {
 		return
 	}
-	for _, h := range r.fleet.All() {
+	for _, h := range mc.fleet.All() {
 		if h.Releasing {
 			continue
 		}
-		t := r.c.Tuning.Hosts
+		t := mc.c.Tuning.Hosts
 		switch {
 		case h.Booting:
-			if now.Sub(h.Born) > time.Duration(t.GiveUpBoots*float64(r.boot(h)))+10*time.Second {
-				r.release(h, "it does not come up")
+			if now.Sub(h.Born) > time.Duration(t.GiveUpBoots*float64(mc.boot(h)))+10*time.Second {
+				mc.release(h, "it does not come up")
 			}
 		case h.Lost:
 			if now.Sub(h.LostAt) > lostGrace {
-				r.release(h, "it is silent")
+				mc.release(h, "it is silent")
 			}
-		case h.Busy() || r.unsettled(h):
+		case h.Busy() || mc.unsettled(h):
 		case h.Draining:
-			r.release(h, "it is sick")
+			mc.release(h, "it is sick")
 		case !h.RecallAt.IsZero():
-			r.release(h, "it is being taken back and is empty")
-		case len(r.keeps) > 0 && r.keeps[h].job != nil:
-		case now.Sub(h.IdleFrom) > time.Duration(t.IdleBoots*float64(r.boot(h))):
-			r.release(h, "it is idle")
+			mc.release(h, "it is being taken back and is empty")
+		case mc.planner.kept(h):
+		case now.Sub(h.IdleFrom) > time.Duration(t.IdleBoots*float64(mc.boot(h))):
+			mc.release(h, "it is idle")
 		}
 	}
 }
 
-func (r *reign) unsettled(h *fleet.Host) bool {
+func (mc *machines) unsettled(h *fleet.Host) bool {
 	for _, s := range h.Slots {
 		if !s.Settled {
 			return true
@@ -152,10 +192,10 @@
 
 // release returns a machine. A release that was sent is never taken back: it may
 // be executed at any later time.
-func (r *reign) release(h *fleet.Host, why string) {
+func (mc *machines) release(h *fleet.Host, why string) {
 	h.Releasing = true
-	r.log.Info("returning a machine", "host", h.Name, "why", why)
-	r.returns = append(r.returns, h)
+	mc.log.Info("returning a machine", "host", h.Name, "why", why)
+	mc.returns = append(mc.returns, h)
 }
 
 // mostReturned is the protocol's limit for one release.
@@ -163,110 +203,135 @@
 
 // sendReturns hands machines back, many in one request: the cloud takes a few
 // requests a second, and rentals need them too.
-func (r *reign) sendReturns(now time.Time) {
-	if r.returning || len(r.returns) == 0 || now.Before(r.returnAt) || !r.c.Entitled(r.term) {
+func (mc *machines) sendReturns(now time.Time) {
+	if mc.returning || len(mc.returns) == 0 || now.Before(mc.returnAt) || !mc.c.Entitled(mc.term) {
 		return
 	}
-	hs := slices.Clone(r.returns[:min(len(r.returns), mostReturned)])
+	hs := slices.Clone(mc.returns[:min(len(mc.returns), mostReturned)])
 	names := make([]string, len(hs))
 	for i, h := range hs {
 		names[i] = h.Name
 	}
-	r.returning = true
+	mc.returning = true
 	go func() {
-		err := r.c.Cloud.Release(r.ctx, names)
-		r.post(func() {
-			r.returning, r.returnAt = false, time.Now().Add(time.Second)
+		err := mc.c.Cloud.Release(mc.ctx, names)
+		mc.post(func() {
+			mc.returning, mc.returnAt = false, time.Now().Add(time.Second)
 			if err != nil {
-				r.log.Info("returning failed, trying again", "machines", len(names), "error", err)
+				mc.log.Info("returning failed, trying again", "machines", len(names), "error", err)
 				return
 			}
-			r.returns = r.returns[len(hs):]
+			mc.returns = mc.returns[len(hs):]
 			for _, h := range hs {
-				r.returned(h)
+				mc.returned(h)
 			}
 		})
 	}()
 }
 
 // returned forgets a machine that is gone with all on it.
-func (r *reign) returned(h *fleet.Host) {
-	r.handle(r.fleet.Remove(h), time.Now())
-	r.removed[h.Name] = true
-	delete(r.keeps, h)
-	delete(r.noticed, h)
-	if r.registry.leave(h) {
-		r.fleet.Free(h.Idx)
+func (mc *machines) returned(h *fleet.Host) {
+	mc.work.handle(mc.fleet.Remove(h), time.Now())
+	mc.removed[h.Name] = true
+	mc.planner.gone(h)
+	delete(mc.noticed, h)
+	if mc.registry.leave(h) {
+		mc.fleet.Free(h.Idx)
 	}
 }
 
-func (r *reign) rent(now time.Time) {
-	if len(r.wants) == 0 {
+func (mc *machines) rent(now time.Time) {
+	if len(mc.wants) == 0 {
 		return
 	}
-	shop := hosts.Shop{Types: r.types, ZoneOf: r.zoneIdx, Backoff: r.backoff,
-		MinFill: r.c.Tuning.Hosts.MinFill, Patience: r.c.Tuning.Hosts.PatienceS, Now: now}
+	shop := hosts.Shop{Types: mc.names.list(), ZoneOf: mc.names.zonesByName(), Backoff: mc.backoff,
+		MinFill: mc.c.Tuning.Hosts.MinFill, Patience: mc.c.Tuning.Hosts.PatienceS, Now: now}
 	coming := func(o hosts.Offer) {
-		t := &r.types[o.Type]
+		t := &mc.names.list()[o.Type]
 		shop.Coming = append(shop.Coming, hosts.Coming{Offer: o, Free: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}})
 	}
-	shop.InZone = make([]int, len(r.zones))
-	for _, h := range r.fleet.All() {
+	shop.InZone = make([]int, len(mc.names.zoneNames()))
+	for _, h := range mc.fleet.All() {
 		if h.Zone >= 0 {
 			shop.InZone[h.Zone]++
 		}
-		if !h.Releasing && h.Known && (h.Booting && now.Sub(h.Born) < 2*r.boot(h) || !h.Booting && !h.Lost && !h.Durable) {
+		if !h.Releasing && h.Known && (h.Booting && now.Sub(h.Born) < 2*mc.boot(h) || !h.Booting && !h.Lost && !h.Durable) {
 			coming(hosts.Offer{Type: h.Type, Zone: h.Zone, Spot: h.Spot})
 		}
 	}
-	for o, n := range r.renting {
+	for o, n := range mc.renting {
 		for range n {
 			coming(o)
 		}
 	}
-	for o, n := range hosts.Rentals(shop, r.wants) {
-		r.hire(o, min(n, 50))
+	for o, n := range hosts.Rentals(shop, mc.wants) {
+		mc.hire(o, min(n, 50))
 	}
 }
 
-func (r *reign) hire(o hosts.Offer, n int) {
-	r.hires++
-	req := wire.Hire{Request: fmt.Sprintf("r-%d-%d", r.term, r.hires), Type: r.types[o.Type].Name, Zone: r.zones[o.Zone], Spot: o.Spot, Count: n}
-	r.renting[o] += n
-	r.log.Info("renting", "request", req.Request, "type", req.Type, "zone", req.Zone, "spot", req.Spot, "count", n)
+func (mc *machines) hire(o hosts.Offer, n int) {
+	mc.hires++
+	req := wire.Hire{Request: fmt.Sprintf("r-%d-%d", mc.term, mc.hires), Type: mc.names.list()[o.Type].Name, Zone: mc.names.zoneNames()[o.Zone], Spot: o.Spot, Count: n}
+	mc.renting[o] += n
+	mc.log.Info("renting", "request", req.Request, "type", req.Type, "zone", req.Zone, "spot", req.Spot, "count", n)
 	asked := time.Now()
 	go func() {
 		var names []string
 		err := errors.New("not entitled")
 		// The same name again is safe: it rents nothing twice.
-		for try := 0; try < 4 && r.ctx.Err() == nil; try++ {
-			if r.c.Entitled(r.term) {
-				if names, err = r.c.Cloud.Rent(r.ctx, req); err == nil || errors.Is(err, hosts.ErrNoCapacity) {
+		for try := 0; try < 4 && mc.ctx.Err() == nil; try++ {
+			if mc.c.Entitled(mc.term) {
+				if names, err = mc.c.Cloud.Rent(mc.ctx, req); err == nil || errors.Is(err, hosts.ErrNoCapacity) {
 					break
 				}
 			}
-			r.pause(time.Second)
+			mc.pause(time.Second)
 		}
-		r.post(func() {
-			r.renting[o] -= n
+		mc.post(func() {
+			mc.renting[o] -= n
 			if err != nil {
-				r.log.Info("rental refused", "request", req.Request, "error", err)
-				r.backoff.Refused(o, time.Now())
+				mc.log.Info("rental refused", "request", req.Request, "error", err)
+				mc.backoff.Refused(o, time.Now())
 				return
 			}
-			r.log.Info("rented", "request", req.Request, "hosts", names)
+			mc.log.Info("rented", "request", req.Request, "hosts", names)
 			if len(names) < n {
-				r.backoff.Refused(o, time.Now())
+				mc.backoff.Refused(o, time.Now())
 			} else {
-				r.backoff.Served(o)
+				mc.backoff.Served(o)
 			}
 			for _, name := range names {
-				if r.removed[name] {
+				if mc.removed[name] {
 					continue
 				}
-				h := r.fleet.Add(name, asked)
-				r.describe(h, req.Type, req.Zone, o.Spot)
+				h := mc.fleet.Add(name, asked)
+				mc.names.describe(h, req.Type, req.Zone, o.Spot)
 			}
 		})
 	}()
 }
+
+// recall empties a machine that the cloud takes back.
+func (mc *machines) recall(h *fleet.Host, now time.Time) {
+	left := h.RecallAt.Sub(now).Seconds()
+	if _, told := mc.noticed[h]; !told {
+		mc.log.Info("machine is being taken back", "host", h.Name, "in", left)
+		mc.noticed[h] = h.RecallAt
+	}
+	for _, s := range h.Slots {
+		if !s.On() || s.Stopping {
+			continue
+		}
+		if g := saveGrace(s.Job); g > 0 && left > s.Job.SaveS {
+			mc.work.stopSlot(s, g)
+			continue
+		}
+		ran := 0.0
+		if !s.RunAt.IsZero() {
+			ran = now.Sub(s.RunAt).Seconds()
+		}
+		if s.Phase != wire.Running || estimate(s.Job)-ran > left {
+			mc.work.stopSlot(s, 0)
+		}
+	}
+}
--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"errors"
 	"time"
 
 	"vetchstream/internal/fleet"
@@ -9,96 +8,72 @@
 	"vetchstream/internal/state"
 )
 
+// results keeps what has completed until it is durable, and drops it when its job
+// is over.
+type results struct {
+	*core
+	writer *writer
+
+	unstored map[*job.Job][]*fleet.Slot // done, and not durable yet
+	orphans  []string                   // keys that are of no use any more
+	dropping bool
+	flushAt  time.Time
+	flushing bool
+}
+
+func newResults(co *core) *results {
+	return &results{core: co, unstored: map[*job.Job][]*fleet.Slot{}}
+}
+
+// reset forgets what a load that failed half-way has found.
+func (rs *results) reset() { rs.orphans = nil }
+
+// add notes a placement whose task is done; its exit is settled once that is
+// durable.
+func (rs *results) add(s *fleet.Slot) {
+	s.Settled = false
+	rs.unstored[s.Job] = append(rs.unstored[s.Job], s)
+}
+
+// over settles what is left of a job that is durably over: its results are of no
+// use any more.
+func (rs *results) over(j *job.Job) {
+	for _, s := range rs.unstored[j] {
+		s.Settled = true
+	}
+	delete(rs.unstored, j)
+	for _, c := range j.SavedChunks() {
+		rs.drop(j.ChunkKey(c))
+	}
+}
+
+// drop deletes a key when there is nothing better to do.
+func (rs *results) drop(key string) { rs.orphans = append(rs.orphans, key) }
+
 // tidy drops results of jobs that are over. It comes after the final record and
 // apart from it, so that ending a job takes a small transaction.
-func (r *reign) tidy() {
-	if r.dropping || len(r.orphans) == 0 || r.c.State.Spare() < 2*r.batch {
+func (rs *results) tidy() {
+	if rs.dropping || len(rs.orphans) == 0 || rs.c.State.Spare() < 2*rs.writer.size() {
 		return
 	}
-	keys := r.orphans[:min(len(r.orphans), r.batch)]
+	keys := rs.orphans[:min(len(rs.orphans), rs.writer.size())]
 	var writes []state.Write
 	for _, k := range keys {
 		writes = append(writes, state.Write{Delete: k})
 	}
-	r.dropping = true
-	r.write(writes, func(err error) {
-		r.dropping = false
-		r.smaller(err)
+	rs.dropping = true
+	rs.writer.write(writes, func(err error) {
+		rs.dropping = false
+		rs.writer.smaller(err)
 		if err == nil {
-			r.orphans = r.orphans[len(keys):]
+			rs.orphans = rs.orphans[len(keys):]
 		}
 	})
 }
 
-// move is the record of a job that is over and still under its active key.
-type move struct {
-	rec     *job.Record
-	version uint64
-}
-
-// settleFinals moves records of jobs that are over to their own keys, when there
-// is nothing better to do with the budget: the list of active jobs is what a
-// successor has to read.
-func (r *reign) settleFinals() {
-	if r.moving || len(r.moves) == 0 || r.c.State.Spare() < 2*r.batch {
-		return
-	}
-	n := min(len(r.moves), max(1, r.batch/2))
-	txn := state.Txn{If: []state.Cond{r.fence}}
-	for _, m := range r.moves[:n] {
-		id := m.rec.Spec.ID
-		put, err := state.Put(job.FinalPrefix+id, m.rec)
-		if err != nil {
-			r.log.Error("record does not encode", "job", id, "error", err)
-			continue
-		}
-		txn.If = append(txn.If, state.Cond{Key: job.ActivePrefix + id, Version: m.version})
-		txn.Writes = append(txn.Writes, state.Write{Delete: job.ActivePrefix + id}, put)
-	}
-	r.moving = true
-	go func() {
-		_, err := r.c.State.Commit(r.ctx, txn)
-		if err != nil {
-			r.pause(200 * time.Millisecond)
-		}
-		r.post(func() {
-			r.moving = false
-			r.smaller(err)
-			// On a conflict an unclear commit of before was applied; what is left of the
-			// batch is found by the next leader.
-			if err == nil || errors.Is(err, state.ErrConflict) {
-				r.moves = r.moves[n:]
-			}
-		})
-	}()
-}
-
-// smaller halves the batches when the state service rejects one: its limits may
-// have become tighter than the settings say, and the same transaction again
-// would stop all placing.
-func (r *reign) smaller(err error) {
-	if errors.Is(err, state.ErrRejected) && (r.batch > 1 || r.registry.limit > 512) {
-		r.batch = max(1, r.batch/2)
-		r.registry.limit = max(512, r.registry.limit/2)
-		r.log.Error("state service rejects a transaction, making them smaller", "writes", r.batch, "error", err)
-	}
-}
-
-// write runs a fenced transaction and hands its outcome to the actor. The
-// writes may be repeated safely: only this term can make them.
-func (r *reign) write(writes []state.Write, then func(error)) {
-	go func() {
-		_, err := r.c.State.Commit(r.ctx, state.Txn{If: []state.Cond{r.fence}, Writes: writes})
-		if err != nil {
-			r.pause(200 * time.Millisecond)
-		}
-		r.post(func() { then(err) })
-	}()
-}
-
 // flush stores results, so that the workers may forget them.
-func (r *reign) flush(now time.Time) {
-	if r.flushing || now.Before(r.flushAt) || r.c.State.Spare() < r.batch {
+func (rs *results) flush(now time.Time) {
+	if rs.flushing || now.Before(rs.flushAt) || rs.c.State.Spare() < rs.writer.size() {
 		return
 	}
 	type part struct {
@@ -108,12 +83,12 @@
 	var parts []part
 	var writes []state.Write
 	settle := map[*job.Job][]*fleet.Slot{}
-	for j := range r.unstored {
+	for j := range rs.unstored {
 		if j.Closing != "" || j.Phase != "" {
 			continue
 		}
 		dirty := j.Dirty()
-		if len(dirty) == 0 || (len(writes) > 0 && len(writes)+len(dirty) > r.batch) {
+		if len(dirty) == 0 || (len(writes) > 0 && len(writes)+len(dirty) > rs.writer.size()) {
 			continue
 		}
 		for _, c := range dirty {
@@ -124,16 +99,16 @@
 			j.MarkSaved(c) // it may exist from the moment the commit is sent
 			parts, writes = append(parts, part{j, c}), append(writes, w)
 		}
-		settle[j] = r.unstored[j]
-		delete(r.unstored, j)
+		settle[j] = rs.unstored[j]
+		delete(rs.unstored, j)
 	}
 	if len(writes) == 0 {
 		return
 	}
-	r.flushing, r.flushAt = true, now.Add(time.Second)
-	r.write(writes, func(err error) {
-		r.flushing = false
-		r.smaller(err)
+	rs.flushing, rs.flushAt = true, now.Add(time.Second)
+	rs.writer.write(writes, func(err error) {
+		rs.flushing = false
+		rs.writer.smaller(err)
 		for _, p := range parts {
 			if err != nil {
 				p.j.MarkDirty(p.c)
@@ -141,7 +116,7 @@
 		}
 		for j, ss := range settle {
 			if err != nil {
-				r.unstored[j] = append(r.unstored[j], ss...)
+				rs.unstored[j] = append(rs.unstored[j], ss...)
 				continue
 			}
 			for _, s := range ss {
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -1,25 +1,75 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
+	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
 	"vetchstream/internal/place"
+	"vetchstream/internal/wire"
 )
 
 // settleTime is how long a takeover waits for all machines before it places
 // around the silent ones.
 const settleTime = 700 * time.Millisecond
 
+// takeover loads what earlier leaders have left, and knows which of their
+// machines may still run what it has not seen.
+type takeover struct {
+	*core
+	names     *names
+	book      *book
+	registry  *registry
+	machines  *machines
+	admission *admission
+	endings   *endings
+	results   *results
+
+	ready     bool // every machine of earlier leaders is settled
+	inherited []*fleet.Host
+	metSilent bool // the silent machines of a takeover have been dealt with
+}
+
+// settled reports whether every machine of earlier leaders is settled: nothing
+// is on them but what this reign has seen.
+func (tk *takeover) settled() bool { return tk.ready }
+
+// settle looks at the machines of earlier leaders and reports whether work may
+// be placed around those that have not been heard of.
+func (tk *takeover) settle(now time.Time) bool {
+	if tk.ready {
+		return true
+	}
+	tk.inherited = tk.fleet.Settle()
+	for _, h := range tk.inherited {
+		// What it may take of a team's limit is not known; and give the others
+		// the time of a round trip before the plan is made without them.
+		if !h.Known || now.Sub(tk.since) < settleTime {
+			return false
+		}
+	}
+	if len(tk.inherited) > 0 && !tk.metSilent && now.Sub(tk.since) > silentTime {
+		tk.metSilent = true
+		tk.silent()
+	}
+	if len(tk.inherited) == 0 {
+		tk.ready = true
+		tk.log.Info("every machine is settled", "after", now.Sub(tk.since).Round(time.Millisecond))
+	}
+	return true
+}
+
 // blocked are the jobs that a machine of an earlier leader may still run, and
 // that must wait until it is settled. What such a machine may run counts in full
 // against the limit of every team that may have work there.
-func (r *reign) blocked(teams []place.Team) map[*job.Job]bool {
+func (tk *takeover) blocked(teams []place.Team) map[*job.Job]bool {
 	out := map[*job.Job]bool{}
-	for _, h := range r.inherited {
+	for _, h := range tk.inherited {
 		used := map[int]bool{}
 		for _, past := range h.Old {
-			if j := r.jobs[past.ID]; j != nil {
+			if j := tk.book.get(past.ID); j != nil {
 				out[j] = true
 			}
 			if past.Team >= 0 {
@@ -30,7 +80,7 @@
 				used[t] = true // its team is not known here: it may be any
 			}
 		}
-		t := &r.types[h.Type]
+		t := &tk.names.list()[h.Type]
 		for i := range used {
 			teams[i].Used.CPUs += t.CPUs
 			teams[i].Used.GPUs += t.GPUs
@@ -51,22 +101,116 @@
 // fleet some spot machines are always gone without a word, and the jobs noted for
 // them, which are the large ones, would wait for a full lease after each change of
 // leader. A few are given back: once the cloud has answered, nothing is on them.
-func (r *reign) silent() {
+func (tk *takeover) silent() {
 	jobs := map[string]bool{}
-	for _, h := range r.inherited {
+	for _, h := range tk.inherited {
 		for _, past := range h.Old {
-			if j := r.jobs[past.ID]; j != nil && j.Phase == "" {
+			if j := tk.book.get(past.ID); j != nil && j.Phase == "" {
 				jobs[past.ID] = true
 			}
 		}
 	}
-	r.log.Info("machines are silent, their jobs wait", "machines", len(r.inherited), "of", len(r.fleet.Hosts), "jobs", len(jobs))
-	if len(jobs) == 0 || len(r.inherited) > max(1, len(r.fleet.Hosts)/fewSilent) {
+	tk.log.Info("machines are silent, their jobs wait", "machines", len(tk.inherited), "of", len(tk.fleet.Hosts), "jobs", len(jobs))
+	if len(jobs) == 0 || len(tk.inherited) > max(1, len(tk.fleet.Hosts)/fewSilent) {
 		return
 	}
-	for _, h := range r.inherited {
+	for _, h := range tk.inherited {
 		if !h.Releasing {
-			r.release(h, "it is silent after a change of leader, and jobs wait for it")
+			tk.machines.release(h, "it is silent after a change of leader, and jobs wait for it")
+		}
+	}
+}
+
+// load reads the registry, the jobs and their results. Nothing is answered
+// before: an answer about a job must come from all of them.
+func (tk *takeover) load() bool {
+	for tk.ctx.Err() == nil {
+		if err := tk.tryLoad(); err != nil {
+			tk.log.Info("loading failed, trying again", "error", err)
+			tk.pause(200 * time.Millisecond)
+			continue
+		}
+		tk.log.Info("loaded", "jobs", len(tk.book.all()), "hosts", len(tk.fleet.Hosts))
+		return true
+	}
+	return false
+}
+
+func (tk *takeover) tryLoad() error {
+	hs, _, err := tk.c.State.List(tk.ctx, hostPrefix)
+	if err != nil {
+		return err
+	}
+	ns, _, err := tk.c.State.List(tk.ctx, notePrefix)
+	if err != nil {
+		return err
+	}
+	js, epoch, err := tk.c.State.List(tk.ctx, job.ActivePrefix)
+	if err != nil {
+		return err
+	}
+	ds, _, err := tk.c.State.List(tk.ctx, job.DonePrefix)
+	if err != nil {
+		return err
+	}
+	types, err := tk.c.knownTypes(tk.ctx)
+	if err != nil {
+		return err
+	}
+	// From here on nothing of a try that failed half-way may be left.
+	tk.fleet = fleet.New(tk.term, config.Seconds(tk.c.Settings.Facts.Workers.LeaseS))
+	tk.registry.reset()
+	tk.book.reset()
+	tk.results.reset()
+	tk.endings.reset()
+	tk.names.learn(types)
+	if err := tk.registry.load(hs, ns); err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, e := range js {
+		var rec job.Record
+		if err := wire.Unmarshal(e.Value, &rec); err != nil {
+			return fmt.Errorf("job %s: %w", e.Key, err)
+		}
+		if rec.Phase != "" {
+			tk.endings.inherit(&rec, e.Version)
+			continue
+		}
+		if tk.book.get(rec.Spec.ID) == nil {
+			tk.book.add(&rec, e.Version, now.Add(-time.Duration(max(0, now.UnixMilli()-rec.At))*time.Millisecond))
+		}
+	}
+	for _, e := range ds {
+		var id string
+		var c int
+		name := e.Key[len(job.DonePrefix):]
+		for i := range name {
+			if name[i] == '/' {
+				id = name[:i]
+				if _, err := fmt.Sscanf(name[i+1:], "%d", &c); err != nil {
+					return fmt.Errorf("key %s: %w", e.Key, err)
+				}
+			}
+		}
+		j := tk.book.get(id)
+		if j == nil {
+			tk.results.drop(e.Key)
+			continue
+		}
+		var ch job.Chunk
+		if err := wire.Unmarshal(e.Value, &ch); err != nil {
+			return fmt.Errorf("key %s: %w", e.Key, err)
+		}
+		if err := j.LoadChunk(c, ch); err != nil {
+			return err
+		}
+	}
+	for _, j := range tk.book.all() {
+		if j.Over() {
+			tk.endings.finish(j, wire.JobDone)
 		}
 	}
+	go tk.admission.follow(epoch)
+	return nil
 }
