--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -22,13 +23,38 @@
 	book    *book
 	endings *endings
 	writer  *writer
+	results *results
+	groups  *groups
 
-	pending   map[string]bool // submissions whose commit is under way
+	limit     *rate.Limiter // of the writes of acceptances
+	pending   map[string]*arrival
+	queue     []*arrival // those of them whose commit is not under way
+	flying    int        // commits under way
+	most      int        // submissions in the queue
+	valueMax  int        // bytes that a group record may have
 	turnstile turnstile
 }
 
-func newAdmission(co *core, limit *rate.Limiter) *admission {
-	return &admission{core: co, pending: map[string]bool{}, turnstile: turnstile{limit: limit}}
+// arrival is a submission that is not durable yet, and who waits for it.
+type arrival struct {
+	rec   *job.Record
+	backs []func(*peer.Reply)
+}
+
+// tell answers those who wait. Whoever comes later is answered later.
+func (in *arrival) tell(p *peer.Reply) {
+	for _, back := range in.backs {
+		back(p)
+	}
+	in.backs = nil
+}
+
+// newAdmission sizes the queue by what can be stored while its users wait, and by
+// the sockets, which their waiting takes.
+func newAdmission(co *core, limit *rate.Limiter, txnOps int, valueKB float64, sockets int) *admission {
+	backlog := queueTime.Seconds() * float64(limit.Limit()) * float64(2*txnOps)
+	return &admission{core: co, limit: limit, pending: map[string]*arrival{}, valueMax: int(valueKB * 1024 * pageShare),
+		most: max(8, min(int(backlog), sockets/2))}
 }
 
 // follow takes in jobs that other nodes have admitted while they could not reach
@@ -63,11 +89,16 @@
 
 // has reports whether a job is known here, over, being stored or being read.
 func (ad *admission) has(id string) bool {
-	return ad.endings.over(id) || ad.pending[id] || ad.book.get(id) != nil
+	return ad.endings.over(id) || ad.pending[id] != nil || ad.book.get(id) != nil
 }
 
 // admitted takes in a job whose record this reign may not have made itself.
 func (ad *admission) admitted(id string) {
+	if ad.groups.has(id) {
+		// Admitted by another node as well: one record is enough.
+		ad.results.drop(job.ActivePrefix + id)
+		return
+	}
 	if ad.has(id) {
 		return
 	}
@@ -101,27 +132,23 @@
 		back(p)
 		return
 	}
-	if ad.pending[id] {
+	if ad.pending[id] != nil {
 		back(Later("submission is being stored"))
 		return
 	}
 	ad.endings.readBack(id, absent, recorded, back)
 }
 
-// turnstile lets submissions through at the rate at which they can be stored.
-// The others are told at once when to come back, each at a time of its own, so
-// that they do not come back together.
+// turnstile tells those who are turned away when to come back, each at a time of
+// its own, so that they do not come back together.
 type turnstile struct {
-	limit *rate.Limiter
-	next  time.Time // when the last one that was turned away is expected
+	perS float64   // submissions that can be stored in a second
+	next time.Time // when the last one that was turned away is expected
 }
 
-// pass lets a submission through (0), or says when it should come back.
-func (t *turnstile) pass(now time.Time) time.Duration {
-	if t.limit.AllowN(now, 1) {
-		return 0
-	}
-	t.next = t.next.Add(time.Duration(float64(time.Second) / float64(t.limit.Limit())))
+// away is when the next one that is turned away should come back.
+func (t *turnstile) away(now time.Time) time.Duration {
+	t.next = t.next.Add(time.Duration(float64(time.Second) / t.perS))
 	if soon := now.Add(time.Second); t.next.Before(soon) {
 		t.next = soon
 	}
@@ -148,8 +175,12 @@
 			back(p)
 			return
 		}
-		if ad.pending[id] {
-			back(settled(Later("submission is being stored")))
+		if in := ad.pending[id]; in != nil {
+			if len(in.backs) >= mostBacks {
+				back(settled(Later("submission is being stored")))
+				return
+			}
+			in.backs = append(in.backs, back)
 			return
 		}
 	}
@@ -172,78 +203,244 @@
 		return
 	}
 	now := time.Now()
-	// Beyond their share submissions get what nobody else needs.
-	if ad.c.State.Spare() < 2*ad.writer.size() {
-		if wait := ad.turnstile.pass(now); wait > 0 {
-			back(busy(wait))
+	if len(ad.queue) >= ad.most {
+		ad.turnstile.perS = ad.rate()
+		back(busy(ad.turnstile.away(now)))
+		return
+	}
+	in := &arrival{rec: &job.Record{Spec: *spec, At: now.UnixMilli()}, backs: []func(*peer.Reply){back}}
+	ad.pending[id] = in
+	ad.queue = append(ad.queue, in)
+}
+
+const (
+	// queueTime is the backlog that may wait to be stored: who would wait for longer
+	// is better off elsewhere, or later.
+	queueTime = time.Second
+	// mostFlying bounds the transactions under way. Now and then one takes a few
+	// hundred milliseconds, and those that come after it must not wait for it.
+	mostFlying = 8
+	// mostBacks bounds the users that wait for one submission.
+	mostBacks = 8
+)
+
+// rate is how many submissions can be stored in a second.
+func (ad *admission) rate() float64 { return float64(ad.limit.Limit()) * float64(ad.together()) }
+
+// together is how many jobs one transaction may take in: each has two conditions,
+// and a transaction may have four times as many conditions as writes.
+func (ad *admission) together() int { return max(1, (4*ad.writer.size()-2)/2) }
+
+// flush stores what has arrived, as much together as fits. Beyond their share
+// submissions get what nobody else needs of the budget.
+func (ad *admission) flush(now time.Time) {
+	for len(ad.queue) > 0 && ad.flying < mostFlying {
+		if ad.c.State.Spare() < 2*ad.writer.size() && !ad.limit.AllowN(now, 1) {
 			return
 		}
+		n, bytes := 0, 0
+		for n < len(ad.queue) && n < ad.together() {
+			b, err := wire.Marshal(ad.queue[n].rec)
+			if err != nil {
+				ad.log.Error("record does not encode", "job", ad.queue[n].rec.Spec.ID, "error", err)
+			}
+			bytes += recordSize(b)
+			if n > 0 && bytes > ad.valueMax {
+				break
+			}
+			n++
+		}
+		in := slices.Clone(ad.queue[:n])
+		ad.queue = slices.Delete(ad.queue, 0, n)
+		key := ""
+		if n > 1 {
+			key = ad.groups.name()
+		}
+		ad.flying++
+		go func() {
+			ad.create(key, in)
+			ad.post(func() { ad.flying-- })
+		}()
+	}
+}
+
+// recordSize estimates what a record takes in the form in which limits count, and
+// with its end in it.
+func recordSize(encoded []byte) int { return len(encoded)*5/4 + 40 }
+
+// refuse turns away what waits, when this node may not act.
+func (ad *admission) refuse() {
+	for _, in := range ad.queue {
+		ad.done(in, Later("leadership is not certain"))
 	}
-	ad.pending[id] = true
-	rec := &job.Record{Spec: *spec, At: now.UnixMilli()}
-	go ad.create(rec, back)
+	ad.queue = nil
+}
+
+// done answers all who wait for a submission, for good.
+func (ad *admission) done(in *arrival, p *peer.Reply) {
+	delete(ad.pending, in.rec.Spec.ID)
+	in.tell(p)
 }
 
-// create makes the job durable before its user is told. An unclear commit is
-// tried again: either it was applied, and the conditions show it, or the second
-// one takes its place.
-func (ad *admission) create(rec *job.Record, back func(*peer.Reply)) {
-	id := rec.Spec.ID
-	done := func(version uint64, found *job.Record, p *peer.Reply) {
+// create makes submissions durable before their users are told: one under its own
+// key, several in a group record. An unclear commit is tried again: either it was
+// applied, and the conditions show it, or the second one takes its place.
+func (ad *admission) create(key string, in []*arrival) {
+	all := func(p *peer.Reply) {
 		ad.post(func() {
-			delete(ad.pending, id)
-			switch {
-			case found != nil && found.Phase != "":
-				ad.endings.remember(found)
-			case found != nil && ad.book.sound(id) == nil:
-				ad.book.add(found, version, time.Now())
+			for _, x := range in {
+				ad.done(x, p)
 			}
-			back(p)
 		})
 	}
-	txn, err := admissionTxn(rec)
-	if err != nil {
-		done(0, nil, reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
-		return
-	}
-	txn.If = append(txn.If, ad.fence)
 	for unclear := false; ad.ctx.Err() == nil; {
-		version, err := ad.c.State.Commit(ad.ctx, txn)
+		txn, err := admissionTxn(key, in)
+		if err != nil {
+			all(reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
+			return
+		}
+		txn.If = append(txn.If, ad.fence)
+		version, err := ad.c.State.CommitOnce(ad.ctx, txn)
+		var conflict *state.ConflictError
 		switch {
 		case err == nil:
-			done(version, rec, reply(http.StatusCreated, recordStatus(rec)))
+			ad.accepted(key, version, in)
 			return
-		case errors.Is(err, state.ErrConflict):
-			found, v, err := lookup(ad.ctx, ad.c.State, id)
-			if err != nil {
+		case errors.As(err, &conflict) && key == "":
+			ad.resolve(in[0])
+			return
+		case errors.As(err, &conflict):
+			e, gerr := ad.c.State.Get(ad.ctx, key)
+			switch {
+			case gerr == nil: // the unclear one was applied
+				ad.accepted(key, e.Version, in)
+				return
+			case !errors.Is(gerr, state.ErrNotFound):
+				unclear = true
 				ad.pause(200 * time.Millisecond)
 				continue
+			case slices.Contains(conflict.Failed, ad.fence.Key):
+				all(Later("leadership has changed"))
+				return
 			}
-			if found == nil {
-				// The term has moved on.
-				done(0, nil, Later("leadership has changed"))
+			// Jobs that are known already must not keep the others out. (An unclear try
+			// with all of them fails from now on: a job's record moves, but never goes.)
+			known, rest := split(in, conflict.Failed)
+			for _, x := range known {
+				ad.resolve(x)
+			}
+			if len(rest) == 0 {
 				return
 			}
-			done(v, found, reply(http.StatusOK, recordStatus(found)))
-			return
+			if in = rest; len(known) == 0 {
+				ad.pause(200 * time.Millisecond) // the service did not say which
+			}
 		case errors.Is(err, state.ErrRefused) && !unclear:
-			// Certainly not stored: the user is told at once to come back.
-			done(0, nil, Later("state service refuses writes"))
+			// Certainly not stored: the users are told at once to come back.
+			all(Later("state service refuses writes"))
+			return
+		case errors.Is(err, state.ErrRejected) && !unclear:
+			// Too large, it may be: once more in smaller groups, but not alone.
+			ad.post(func() {
+				ad.writer.smaller(err)
+				for _, x := range in {
+					if len(in) == 1 {
+						ad.done(x, Later("state service rejects the submission"))
+					} else {
+						ad.queue = append(ad.queue, x)
+					}
+				}
+			})
 			return
 		default:
 			unclear = true
-			back(Later("submission is not settled yet"))
+			ad.post(func() {
+				for _, x := range in {
+					x.tell(Later("submission is not settled yet"))
+				}
+			})
 			ad.pause(200 * time.Millisecond)
 		}
 	}
 }
 
-// admissionTxn is the transaction that makes a job durable, once.
-func admissionTxn(rec *job.Record) (state.Txn, error) {
-	id := rec.Spec.ID
-	put, err := state.Put(job.ActivePrefix+id, rec)
-	if err != nil {
-		return state.Txn{}, err
+// accepted takes in what has been stored.
+func (ad *admission) accepted(key string, version uint64, in []*arrival) {
+	ad.post(func() {
+		if key != "" {
+			recs := make([]job.Record, len(in))
+			for i, x := range in {
+				recs[i] = *x.rec
+			}
+			ad.groups.add(key, version, recs)
+			version = 0
+		}
+		for _, x := range in {
+			if ad.book.sound(x.rec.Spec.ID) == nil {
+				ad.book.add(x.rec, version, time.Now())
+			}
+			ad.done(x, reply(http.StatusCreated, recordStatus(x.rec)))
+		}
+	})
+}
+
+// resolve answers for a submission whose job exists already.
+func (ad *admission) resolve(in *arrival) {
+	id := in.rec.Spec.ID
+	for ad.ctx.Err() == nil {
+		found, version, err := lookup(ad.ctx, ad.c.State, id)
+		if err != nil {
+			ad.pause(200 * time.Millisecond)
+			continue
+		}
+		ad.post(func() {
+			switch {
+			case found == nil:
+				// The term has moved on.
+				ad.done(in, Later("leadership has changed"))
+				return
+			case found.Phase != "":
+				ad.endings.remember(found)
+			case ad.book.sound(id) == nil:
+				ad.book.add(found, version, time.Now())
+			}
+			ad.done(in, recorded(found))
+		})
+		return
+	}
+}
+
+// split parts the submissions of which a key is named from the others.
+func split(in []*arrival, keys []string) (named, rest []*arrival) {
+	for _, x := range in {
+		id := x.rec.Spec.ID
+		if slices.Contains(keys, job.ActivePrefix+id) || slices.Contains(keys, job.FinalPrefix+id) {
+			named = append(named, x)
+		} else {
+			rest = append(rest, x)
+		}
+	}
+	return named, rest
+}
+
+// admissionTxn is the transaction that makes jobs durable, each once: one under
+// its own key, or a group's under the group's.
+func admissionTxn(key string, in []*arrival) (txn state.Txn, err error) {
+	var put state.Write
+	if key == "" {
+		put, err = state.Put(job.ActivePrefix+in[0].rec.Spec.ID, in[0].rec)
+	} else {
+		var g job.Group
+		for _, x := range in {
+			g.Jobs = append(g.Jobs, *x.rec)
+		}
+		put, err = state.Put(key, g)
+		txn.If = append(txn.If, state.Cond{Key: key})
+	}
+	for _, x := range in {
+		id := x.rec.Spec.ID
+		txn.If = append(txn.If, state.Cond{Key: job.ActivePrefix + id}, state.Cond{Key: job.FinalPrefix + id})
 	}
-	return state.Txn{If: []state.Cond{{Key: job.ActivePrefix + id}, {Key: job.FinalPrefix + id}}, Writes: []state.Write{put}}, nil
+	txn.Writes = []state.Write{put}
+	return txn, err
 }
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -16,7 +16,8 @@
 // commands sends direct commands, a bounded number at a time.
 type commands struct {
 	*core
-	work *work
+	work     *work
+	takeover *takeover
 
 	calls int // under way
 	most  int
@@ -50,6 +51,7 @@
 func (cm *commands) call(h *fleet.Host, now time.Time) {
 	session := max(1, h.Session)
 	orders, sent, ev := cm.fleet.Compose(h, 0, h.Usable(), now, maxOrders)
+	cm.takeover.launched(len(sent), now)
 	cm.work.handle(ev, now)
 	body, err := wire.Marshal(wire.Direct{Token: cm.term, Session: session, Orders: orders})
 	if err != nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -39,6 +39,7 @@
 type Controller struct {
 	Deps
 	direct *http.Client
+	groups groupShelf
 
 	mu    sync.Mutex
 	reign *reign
@@ -51,7 +52,7 @@
 
 // New makes a controller that does not lead yet.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, direct: &http.Client{Transport: &http.Transport{DialContext: d.Dial,
+	return &Controller{Deps: d, groups: groupShelf{state: d.State}, direct: &http.Client{Transport: &http.Transport{DialContext: d.Dial,
 		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: DirectCalls(d.Settings.Facts.Resources.MaxSockets),
 		IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
 }
@@ -129,6 +130,9 @@
 	if r == nil || !c.Entitled(r.term) {
 		return nil
 	}
+	if (q.Kind == peer.KindSubmit || q.Kind == peer.KindStatus) && !r.takeover.loaded() {
+		return nil // any node can answer that from the state service, sooner
+	}
 	var do func(*reign, func(*peer.Reply))
 	switch q.Kind {
 	case peer.KindSubmit:
@@ -180,26 +184,6 @@
 	Types []wire.MachineType `codec:"types"`
 }
 
-// lookup reads a job's record afresh; it is nil if the job was never accepted.
-func lookup(ctx context.Context, st *state.Client, id string) (*job.Record, uint64, error) {
-	// Active first: a job that moves between the two reads is found by the second.
-	for _, prefix := range []string{job.ActivePrefix, job.FinalPrefix} {
-		e, err := st.Get(ctx, prefix+id)
-		if errors.Is(err, state.ErrNotFound) {
-			continue
-		}
-		if err != nil {
-			return nil, 0, err
-		}
-		rec := &job.Record{}
-		if err := wire.Unmarshal(e.Value, rec); err != nil {
-			return nil, 0, err
-		}
-		return rec, e.Version, nil
-	}
-	return nil, 0, nil
-}
-
 func recordStatus(rec *job.Record) wire.Status {
 	s := wire.Status{ID: rec.Spec.ID, Phase: rec.Phase, Done: rec.Done}
 	if s.Phase == "" {
@@ -249,66 +233,12 @@
 	if err := wire.Unmarshal(e.Value, &t); err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	c.types = t.Types
+	c.mu.Unlock()
 	return t.Types, nil
 }
 
-// Admit takes in a submission on a node that neither leads nor reaches the
-// leader, through the state service alone. The job's record is all that an
-// acceptance needs; the leader learns of it from a watch, the next one when it
-// loads. It is written without the term: nothing of it is decided here.
-func (c *Controller) Admit(ctx context.Context, body []byte) *peer.Reply {
-	later := func() *peer.Reply { return Later("no leader is to be reached") }
-	id, spec, invalid := submission(body)
-	if id != "" {
-		rec, _, err := lookup(ctx, c.State, id)
-		if err != nil {
-			return later()
-		}
-		if rec != nil {
-			return reply(http.StatusOK, recordStatus(rec))
-		}
-	}
-	if invalid != nil {
-		return reply(http.StatusBadRequest, wire.Error{Error: invalid.Error()})
-	}
-	types, err := c.knownTypes(ctx)
-	if err != nil {
-		return later()
-	}
-	if p := c.verdict(spec, types); p != nil {
-		return p
-	}
-	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
-	txn, err := admissionTxn(rec)
-	if err != nil {
-		return later()
-	}
-	// What does not fit the budget now is refused at once: waiting would hold up
-	// every later request of this node.
-	if c.State.Spare() < 1 {
-		return later()
-	}
-	// Any failure, an unclear outcome too, is for the user's next try to settle.
-	if _, err := c.State.Commit(ctx, txn); err != nil {
-		return later()
-	}
-	c.Log.Info("admitted a job without the leader", "job", id)
-	return reply(http.StatusCreated, recordStatus(rec))
-}
-
-// Direct answers a status request from the state service, for a node that
-// neither leads nor reaches the leader.
-func (c *Controller) Direct(ctx context.Context, id string) *peer.Reply {
-	rec, _, err := lookup(ctx, c.State, id)
-	switch {
-	case err != nil:
-		return Later("no leader and no state service")
-	case rec == nil:
-		return reply(http.StatusNotFound, wire.Error{Error: "no such job"})
-	}
-	return reply(http.StatusOK, recordStatus(rec))
-}
-
 // canNever says why a job can never run, or that it cannot be told yet.
 func (c *Controller) canNever(s *job.Spec, types []wire.MachineType) (why string, known bool) {
 	t := slices.IndexFunc(c.Settings.Facts.Teams, func(t config.Team) bool { return t.Name == s.Team })
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -7,8 +7,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"vetchstream/internal/config"
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
@@ -216,35 +214,72 @@
 	}
 }
 
-// TestTurnstile: submissions beyond the rate at which they can be stored are told
-// to come back, each at a time of its own, and never later than users heed.
+// TestMissing: a machine of an earlier leader that the cloud does not list any more
+// is settled by returning it once more; one that may be too new for the list is not.
+func TestMissing(t *testing.T) {
+	tests := []struct {
+		name  string
+		list  []string
+		after time.Duration
+		want  string // returned, of h1 to h3
+	}{
+		{"all are listed", []string{"h1", "h2", "h3"}, 2 * time.Second, ""},
+		{"one is missing", []string{"h1", "h3"}, 2 * time.Second, "h2"},
+		{"the last one may be too new", []string{"h1", "h2"}, 2 * time.Second, ""},
+		{"an empty list says nothing", nil, 2 * time.Second, ""},
+		{"it may be about to answer", []string{"h1", "h3"}, 900 * time.Millisecond, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t)
+			r.learn([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
+			for _, n := range []string{"h1", "h2", "h3"} {
+				h := r.host(n)
+				r.names.describe(h, "small", "a", false)
+				h.Inherited = true
+			}
+			var list []wire.CloudHost
+			for _, n := range tt.list {
+				list = append(list, wire.CloudHost{Name: n})
+			}
+			r.takeover.listed(list)
+			r.takeover.settle(r.since.Add(tt.after))
+			got := ""
+			for _, h := range r.machines.returns {
+				got += h.Name
+			}
+			if got != tt.want {
+				t.Errorf("returned %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestTurnstile: submissions beyond what can be stored are told to come back, each
+// at a time of its own, and never later than users heed.
 func TestTurnstile(t *testing.T) {
-	ts := turnstile{limit: rate.NewLimiter(10, 5)}
+	ts := turnstile{perS: 10}
 	now := time.Unix(1000, 0)
-	passed, last := 0, time.Duration(0)
+	last := time.Duration(0)
 	at := map[int]int{} // second -> submissions that are told to come then
-	for range 605 {
-		d := ts.pass(now)
-		if d == 0 {
-			passed++
-			continue
-		}
+	for range 600 {
+		d := ts.away(now)
 		if d < time.Second || d < last || d > longestRetry {
 			t.Fatalf("told to come back after %v, the one before after %v", d, last)
 		}
 		last = d
 		at[int(d/time.Second)]++
 	}
-	if passed != 5 || last != longestRetry {
-		t.Errorf("%d passed, the last is told to come after %v", passed, last)
+	if last != longestRetry {
+		t.Errorf("the last is told to come after %v", last)
 	}
 	for s := 2; s < 29; s++ {
 		if at[s] > 11 {
 			t.Errorf("%d come back after %d s, more than can be stored", at[s], s)
 		}
 	}
-	if d := ts.pass(now.Add(time.Second)); d != 0 {
-		t.Errorf("a second later one is turned away for %v", d)
+	if d := ts.away(now.Add(time.Minute)); d != time.Second {
+		t.Errorf("a minute later one is turned away for %v", d)
 	}
 }
 
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -31,6 +31,7 @@
 	work      *work
 	writer    *writer
 	admission *admission
+	groups    *groups
 
 	finals  *finals
 	waiters map[*job.Job][]func(*peer.Reply) // who has asked to cancel
@@ -109,9 +110,17 @@
 	if j := en.book.sound(id); j != nil {
 		return reply(http.StatusOK, j.Status(en.book.running(j)))
 	}
+	return en.past(id)
+}
+
+// past answers for a job that is over; nil: it is not, or it is forgotten here.
+func (en *endings) past(id string) *peer.Reply {
 	if s, ok := en.finals.get(id); ok {
 		return reply(http.StatusOK, s)
 	}
+	if rec := en.groups.find(id); rec != nil && rec.Phase != "" {
+		return recorded(rec)
+	}
 	return nil
 }
 
@@ -164,8 +173,8 @@
 // accepted, or was admitted by another node a moment ago: that one is taken in,
 // and the user's next try finds it.
 func (en *endings) abortUnknown(id string, absent *peer.Reply, back func(*peer.Reply)) {
-	if s, ok := en.finals.get(id); ok {
-		back(reply(http.StatusOK, s))
+	if p := en.past(id); p != nil {
+		back(p)
 		return
 	}
 	en.readBack(id, absent, func(*job.Record) *peer.Reply {
@@ -182,6 +191,10 @@
 	en.work.stopAll(j)
 	rec := &job.Record{Spec: j.Spec, Phase: phase, Done: j.DoneCount}
 	rec.At = j.At
+	if en.groups.has(j.ID) {
+		en.groups.end(rec, func() { en.finished(j, rec) })
+		return
+	}
 	// The final record moves to its own key at once, or later where many jobs end
 	// together: the phase alone takes half the writes.
 	inPlace := en.c.State.Spare() < 2*en.writer.size()
--- /dev/null
+++ b/internal/control/groups_test.go
@@ -0,0 +1,498 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/hosts"
+	"vetchstream/internal/job"
+	"vetchstream/internal/lead"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// fate is what becomes of a transaction.
+type fate int
+
+const (
+	served  fate = iota
+	unheard      // applied, and the answer is lost
+	late         // the answer is lost, and it is applied a second later
+	never        // never applied, no answer
+)
+
+// service is the state service in memory, on a network of pipes.
+type service struct {
+	mu    sync.Mutex
+	rev   uint64
+	kv    map[string]state.Entry
+	fates []fate // of the next transactions that write groups
+	most  int    // writes in a transaction
+	txns  int    // that wrote jobs
+	conns chan net.Conn
+}
+
+func newService(t *testing.T) *service {
+	s := &service{kv: map[string]state.Entry{}, most: 12, conns: make(chan net.Conn)}
+	srv := &http.Server{Handler: s}
+	go func() { _ = srv.Serve(s) }()
+	t.Cleanup(func() {
+		_ = srv.Close()
+		time.Sleep(5 * time.Second) // what is under way ends
+	})
+	return s
+}
+
+func (s *service) Accept() (net.Conn, error) {
+	c, ok := <-s.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (s *service) Close() error   { close(s.conns); return nil }
+func (s *service) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *service) dial(_ context.Context, _, addr string) (net.Conn, error) {
+	if addr != "state:1" {
+		return nil, net.ErrClosed
+	}
+	a, b := net.Pipe()
+	s.conns <- b
+	return a, nil
+}
+
+func (s *service) put(key string, v any) {
+	w, err := state.Put(key, v)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.kv[key] = state.Entry{Key: key, Value: w.Value, Version: s.rev}
+}
+
+func (s *service) absent(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.kv[key]
+	return !ok
+}
+
+func (s *service) apply(t state.Txn) (status int, body any) {
+	var failed []string
+	for _, c := range t.If {
+		if s.kv[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		return 409, map[string]any{"failed": failed}
+	}
+	s.rev++
+	for _, w := range t.Writes {
+		if w.Delete != "" {
+			delete(s.kv, w.Delete)
+		} else {
+			s.kv[w.Put] = state.Entry{Key: w.Put, Value: w.Value, Version: s.rev}
+		}
+	}
+	return 200, map[string]any{"epoch": s.rev}
+}
+
+func (s *service) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
+	answer := func(status int, v any) {
+		b, err := wire.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		rw.WriteHeader(status)
+		_, _ = rw.Write(b)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	path := q.URL.Path
+	switch {
+	case path == "/commit":
+		b, _ := io.ReadAll(q.Body)
+		var t state.Txn
+		if err := wire.Unmarshal(b, &t); err != nil || len(t.Writes) > s.most || len(t.If) > 4*s.most {
+			answer(400, wire.Error{Error: "malformed"})
+			return
+		}
+		f := served
+		of := func(prefixes string) bool {
+			return slices.ContainsFunc(t.Writes, func(w state.Write) bool { return strings.ContainsAny((w.Put + w.Delete)[:1], prefixes) })
+		}
+		if of("jgf") {
+			s.txns++
+		}
+		if of("g") && len(s.fates) > 0 {
+			f, s.fates = s.fates[0], s.fates[1:]
+		}
+		switch f {
+		case served:
+			answer(s.apply(t))
+			return
+		case unheard:
+			s.apply(t)
+		case late:
+			time.AfterFunc(time.Second, func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.apply(t)
+			})
+		}
+		panic(http.ErrAbortHandler)
+	case path == "/kv":
+		out := []state.Entry{}
+		for _, k := range slices.Sorted(maps.Keys(s.kv)) {
+			if strings.HasPrefix(k, q.URL.Query().Get("under")) {
+				out = append(out, s.kv[k])
+			}
+		}
+		answer(200, map[string]any{"entries": out, "epoch": s.rev})
+	case strings.HasPrefix(path, "/kv/"):
+		e, ok := s.kv[path[4:]]
+		if !ok {
+			answer(404, map[string]any{})
+			return
+		}
+		answer(200, e)
+	default: // a watch
+		s.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		var events []state.Event
+		for k := range s.kv {
+			if strings.HasPrefix(k, job.ActivePrefix) {
+				events = append(events, state.Event{Put: k})
+			}
+		}
+		answer(200, map[string]any{"epoch": s.rev, "events": events})
+	}
+}
+
+// jobs counts the entries of active jobs, in groups and alone.
+func (s *service) jobs() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, e := range s.kv {
+		var g job.Group
+		switch {
+		case strings.HasPrefix(k, job.ActivePrefix):
+			n++
+		case strings.HasPrefix(k, job.GroupPrefix) && wire.Unmarshal(e.Value, &g) == nil:
+			n += len(g.Jobs)
+		}
+	}
+	return n
+}
+
+// keys are those below the prefixes.
+func (s *service) keys(prefixes string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.kv {
+		if strings.ContainsAny(k[:1], prefixes) {
+			n++
+		}
+	}
+	return n
+}
+
+// seat is a controller that leads, on that service.
+type seat struct {
+	*Controller
+	t    *testing.T
+	s    *service
+	term uint64
+	stop func()
+}
+
+func sit(t *testing.T, s *service, term uint64) *seat {
+	t.Helper()
+	set := &config.Settings{Member: "n0"}
+	f := &set.Facts
+	f.Workers.LeaseS = 10
+	f.Zones = []string{"a"}
+	f.Teams = []config.Team{{Name: "red"}}
+	f.State.RPS, f.State.WriteRPS, f.State.TxnOps, f.State.ValueKB = 200, 80, 12, 16
+	f.Resources.MaxSockets = 800
+	c := New(Deps{Settings: set, Tuning: config.Defaults(), State: state.New("state:1", s.dial, StateBudget(set, false)),
+		Cloud: hosts.NewCloud("cloud:1", s.dial, 1), Dial: s.dial, Log: slog.New(slog.DiscardHandler),
+		Entitled: func(uint64) bool { return true }, Deposed: func(uint64) {}})
+	c.types = []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}}}
+	s.put(lead.KeyTerm, map[string]uint64{"term": term})
+	s.mu.Lock()
+	version := s.kv[lead.KeyTerm].Version
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.Lead(ctx, lead.Reign{Term: term, TermVersion: version, Since: time.Now()})
+	}()
+	st := &seat{Controller: c, t: t, s: s, term: term}
+	st.stop = sync.OnceFunc(func() { cancel(); <-ended })
+	t.Cleanup(st.stop)
+	time.Sleep(300 * time.Millisecond)
+	return st
+}
+
+func body(id string, edit map[string]any) []byte {
+	m := map[string]any{"uid": id, "breed": "c", "owner": "red", "shape": "array", "rank": "idle", "pieces": 1, "cpus": 1.0, "accelerators": 0.0,
+		"mem_gb": 1.0, "reel": "i", "image_gb": 0.5, "same_place": false, "apart": false, "loaners": true, "guess_s": 5.0, "mark_s": 0.0, "stash_s": 0.0}
+	maps.Copy(m, edit)
+	b, err := wire.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// ask is a user's request, patient for as long as a user is.
+func (st *seat) ask(kind, id string, b []byte) *peer.Reply {
+	ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
+	defer cancel()
+	p := st.Answer(ctx, &peer.Request{Kind: kind, ID: id, Body: b})
+	if p == nil {
+		p = Later("nobody leads")
+	}
+	return p
+}
+
+// submit hands in jobs at the same moment and returns the answers.
+func (st *seat) submit(bodies ...[]byte) []int {
+	out := make([]int, len(bodies))
+	var wg sync.WaitGroup
+	for i, b := range bodies {
+		wg.Go(func() { out[i] = st.ask(peer.KindSubmit, "", b).Status })
+	}
+	wg.Wait()
+	return out
+}
+
+func (st *seat) phase(id string) string {
+	p := st.ask(peer.KindStatus, id, nil)
+	var s wire.Status
+	if p.Status != 200 {
+		return fmt.Sprint(p.Status)
+	}
+	if err := wire.Unmarshal(p.Body, &s); err != nil {
+		st.t.Fatal(err)
+	}
+	return s.Phase
+}
+
+func swarm(from, n int) (out [][]byte) {
+	for i := range n {
+		out = append(out, body(fmt.Sprintf("run-%d", from+i), nil))
+	}
+	return out
+}
+
+func count(out []int, status int) (n int) {
+	for _, s := range out {
+		if s == status {
+			n++
+		}
+	}
+	return n
+}
+
+// TestGroups: submissions that come together are stored together, and each keeps
+// its own answer.
+func TestGroups(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(t *testing.T, s *service)
+	}{
+		{"a swarm takes few writes, and one job a record of its own", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			if out := st.submit(swarm(0, 1)...); out[0] != 201 || s.keys("j") != 1 {
+				t.Errorf("one job: %v, %d records", out, s.keys("j"))
+			}
+			s.txns = 0
+			if out := st.submit(swarm(100, 300)...); count(out, 201) != 300 {
+				t.Errorf("%d of 300 accepted", count(out, 201))
+			}
+			if s.txns > 60 {
+				t.Errorf("%d writes for 300 jobs", s.txns)
+			}
+		}},
+		{"malformed, impossible and repeated ones are answered each on its own", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			out := st.submit(body("run-1", nil), body("run-2", map[string]any{"pieces": -1}), body("run-3", map[string]any{"cpus": 99.0}),
+				body("run-4", nil), body("run-4", nil), body("run-5", map[string]any{"owner": "green"}))
+			if want := []int{201, 400, 422, 201, 201, 422}; !slices.Equal(out, want) {
+				t.Errorf("answers %v, want %v", out, want)
+			}
+			if out := st.submit(body("run-4", nil)); out[0] != 200 {
+				t.Errorf("once more: %v", out)
+			}
+		}},
+		{"an unclear commit in the middle of a group that was applied", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			s.fates = []fate{unheard}
+			st.submit(swarm(0, 20)...)
+			time.Sleep(2 * time.Second)
+			if out := st.submit(swarm(0, 20)...); count(out, 200) != 20 || s.jobs() != 20 || len(s.fates) > 0 {
+				t.Errorf("after it: %v, %d jobs", out, s.jobs())
+			}
+		}},
+		{"an unclear commit that is applied after the second try", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			s.fates = []fate{late}
+			st.submit(swarm(0, 20)...)
+			time.Sleep(5 * time.Second)
+			if out := st.submit(swarm(0, 20)...); count(out, 200) != 20 || s.jobs() != 20 || len(s.fates) > 0 {
+				t.Errorf("after it: %v, %d jobs", out, s.jobs())
+			}
+		}},
+		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			for _, b := range swarm(5, 3) {
+				if p := st.Admit(context.Background(), b); p.Status != 201 {
+					t.Fatalf("admitted: %d", p.Status)
+				}
+			}
+			if out := st.submit(swarm(0, 20)...); count(out, 201) != 17 || count(out, 200) != 3 {
+				t.Errorf("answers %v", out)
+			}
+		}},
+		{"the same group admitted by two nodes is one job each, done once", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			s.fates = []fate{late} // the leader's comes after the other node's answer
+			var wg sync.WaitGroup
+			wg.Go(func() { st.submit(swarm(0, 10)...) })
+			for _, b := range swarm(0, 5) {
+				wg.Go(func() { st.Admit(context.Background(), b) })
+			}
+			wg.Wait()
+			time.Sleep(3 * time.Second)
+			for _, b := range swarm(5, 5) { // as it would be if the group had come between its look and its commit
+				_, spec, _ := submission(b)
+				if key := job.ActivePrefix + spec.ID; s.absent(key) {
+					s.put(key, &job.Record{Spec: *spec})
+				}
+			}
+			time.Sleep(3 * time.Second)
+			for i := range 10 {
+				if p := st.ask(peer.KindAbort, fmt.Sprintf("run-%d", i), nil); p.Status != 200 {
+					t.Errorf("cancel: %d", p.Status)
+				}
+			}
+			time.Sleep(time.Minute)
+			if s.keys("jg") != 0 || s.keys("f") != 10 {
+				t.Errorf("%d records of active jobs and groups, %d final ones", s.keys("jg"), s.keys("f"))
+			}
+		}},
+		{"a state service that takes less at a time", func(t *testing.T, s *service) {
+			s.most = 3
+			st := sit(t, s, 1)
+			st.submit(swarm(0, 40)...)
+			time.Sleep(5 * time.Second)
+			if out := st.submit(swarm(0, 40)...); count(out, 200) != 40 {
+				t.Errorf("answers %v", out)
+			}
+		}},
+		{"a node that does not lead finds them with one listing for all who wait", func(t *testing.T, s *service) {
+			st := sit(t, s, 1)
+			st.submit(swarm(0, 60)...)
+			var wg sync.WaitGroup
+			for i := range 61 {
+				wg.Go(func() {
+					want := 200
+					if i == 60 {
+						want = 404
+					}
+					if p := st.Direct(context.Background(), fmt.Sprintf("run-%d", i)); p.Status != want {
+						t.Errorf("run-%d: %d, want %d", i, p.Status, want)
+					}
+				})
+			}
+			wg.Wait()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { tt.do(t, newService(t)) })
+		})
+	}
+}
+
+// TestCompaction: what is over leaves its group. A leader that ends at any of its
+// transactions, whatever becomes of that one, leaves every job in one place: what
+// was told to be over stays so, and the rest stays active.
+func TestCompaction(t *testing.T) {
+	const jobs, over = 30, 20
+	for step := range 9 {
+		for _, f := range []fate{served, unheard, late, never} {
+			t.Run(fmt.Sprintf("ends at step %d, %d", step, f), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newService(t)
+					st := sit(t, s, 1)
+					if out := st.submit(swarm(0, jobs)...); count(out, 201) != jobs {
+						t.Fatalf("answers %v", out)
+					}
+					s.mu.Lock()
+					s.fates = append(make([]fate, step), f)
+					s.mu.Unlock()
+					for i := range over {
+						go st.ask(peer.KindAbort, fmt.Sprintf("run-%d", i), nil)
+					}
+					for range 100 {
+						time.Sleep(20 * time.Millisecond)
+						s.mu.Lock()
+						n := len(s.fates)
+						s.mu.Unlock()
+						if n == 0 {
+							break
+						}
+					}
+					told := map[int]bool{}
+					for i := range over {
+						told[i] = st.phase(fmt.Sprintf("run-%d", i)) == wire.JobAborted
+					}
+					st.stop()
+					next := sit(t, s, 2)
+					time.Sleep(2 * time.Second)
+					for i := range jobs {
+						id := fmt.Sprintf("run-%d", i)
+						got := next.phase(id)
+						if told[i] && got != wire.JobAborted || i >= over && got != wire.JobPending || got == "404" {
+							t.Errorf("%s is %s, was told to be over: %v", id, got, told[i])
+						}
+						if i < over {
+							next.ask(peer.KindAbort, id, nil)
+						}
+					}
+					time.Sleep(time.Minute)
+					if n := s.keys("f"); n != over {
+						t.Errorf("%d final records, want %d", n, over)
+					}
+					for i := range over {
+						if got := next.phase(fmt.Sprintf("run-%d", i)); got != wire.JobAborted {
+							t.Errorf("run-%d is %s at the end", i, got)
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -15,6 +15,7 @@
 	registry *registry
 	planner  *planner
 	work     *work
+	groups   *groups
 
 	jobs   map[string]*job.Job
 	ids    map[*job.Job]int
@@ -109,6 +110,9 @@
 	}
 	// Over, or unknown: its record is read, because what its tasks take still
 	// counts against its team. Nothing of it may go on.
+	if rec := bk.groups.find(id); rec != nil {
+		return bk.add(rec, 0, time.Now())
+	}
 	rec := &job.Record{Spec: job.Spec{ID: id, Tasks: job.MaxTasks, ShapeName: "array", RankName: "idle"}, Phase: wire.JobAborted}
 	j := bk.add(rec, 0, time.Now())
 	bk.strangers[j] = true
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -73,6 +73,7 @@
 	// taken counts the transactions that the page was put into, stored is the last
 	// of them that was applied.
 	taken, stored int
+	takenAt       time.Time
 	// after are the stores of other pages that took entries of this one: it is not
 	// stored without them before they are.
 	after []handover
@@ -286,7 +287,7 @@
 // take chooses the pages of the next transaction and encodes them. From here on
 // a record may be the old one or the new one: only what both name may be
 // launched.
-func (g *registry) take(now time.Time, most int) (out []sent, txn state.Txn) {
+func (g *registry) take(now time.Time, most int, idle bool) (out []sent, txn state.Txn) {
 	stale := !now.Before(g.staleAt)
 	for i := 0; i < len(g.pages); i++ { // a split appends
 		if p := g.pages[i]; p.urgent {
@@ -296,10 +297,26 @@
 	bytes := 0
 	together := map[*page]bool{} // in this transaction
 	txn.If = []state.Cond{g.fence}
+	var order []*page
 	for _, p := range g.pages {
-		if !p.urgent && !(p.stale && stale) {
-			continue
+		if p.urgent {
+			order = append(order, p)
 		}
+	}
+	urgent := len(order)
+	if stale && idle {
+		for _, p := range g.pages {
+			if p.stale && !p.urgent {
+				order = append(order, p)
+			}
+		}
+		// The one that was not taken for longest comes first. In the order of the pages
+		// the last ones of a large fleet never had their turn, and a successor waited a
+		// full lease for machines that had long been returned.
+		slices.SortStableFunc(order[urgent:], func(a, b *page) int { return a.takenAt.Compare(b.takenAt) })
+	}
+	whole := true
+	for _, p := range order {
 		// What goes in one transaction is stored together, or not at all and waits again.
 		p.after = slices.DeleteFunc(p.after, func(w handover) bool { return w.page.stored >= w.take })
 		if slices.ContainsFunc(p.after, func(w handover) bool { return !together[w.page] }) {
@@ -307,6 +324,7 @@
 		}
 		size := g.size(p)
 		if len(out) >= most || (bytes > 0 && bytes+size > txnBytes) {
+			whole = false
 			break
 		}
 		s := sent{page: p, hosts: slices.Clone(p.hosts), gone: p.gone, notes: slices.Clone(p.notes)}
@@ -330,13 +348,14 @@
 		}
 		p.urgent, p.stale, p.gone = false, false, nil
 		p.taken++
+		p.takenAt = now
 		together[p] = true
 		bytes += size
 		out = append(out, s)
 		txn.Writes = append(txn.Writes, w)
 		txn.If = append(txn.If, state.Cond{Key: p.key, Version: p.version})
 	}
-	if stale {
+	if stale && idle && whole {
 		g.staleAt = now.Add(staleEvery)
 	}
 	return out, txn
@@ -366,7 +385,7 @@
 	if most < 1 {
 		return
 	}
-	out, txn := g.take(now, most)
+	out, txn := g.take(now, most, g.c.State.Spare() >= 2*g.writer.size())
 	if len(out) == 0 {
 		return
 	}
--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -86,7 +86,7 @@
 
 // store takes one transaction and lets fate decide what becomes of it.
 func (b *registryBed) store(fate func(state.Txn) (uint64, error)) (txn state.Txn) {
-	out, txn := b.registry.take(b.now, 12)
+	out, txn := b.registry.take(b.now, 12, true)
 	version, err := fate(txn)
 	found := map[*page]uint64{}
 	if errors.Is(err, state.ErrConflict) {
@@ -280,6 +280,33 @@
 				b.t.Error("never noted")
 			}
 		}},
+		{"pages that say too much have their turn, whatever becomes of those before them", func(b *registryBed) {
+			b.registry.limit = 1000
+			for i := range 60 {
+				b.up(fmt.Sprintf("h%d", i))
+			}
+			for range 10 {
+				b.store(b.shelf.apply)
+			}
+			first, last := b.registry.pages[0], b.registry.pages[len(b.registry.pages)-1]
+			b.registry.leave(last.hosts[0])
+			for i := range 6 {
+				for _, p := range b.registry.pages[:len(b.registry.pages)-1] {
+					p.stale = true // as in a fleet whose machines come and go
+				}
+				b.now = b.now.Add(staleEvery)
+				if out, txn := b.registry.take(b.now, 4, true); len(out) > 0 {
+					version, err := b.shelf.apply(txn)
+					b.registry.stored(out, version, nil, err)
+				}
+				if i == 0 && first.stale && last.stale {
+					b.t.Error("nothing was taken")
+				}
+			}
+			if last.stale {
+				b.t.Error("the last page still names a machine that is gone")
+			}
+		}},
 		{"an index is used again only when no record names its machine", func(b *registryBed) {
 			h := b.up("h0")
 			b.store(b.shelf.apply)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -27,6 +27,7 @@
 	term  uint64
 	fence state.Cond
 	since time.Time
+	alive time.Time // when the leader before was last heard of
 	inbox chan func()
 	fleet *fleet.Fleet
 	dirty bool // something has changed that a plan may use
@@ -70,6 +71,7 @@
 	planner   *planner
 	work      *work
 	writer    *writer
+	groups    *groups
 
 	scanAt time.Time
 }
@@ -77,14 +79,15 @@
 func newReign(ctx context.Context, c *Controller, l lead.Reign) *reign {
 	f := &c.Settings.Facts
 	co := &core{c: c, ctx: ctx, log: c.Log.With("term", l.Term), debug: c.Log.Enabled(ctx, slog.LevelDebug),
-		term: l.Term, since: l.Since, fence: state.Cond{Key: lead.KeyTerm, Version: l.TermVersion},
+		term: l.Term, since: l.Since, alive: l.Alive, fence: state.Cond{Key: lead.KeyTerm, Version: l.TermVersion},
 		inbox: make(chan func(), 256), fleet: fleet.New(l.Term, config.Seconds(f.Workers.LeaseS))}
 	budget := StateBudget(c.Settings, true)
 	share := func(of float64) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(of*budget.WriteRPS), max(2, int(of*budget.WriteRPS)))
 	}
-	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare)),
-		endings: newEndings(co, share(endingShare)), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
+	ends := share(endingShare)
+	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
+		endings: newEndings(co, ends), groups: newGroups(co, ends), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
 		machines: newMachines(co), takeover: &takeover{core: co}, commands: &commands{core: co, most: DirectCalls(f.Resources.MaxSockets)},
 		planner: newPlanner(co), work: &work{core: co}, writer: &writer{core: co, batch: f.State.TxnOps}}
 	r.wire()
@@ -102,12 +105,14 @@
 	r.machines.planner, r.machines.work, r.machines.writer = r.planner, r.work, r.writer
 	r.takeover.names, r.takeover.book, r.takeover.registry, r.takeover.machines = r.names, r.book, r.registry, r.machines
 	r.takeover.admission, r.takeover.endings, r.takeover.results = r.admission, r.endings, r.results
-	r.commands.work = r.work
+	r.commands.work, r.commands.takeover = r.work, r.takeover
 	r.planner.names, r.planner.book, r.planner.registry, r.planner.machines = r.names, r.book, r.registry, r.machines
 	r.planner.takeover, r.planner.work = r.takeover, r.work
 	r.work.names, r.work.book, r.work.registry, r.work.machines = r.names, r.book, r.registry, r.machines
 	r.work.endings, r.work.results = r.endings, r.results
 	r.writer.registry = r.registry
+	r.groups.writer, r.groups.results = r.writer, r.results
+	r.admission.groups, r.admission.results, r.endings.groups, r.book.groups, r.takeover.groups = r.groups, r.results, r.groups, r.groups, r.groups
 }
 
 func (r *reign) run() {
@@ -160,7 +165,8 @@
 		return
 	}
 	r.planner.place(now)
-	orders, _, ev := r.fleet.Compose(h, m.Seq, fresh, now, maxOrders)
+	orders, sent, ev := r.fleet.Compose(h, m.Seq, fresh, now, maxOrders)
+	r.takeover.launched(len(sent), now)
 	r.work.handle(ev, now)
 	back(reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders}))
 }
@@ -177,8 +183,11 @@
 		r.work.handle(r.fleet.Expire(now), now)
 	}
 	if !r.c.Entitled(r.term) {
+		r.admission.refuse()
 		return
 	}
+	r.admission.flush(now)
+	r.groups.step(now)
 	r.results.flush(now)
 	r.results.tidy()
 	r.endings.settleFinals()
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -116,6 +116,7 @@
 // up, and one that it has may be gone.
 func (mc *machines) listed(list []wire.CloudHost) {
 	now := time.Now()
+	mc.takeover.listed(list)
 	for i := range list {
 		c := &list[i]
 		if mc.removed[c.Name] {
--- /dev/null
+++ b/internal/control/shelf.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// lookup reads a job's own record afresh; it is nil if the job was never accepted
+// alone. A leader knows the records of groups, which it alone writes.
+func lookup(ctx context.Context, st *state.Client, id string) (*job.Record, uint64, error) {
+	// Active first: a job that moves between the two reads is found by the second.
+	for _, prefix := range []string{job.ActivePrefix, job.FinalPrefix} {
+		e, err := st.Get(ctx, prefix+id)
+		if errors.Is(err, state.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return nil, 0, err
+		}
+		rec := &job.Record{}
+		if err := wire.Unmarshal(e.Value, rec); err != nil {
+			return nil, 0, err
+		}
+		return rec, e.Version, nil
+	}
+	return nil, 0, nil
+}
+
+// find reads a job's record afresh for a node that does not lead. Groups come
+// first: an entry moves from its group to the job's own key, never back.
+func (c *Controller) find(ctx context.Context, id string) (*job.Record, error) {
+	rec, err := c.groups.find(ctx, id)
+	if rec != nil || err != nil {
+		return rec, err
+	}
+	rec, _, err = lookup(ctx, c.State, id)
+	return rec, err
+}
+
+// groupShelf reads the records of groups for a node that does not lead. Which
+// group a job is in does not follow from its id, so one listing serves all who
+// wait: those who come while it is under way share the next one, because what
+// has begun before they asked may be older than what another node has told.
+type groupShelf struct {
+	state *state.Client
+
+	mu   sync.Mutex
+	busy bool
+	next *groupList // nil: nobody waits for another listing
+}
+
+// groupList is one listing, for all who have asked before it began.
+type groupList struct {
+	done chan struct{}
+	jobs map[string]*job.Record
+	err  error
+}
+
+// listTime bounds a listing: its users have left by then.
+const listTime = 3 * time.Second
+
+// find returns a job's entry; nil: no group has it.
+func (s *groupShelf) find(ctx context.Context, id string) (*job.Record, error) {
+	s.mu.Lock()
+	l := s.next
+	if l == nil {
+		l = &groupList{done: make(chan struct{})}
+		s.next = l
+	}
+	if !s.busy {
+		s.busy = true
+		go s.serve()
+	}
+	s.mu.Unlock()
+	select {
+	case <-l.done:
+		return l.jobs[id], l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// serve makes listings for as long as somebody waits for one.
+func (s *groupShelf) serve() {
+	for {
+		s.mu.Lock()
+		l := s.next
+		s.next = nil
+		s.busy = l != nil
+		s.mu.Unlock()
+		if l == nil {
+			return
+		}
+		l.jobs, l.err = s.read()
+		close(l.done)
+	}
+}
+
+func (s *groupShelf) read() (map[string]*job.Record, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), listTime)
+	defer cancel()
+	entries, _, err := s.state.List(ctx, job.GroupPrefix)
+	if err != nil {
+		return nil, err
+	}
+	jobs := map[string]*job.Record{}
+	for _, e := range entries {
+		var g job.Group
+		if err := wire.Unmarshal(e.Value, &g); err != nil {
+			return nil, err
+		}
+		for i := range g.Jobs {
+			jobs[g.Jobs[i].Spec.ID] = &g.Jobs[i]
+		}
+	}
+	return jobs, nil
+}
+
+// Admit takes in a submission on a node that neither leads nor reaches the
+// leader, through the state service alone. The job's record is all that an
+// acceptance needs; the leader learns of it from a watch, the next one when it
+// loads. It is written without the term: nothing of it is decided here.
+func (c *Controller) Admit(ctx context.Context, body []byte) *peer.Reply {
+	later := func() *peer.Reply { return Later("no leader is to be reached") }
+	id, spec, invalid := submission(body)
+	var refusal *peer.Reply
+	if invalid != nil {
+		refusal = reply(http.StatusBadRequest, wire.Error{Error: invalid.Error()})
+	} else {
+		types, err := c.knownTypes(ctx)
+		if err != nil {
+			return later()
+		}
+		refusal = c.verdict(spec, types)
+	}
+	if refusal != nil && (id == "" || refusal.Status == http.StatusServiceUnavailable) {
+		return refusal
+	}
+	if refusal != nil {
+		// A known id wins over every check.
+		switch rec, err := c.find(ctx, id); {
+		case err != nil:
+			return later()
+		case rec != nil:
+			return recorded(rec)
+		}
+		return refusal
+	}
+	// The commit itself tells whether the job has a record of its own.
+	switch rec, err := c.groups.find(ctx, id); {
+	case err != nil:
+		return later()
+	case rec != nil:
+		return recorded(rec)
+	}
+	rec := &job.Record{Spec: *spec, At: time.Now().UnixMilli()}
+	txn, err := admissionTxn("", []*arrival{{rec: rec}})
+	if err != nil {
+		return later()
+	}
+	// What does not fit the budget now is refused at once: waiting would hold up
+	// every later request of this node.
+	if c.State.Spare() < 1 {
+		return later()
+	}
+	_, err = c.State.CommitOnce(ctx, txn)
+	switch {
+	case errors.Is(err, state.ErrConflict):
+		if rec, err := c.find(ctx, id); err == nil && rec != nil {
+			return recorded(rec)
+		}
+		return later()
+	case err != nil:
+		// Unclear, it may be: for the user's next try to settle.
+		return later()
+	}
+	c.Log.Info("admitted a job without the leader", "job", id)
+	return reply(http.StatusCreated, recordStatus(rec))
+}
+
+// Direct answers a status request from the state service, for a node that
+// neither leads nor reaches the leader.
+func (c *Controller) Direct(ctx context.Context, id string) *peer.Reply {
+	rec, err := c.find(ctx, id)
+	switch {
+	case err != nil:
+		return Later("no leader and no state service")
+	case rec == nil:
+		return reply(http.StatusNotFound, wire.Error{Error: "no such job"})
+	}
+	return reply(http.StatusOK, recordStatus(rec))
+}
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"vetchstream/internal/config"
@@ -26,12 +27,64 @@
 	admission *admission
 	endings   *endings
 	results   *results
+	groups    *groups
 
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
-	metSilent bool // the silent machines of a takeover have been dealt with
+	missing   map[string]bool // machines of earlier leaders that the cloud's list lacks
+	metSilent bool            // the silent machines of a takeover have been dealt with
+	read      atomic.Bool
+	phases    phases
 }
 
+// phases are when a takeover came how far; zero: not yet. They are told in one
+// line, once the takeover is over.
+type phases struct {
+	load, meet, settle, launch time.Time
+	machines, jobs, tasks      int
+	told                       bool
+}
+
+// metShare is the part of the machines, in percent, that must have answered for
+// the fleet to count as met: a few are always gone.
+const metShare = 95
+
+// tellAfter is how long the line waits for a first launch: there may be no work.
+const tellAfter = 30 * time.Second
+
+// tell logs how long the takeover took, by phase: without a leader, reading the
+// records, meeting the workers, the first launch, the last machine.
+func (tk *takeover) tell(now time.Time) {
+	p := &tk.phases
+	if p.told || p.settle.IsZero() || (p.launch.IsZero() && now.Sub(tk.since) < tellAfter) {
+		return
+	}
+	p.told = true
+	ms := func(at time.Time) int64 {
+		if at.IsZero() {
+			return -1
+		}
+		return at.Sub(tk.since).Milliseconds()
+	}
+	lease := int64(-1)
+	if !tk.alive.IsZero() {
+		lease = tk.since.Sub(tk.alive).Milliseconds()
+	}
+	tk.log.Info("takeover", "lease_ms", lease, "loaded_ms", ms(p.load), "met_ms", ms(p.meet), "launch_ms", ms(p.launch),
+		"settled_ms", ms(p.settle), "machines", p.machines, "jobs", p.jobs, "tasks", p.tasks)
+}
+
+// launched notes that launches have left.
+func (tk *takeover) launched(n int, now time.Time) {
+	if n > 0 && tk.phases.launch.IsZero() {
+		tk.phases.launch = now
+	}
+}
+
+// loaded reports whether the records of earlier leaders are read; any goroutine
+// may ask.
+func (tk *takeover) loaded() bool { return tk.read.Load() }
+
 // settled reports whether every machine of earlier leaders is settled: nothing
 // is on them but what this reign has seen.
 func (tk *takeover) settled() bool { return tk.ready }
@@ -39,10 +92,14 @@
 // settle looks at the machines of earlier leaders and reports whether work may
 // be placed around those that have not been heard of.
 func (tk *takeover) settle(now time.Time) bool {
+	tk.tell(now)
 	if tk.ready {
 		return true
 	}
 	tk.inherited = tk.fleet.Settle()
+	if p := &tk.phases; p.meet.IsZero() && 100*len(tk.inherited) <= (100-metShare)*p.machines {
+		p.meet = now
+	}
 	for _, h := range tk.inherited {
 		// What it may take of a team's limit is not known; and give the others
 		// the time of a round trip before the plan is made without them.
@@ -50,12 +107,19 @@
 			return false
 		}
 	}
+	if now.Sub(tk.since) > meetTime {
+		for _, h := range tk.inherited {
+			if tk.missing[h.Name] && !h.Releasing {
+				tk.machines.release(h, "an earlier leader has returned it")
+			}
+		}
+	}
 	if len(tk.inherited) > 0 && !tk.metSilent && now.Sub(tk.since) > silentTime {
 		tk.metSilent = true
 		tk.silent()
 	}
 	if len(tk.inherited) == 0 {
-		tk.ready = true
+		tk.ready, tk.phases.settle = true, now
 		tk.log.Info("every machine is settled", "after", now.Sub(tk.since).Round(time.Millisecond))
 	}
 	return true
@@ -97,6 +161,32 @@
 // cut or a hang takes more at a time, and its machines come back with their work.
 const fewSilent = 40
 
+// meetTime is what a machine that is there takes to answer after a takeover.
+const meetTime = time.Second
+
+// listed compares the machines of earlier leaders with the cloud's list. One that
+// it lacks, although it has later ones, was gone when the list was made: names are
+// listed in the order in which machines were made, and a machine stays listed
+// until it is gone. An earlier leader has returned it and could not strike it off
+// the registry any more. It is returned once more, which settles it; if the list
+// were wrong, work would be lost and no rule broken.
+func (tk *takeover) listed(list []wire.CloudHost) {
+	if tk.ready || len(list) == 0 {
+		return
+	}
+	there := make(map[string]bool, len(list))
+	for i := range list {
+		there[list[i].Name] = true
+	}
+	last := list[len(list)-1].Name
+	tk.missing = map[string]bool{}
+	for _, h := range tk.fleet.All() {
+		if h.Inherited && !there[h.Name] && h.Name < last {
+			tk.missing[h.Name] = true
+		}
+	}
+}
+
 // silent deals with the machines that a takeover still waits for. In a large
 // fleet some spot machines are always gone without a word, and the jobs noted for
 // them, which are the large ones, would wait for a full lease after each change of
@@ -130,6 +220,11 @@
 			tk.pause(200 * time.Millisecond)
 			continue
 		}
+		tk.read.Store(true)
+		tk.phases.load, tk.phases.machines, tk.phases.jobs = time.Now(), len(tk.fleet.Hosts), len(tk.book.all())
+		for _, j := range tk.book.all() {
+			tk.phases.tasks += j.Tasks - j.DoneCount
+		}
 		tk.log.Info("loaded", "jobs", len(tk.book.all()), "hosts", len(tk.fleet.Hosts))
 		return true
 	}
@@ -145,6 +240,10 @@
 	if err != nil {
 		return err
 	}
+	gs, _, err := tk.c.State.List(tk.ctx, job.GroupPrefix)
+	if err != nil {
+		return err
+	}
 	js, epoch, err := tk.c.State.List(tk.ctx, job.ActivePrefix)
 	if err != nil {
 		return err
@@ -163,22 +262,40 @@
 	tk.book.reset()
 	tk.results.reset()
 	tk.endings.reset()
+	tk.groups.reset()
 	tk.names.learn(types)
 	if err := tk.registry.load(hs, ns); err != nil {
 		return err
 	}
 	now := time.Now()
+	submitted := func(rec *job.Record) time.Time {
+		return now.Add(-time.Duration(max(0, now.UnixMilli()-rec.At)) * time.Millisecond)
+	}
+	if err := tk.groups.load(gs, func(rec *job.Record) {
+		if rec.Phase != "" {
+			tk.endings.remember(rec)
+			return
+		}
+		tk.book.add(rec, 0, submitted(rec))
+	}); err != nil {
+		return err
+	}
 	for _, e := range js {
 		var rec job.Record
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
 			return fmt.Errorf("job %s: %w", e.Key, err)
 		}
+		if tk.groups.has(rec.Spec.ID) {
+			// Another node has admitted the job once more: one record is enough.
+			tk.results.drop(e.Key)
+			continue
+		}
 		if rec.Phase != "" {
 			tk.endings.inherit(&rec, e.Version)
 			continue
 		}
 		if tk.book.get(rec.Spec.ID) == nil {
-			tk.book.add(&rec, e.Version, now.Add(-time.Duration(max(0, now.UnixMilli()-rec.At))*time.Millisecond))
+			tk.book.add(&rec, e.Version, submitted(&rec))
 		}
 	}
 	for _, e := range ds {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -12,10 +12,15 @@
 
 // Keys of the durable records: a job is under active until it is over, then
 // under final. The move is one transaction, so a job is never under neither.
+//
+// Jobs that arrive together share a group record. A job's entry there stands for
+// its active record; when the job is over its entry says so, until it is moved to
+// its final key, in one transaction.
 const (
 	ActivePrefix = "j/"
 	FinalPrefix  = "f/"
 	DonePrefix   = "d/"
+	GroupPrefix  = "g/"
 )
 
 // Record is a job's durable record.
@@ -28,6 +33,11 @@
 	At int64 `codec:"at"`
 }
 
+// Group is the record of jobs that were accepted together.
+type Group struct {
+	Jobs []Record `codec:"jobs"`
+}
+
 // chunkTasks is the number of tasks whose results share one key: its text is
 // well below the smallest value limit (16 KiB) that a state service has.
 const chunkTasks = 32768
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -37,6 +37,8 @@
 	TermVersion uint64
 	// Since is a moment at or after the end of every earlier entitlement.
 	Since time.Time
+	// Alive is when the leader before was last heard of; zero: never.
+	Alive time.Time
 }
 
 // View is what a node believes about the leadership.
@@ -57,6 +59,7 @@
 
 	mu       sync.Mutex
 	view     View
+	alive    time.Time // when a leader was last heard of
 	until    time.Time
 	reigning uint64
 	deposed  chan struct{}
@@ -100,6 +103,13 @@
 	}
 }
 
+// Alive notes that the leader has given a sign of life.
+func (e *Elector) Alive() {
+	e.mu.Lock()
+	e.alive = time.Now()
+	e.mu.Unlock()
+}
+
 // Run takes part until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -199,7 +209,10 @@
 		_ = e.state.Revoke(ctx, lease)
 		return
 	}
-	e.reign(ctx, Reign{Term: term, TermVersion: version, Since: time.Now()}, lease, begun)
+	e.mu.Lock()
+	alive := e.alive
+	e.mu.Unlock()
+	e.reign(ctx, Reign{Term: term, TermVersion: version, Since: time.Now(), Alive: alive}, lease, begun)
 }
 
 func (e *Elector) reign(ctx context.Context, r Reign, lease uint64, begun time.Time) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,14 @@
 	defer cancel(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.elector.Run(ctx) })
-	wg.Go(func() { mesh.Pings(ctx, func(h peer.Hello) { n.elector.Heard(h.Leader, h.Term) }) })
+	wg.Go(func() {
+		mesh.Pings(ctx, func(h peer.Hello) {
+			n.elector.Heard(h.Leader, h.Term)
+			if h.Member == h.Leader {
+				n.elector.Alive()
+			}
+		})
+	})
 	wg.Go(func() {
 		if err := peer.Serve(ctx, pl, n); err != nil {
 			cancel(err)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,17 @@
 	ErrGone = errors.New("history is gone")
 )
 
+// ConflictError is an ErrConflict that names the keys whose conditions do not
+// hold, as far as the service told them.
+type ConflictError struct{ Failed []string }
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%v: %s", ErrConflict, strings.Join(e.Failed, ", "))
+}
+
+// Is makes a ConflictError an ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
 // Entry is a key with its value.
 type Entry struct {
 	Key     string   `codec:"key"`
@@ -82,6 +94,7 @@
 	watch  *http.Client
 	reads  *rate.Limiter
 	writes *rate.Limiter
+	pace   *pace
 
 	mu     sync.Mutex
 	budget Budget // zero: unbounded
@@ -149,7 +162,7 @@
 		watch:  &http.Client{Transport: transport(dial, 2)},
 		reads:  rate.NewLimiter(rate.Limit(b.RPS), reads),
 		writes: rate.NewLimiter(rate.Limit(b.WriteRPS), writes),
-		budget: b, part: 1,
+		budget: b, part: 1, pace: newPace(),
 	}
 }
 
@@ -164,6 +177,7 @@
 		reads:  rate.NewLimiter(rate.Inf, 1),
 		writes: rate.NewLimiter(rate.Inf, 1),
 		part:   1,
+		pace:   newPace(),
 	}
 }
 
@@ -227,7 +241,11 @@
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
-		return ErrConflict
+		var body struct {
+			Failed []string `codec:"failed"`
+		}
+		_ = wire.Unmarshal(b, &body) // without the names it is a conflict all the same
+		return &ConflictError{Failed: body.Failed}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return fmt.Errorf("%w: status %d", ErrRefused, res.StatusCode)
 	case http.StatusBadRequest:
@@ -241,12 +259,19 @@
 
 // Get reads a key afresh.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
-	var e Entry
 	if err := c.reads.Wait(ctx); err != nil {
-		return e, fmt.Errorf("%w: %w", ErrRefused, err)
+		return Entry{}, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
-	err := c.do(ctx, c.http, http.MethodGet, "/kv/"+key, nil, &e, callTimeout)
-	return e, err
+	return hedged(ctx, c.pace, c.reads.Allow, func(ctx context.Context) (e Entry, err error) {
+		err = c.do(ctx, c.http, http.MethodGet, "/kv/"+key, nil, &e, callTimeout)
+		return e, err
+	})
+}
+
+type listPage struct {
+	Entries []Entry `codec:"entries"`
+	More    bool    `codec:"more"`
+	Epoch   uint64  `codec:"epoch"`
 }
 
 // List reads every key below a prefix, and the revision of the first page: a
@@ -261,12 +286,11 @@
 		if after != "" {
 			q.Set("after", after)
 		}
-		var page struct {
-			Entries []Entry `codec:"entries"`
-			More    bool    `codec:"more"`
-			Epoch   uint64  `codec:"epoch"`
-		}
-		if err := c.do(ctx, c.http, http.MethodGet, "/kv?"+q.Encode(), nil, &page, 3*time.Second); err != nil {
+		page, err := hedged(ctx, c.pace, c.reads.Allow, func(ctx context.Context) (p listPage, err error) {
+			err = c.do(ctx, c.http, http.MethodGet, "/kv?"+q.Encode(), nil, &p, 3*time.Second)
+			return p, err
+		})
+		if err != nil {
 			return nil, 0, err
 		}
 		if after == "" {
@@ -282,14 +306,38 @@
 
 // Commit runs a transaction once and returns the revision of its changes.
 func (c *Client) Commit(ctx context.Context, t Txn) (uint64, error) {
+	if err := c.admit(ctx, t); err != nil {
+		return 0, err
+	}
+	return c.commit(ctx, t)
+}
+
+// CommitOnce runs a transaction that cannot be applied twice, since it makes a key
+// that it has as absent among its conditions. If it is late it is sent again
+// beside the first; a conflict then may be the work of the other, and the caller
+// has to look.
+func (c *Client) CommitOnce(ctx context.Context, t Txn) (uint64, error) {
+	if err := c.admit(ctx, t); err != nil {
+		return 0, err
+	}
+	again := func() bool { return c.writes.AllowN(time.Now(), len(t.Writes)) && c.reads.Allow() }
+	return hedged(ctx, c.pace, again, func(ctx context.Context) (uint64, error) { return c.commit(ctx, t) })
+}
+
+// admit waits until the budget has room for a transaction.
+func (c *Client) admit(ctx context.Context, t Txn) error {
 	if err := c.reads.Wait(ctx); err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		return fmt.Errorf("%w: %w", ErrRefused, err)
 	}
 	if n := len(t.Writes); n > 0 {
 		if err := c.writes.WaitN(ctx, n); err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+			return fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 	}
+	return nil
+}
+
+func (c *Client) commit(ctx context.Context, t Txn) (uint64, error) {
 	if t.If == nil {
 		t.If = []Cond{}
 	}
