--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/wire"
 )
@@ -36,16 +37,17 @@
 
 // Server is the door.
 type Server struct {
-	back Backend
-	log  *slog.Logger
+	back  Backend
+	log   *slog.Logger
+	meter *meter.Meter
 
 	mu   sync.Mutex
 	sent map[string]time.Time // when a worker was last redirected, by its host
 }
 
 // New makes a door before a backend.
-func New(back Backend, log *slog.Logger) *Server {
-	return &Server{back: back, log: log, sent: map[string]time.Time{}}
+func New(back Backend, log *slog.Logger, m *meter.Meter) *Server {
+	return &Server{back: back, log: log, meter: m, sent: map[string]time.Time{}}
 }
 
 // userTime bounds the answer to a user, below the user's own patience (5 s for
@@ -130,7 +132,11 @@
 func (s *Server) user(w http.ResponseWriter, q *http.Request, r *peer.Request, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(q.Context(), limit)
 	defer cancel()
-	write(w, s.back.Answer(ctx, r))
+	begun := time.Now()
+	p := s.back.Answer(ctx, r)
+	s.meter.Took(meter.AnswerTime, r.Kind, time.Since(begun))
+	s.meter.Add(meter.Answers, r.Kind+" "+strconv.Itoa(p.Status), 1)
+	write(w, p)
 }
 
 // redirectAgain is how long a worker that comes back after a redirect is served
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -194,6 +194,8 @@
 type Tuning struct {
 	// LeaderLeaseMs is the length of the leader's lease in the state service.
 	LeaderLeaseMs int `json:"leader_lease_ms"`
+	// MetricsListen is the address of the metrics page; empty: there is none.
+	MetricsListen string `json:"metrics_listen"`
 	Weights       struct {
 		Queue      float64 `json:"queue"`
 		Jobs       float64 `json:"jobs"`
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -366,6 +367,11 @@
 
 // accepted takes in what has been stored.
 func (ad *admission) accepted(key string, version uint64, in []*arrival) {
+	kind := "own"
+	if key != "" {
+		kind = "group"
+	}
+	ad.c.Meter.Add(meter.Accepted, kind, len(in))
 	ad.post(func() {
 		if key != "" {
 			recs := make([]job.Record, len(in))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -15,6 +15,7 @@
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/place"
 	"vetchstream/internal/state"
@@ -29,6 +30,7 @@
 	Cloud    *hosts.Cloud
 	Dial     state.DialFunc
 	Log      *slog.Logger
+	Meter    *meter.Meter // nil: off
 	// Entitled tells whether this node may act for the term right now.
 	Entitled func(term uint64) bool
 	// Deposed is told of a later term that a worker has seen.
@@ -83,7 +85,9 @@
 	c.mu.Lock()
 	c.reign = r
 	c.mu.Unlock()
+	c.Meter.Set(meter.Leading, 1)
 	r.run()
+	c.Meter.Set(meter.Leading, 0)
 	c.mu.Lock()
 	c.reign = nil
 	c.mu.Unlock()
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -243,6 +244,7 @@
 
 func (en *endings) finished(j *job.Job, rec *job.Record) {
 	j.Phase = rec.Phase
+	en.c.Meter.Add(meter.Endings, j.Phase, 1)
 	s := recordStatus(rec)
 	en.finals.put(s)
 	for _, back := range en.waiters[j] {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -8,6 +8,7 @@
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/place"
 	"vetchstream/internal/wire"
 )
@@ -86,7 +87,10 @@
 		}
 	}
 	pl.passAt, pl.dirty = now, false
-	defer func() { pl.passTook = time.Since(now) }()
+	defer func() {
+		pl.passTook = time.Since(now)
+		pl.c.Meter.Took(meter.PlanTime, "", pl.passTook)
+	}()
 	in, ms, slots := pl.input(now)
 	if len(in.Demands) == 0 {
 		pl.machines.want(nil)
@@ -114,6 +118,7 @@
 		pl.fleet.Assign(h, fleet.Key{Job: j, Task: a.Task, Attempt: n}, now)
 		pl.registry.note(j, h)
 		j.LastHost = h.Idx
+		pl.c.Meter.Took(meter.StartWait, j.Class, now.Sub(j.WaitFrom))
 		j.WaitFrom = now
 		if k, ok := pl.keeps[h]; ok && k.job == j {
 			delete(pl.keeps, h)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -11,6 +11,7 @@
 	"vetchstream/internal/config"
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/lead"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -199,6 +200,8 @@
 		return
 	}
 	r.planner.expire(now)
+	r.c.Meter.Set(meter.Machines, len(r.fleet.Hosts))
+	r.c.Meter.Set(meter.Jobs, len(r.book.all()))
 	r.commands.fence(now)
 	r.book.sweep()
 	r.registry.sweepNotes()
--- a/internal/control/shelf.go
+++ b/internal/control/shelf.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -182,6 +183,7 @@
 		// Unclear, it may be: for the user's next try to settle.
 		return later()
 	}
+	c.Meter.Add(meter.Accepted, "without the leader", 1)
 	c.Log.Info("admitted a job without the leader", "job", id)
 	return reply(http.StatusCreated, recordStatus(rec))
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -8,6 +8,7 @@
 	"vetchstream/internal/config"
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/place"
 	"vetchstream/internal/wire"
 )
@@ -70,12 +71,18 @@
 	if !tk.alive.IsZero() {
 		lease = tk.since.Sub(tk.alive).Milliseconds()
 	}
+	for phase, at := range map[string]time.Time{"loaded": p.load, "met": p.meet, "launch": p.launch, "settled": p.settle} {
+		if !at.IsZero() {
+			tk.c.Meter.Took(meter.TakeoverTime, phase, at.Sub(tk.since))
+		}
+	}
 	tk.log.Info("takeover", "lease_ms", lease, "loaded_ms", ms(p.load), "met_ms", ms(p.meet), "launch_ms", ms(p.launch),
 		"settled_ms", ms(p.settle), "machines", p.machines, "jobs", p.jobs, "tasks", p.tasks)
 }
 
 // launched notes that launches have left.
 func (tk *takeover) launched(n int, now time.Time) {
+	tk.c.Meter.Add(meter.Launches, "", n)
 	if n > 0 && tk.phases.launch.IsZero() {
 		tk.phases.launch = now
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"vetchstream/internal/control"
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/lead"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
 	"vetchstream/internal/state"
 )
@@ -47,10 +48,14 @@
 // Run runs a controller until the context ends.
 func Run(ctx context.Context, set *config.Settings, tun *config.Tuning, nw Net, log *slog.Logger) error {
 	log = log.With("member", set.Member)
+	var m *meter.Meter
+	if tun.MetricsListen != "" {
+		m = meter.New()
+	}
 	st := state.New(set.Outside.State, nw.Dial, control.StateBudget(set, false))
 	n := &Node{set: set, log: log}
 	n.ctl = control.New(control.Deps{Settings: set, Tuning: tun, State: st,
-		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log,
+		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log, Meter: m,
 		Entitled: func(term uint64) bool { return n.elector.Entitled(term) },
 		Deposed:  func(term uint64) { n.elector.Heard("", term) }})
 	n.elector = lead.New(set.Member, time.Duration(tun.LeaderLeaseMs)*time.Millisecond,
@@ -70,14 +75,27 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	var ml net.Listener
+	if m != nil {
+		if ml, err = nw.Listen(tun.MetricsListen); err != nil {
+			return fmt.Errorf("metrics_listen: %w", err)
+		}
+	}
 	d := newDoor(hl, inbound(set))
-	srv := &http.Server{ConnState: d.state, Handler: api.New(n, log).Handler(), ReadHeaderTimeout: 10 * time.Second,
+	srv := &http.Server{ConnState: d.state, Handler: api.New(n, log, m).Handler(), ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.elector.Run(ctx) })
+	if m != nil {
+		wg.Go(func() {
+			if err := m.Serve(ctx, ml); err != nil {
+				log.Error("metrics page failed", "error", err)
+			}
+		})
+	}
 	wg.Go(func() {
 		mesh.Pings(ctx, func(h peer.Hello) {
 			n.elector.Heard(h.Leader, h.Term)
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -550,6 +550,7 @@
 	}
 	for _, day := range days {
 		t.Run(day.name, func(t *testing.T) {
+			t.Parallel() // each has a time of its own
 			synctest.Test(t, func(t *testing.T) { playDay(t, 1, day.faults) })
 		})
 	}
@@ -576,6 +577,7 @@
 	}
 	for _, day := range days {
 		t.Run(day.name, func(t *testing.T) {
+			t.Parallel() // each has a time of its own
 			synctest.Test(t, func(t *testing.T) { playDay(t, scale, day.faults) })
 		})
 	}
