Takeovers: silence by how soon the others answer, counted from the loading; idle machines go back at once

Change: waits count from the loading, and a machine is silent after twice the time that the others took, within 1.2 and 3 s; machines that have answered are returned without waiting for the rest (they are fenced and empty: points 5 and 12 of docs/safety.md); a user who is told that no leader is to be reached is told when its lease will be over.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -255,6 +255,34 @@
 	}
 }
 
+// TestSilentTime: how long a takeover waits follows from how long the others took
+// to answer, and counts from the loading, which an outage can hold up.
+func TestSilentTime(t *testing.T) {
+	tests := []struct {
+		name       string
+		load, meet time.Duration // after the term's begin; 0: not yet
+		want       time.Duration // after the term's begin
+	}{
+		{"not met yet", 50 * time.Millisecond, 0, 3050 * time.Millisecond},
+		{"met at once", 50 * time.Millisecond, 100 * time.Millisecond, 1250 * time.Millisecond},
+		{"met slowly", 50 * time.Millisecond, 1050 * time.Millisecond, 2050 * time.Millisecond},
+		{"met very slowly", 50 * time.Millisecond, 5 * time.Second, 3050 * time.Millisecond},
+		{"loaded after an outage", 12 * time.Second, 12500 * time.Millisecond, 13200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t)
+			r.takeover.phases.load = r.since.Add(tt.load)
+			if tt.meet > 0 {
+				r.takeover.phases.meet = r.since.Add(tt.meet)
+			}
+			if got := r.takeover.begun().Add(r.takeover.silentTime()).Sub(r.since); got != tt.want {
+				t.Errorf("silent after %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestTurnstile: submissions beyond what can be stored are told to come back, each
 // at a time of its own, and never later than users heed.
 func TestTurnstile(t *testing.T) {
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -151,13 +151,11 @@
 // ends soon gives it back without a new boot.
 const lostGrace = 20 * time.Second
 
-// giveBack returns machines that are idle, silent, sick or never came up.
+// giveBack returns machines that are idle, silent, sick or never came up. After a
+// takeover those that have answered need not wait for those that have not.
 func (mc *machines) giveBack(now time.Time) {
-	if !mc.takeover.settled() {
-		return
-	}
 	for _, h := range mc.fleet.All() {
-		if h.Releasing {
+		if h.Releasing || h.Inherited {
 			continue
 		}
 		t := mc.c.Tuning.Hosts
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -110,18 +110,18 @@
 	for _, h := range tk.inherited {
 		// What it may take of a team's limit is not known; and give the others
 		// the time of a round trip before the plan is made without them.
-		if !h.Known || now.Sub(tk.since) < settleTime {
+		if !h.Known || now.Sub(tk.begun()) < settleTime {
 			return false
 		}
 	}
-	if now.Sub(tk.since) > meetTime {
+	if now.Sub(tk.begun()) > meetTime {
 		for _, h := range tk.inherited {
 			if tk.missing[h.Name] && !h.Releasing {
 				tk.machines.release(h, "an earlier leader has returned it")
 			}
 		}
 	}
-	if len(tk.inherited) > 0 && !tk.metSilent && now.Sub(tk.since) > silentTime {
+	if len(tk.inherited) > 0 && !tk.metSilent && now.Sub(tk.begun()) > tk.silentTime() {
 		tk.metSilent = true
 		tk.silent()
 	}
@@ -160,9 +160,31 @@
 	return out
 }
 
-// silentTime is after what time without a word a machine of an earlier leader is
-// held to be silent: every other one has answered a direct command by then.
-const silentTime = 3 * time.Second
+// silentMost is after what time without a word a machine of an earlier leader is
+// held to be silent, at the latest; silentLeast at the soonest. In between it is
+// after twice the time in which nearly all others have answered: that grows with
+// the fleet, and where the controller is slow.
+const (
+	silentLeast = 1200 * time.Millisecond
+	silentMost  = 3 * time.Second
+)
+
+// begun is when the workers could first be called: an outage of the state service
+// can hold up the loading for longer than every wait for them.
+func (tk *takeover) begun() time.Time {
+	if tk.phases.load.IsZero() {
+		return tk.since
+	}
+	return tk.phases.load
+}
+
+// silentTime is after what time a machine is held to be silent.
+func (tk *takeover) silentTime() time.Duration {
+	if tk.phases.meet.IsZero() {
+		return silentMost
+	}
+	return min(max(silentLeast, 2*tk.phases.meet.Sub(tk.begun())), silentMost)
+}
 
 // fewSilent is the part of the fleet that a takeover gives up for being silent. A
 // cut or a hang takes more at a time, and its machines come back with their work.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -110,6 +110,14 @@
 	e.mu.Unlock()
 }
 
+// Vacant is how long the lead may still be held by a leader that gives no sign of
+// life: what is left of its lease, as far as this node knows.
+func (e *Elector) Vacant() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, e.ttl-time.Since(e.alive))
+}
+
 // Run takes part until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,7 +163,16 @@
 			return n.ctl.Admit(ctx, q.Body)
 		}
 	}
-	return control.Later("no leader is to be reached")
+	return n.vacant()
+}
+
+// vacant tells a user to come back when the lead may have passed on: what is left
+// of the lease of a leader that is not to be reached. The next one takes a moment
+// more, but a user who comes a little early loses nothing by it.
+func (n *Node) vacant() *peer.Reply {
+	p := control.Later("no leader is to be reached")
+	p.RetryAfter = max(p.RetryAfter, int(n.elector.Vacant()/time.Second))
+	return p
 }
 
 // forwardTime bounds the wait for the leader, so that time is left for a read of
