Users' requests and what they wait for come before reports in the leader's inbox

Change: a second inbox for what users ask and for the results that they wait for, drained before each report.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -61,7 +61,7 @@
 // follow takes in jobs that other nodes have admitted while they could not reach
 // the leader.
 func (ad *admission) follow(epoch uint64) {
-	take := func(key string) { ad.post(func() { ad.admitted(key[len(job.ActivePrefix):]) }) }
+	take := func(key string) { ad.ahead(func() { ad.admitted(key[len(job.ActivePrefix):]) }) }
 	for ad.ctx.Err() == nil {
 		events, next, err := ad.c.State.Watch(ad.ctx, job.ActivePrefix, epoch, 10*time.Second)
 		switch {
@@ -112,7 +112,7 @@
 				continue
 			}
 			if now != nil && now.Phase == "" {
-				ad.post(func() {
+				ad.ahead(func() {
 					if !ad.has(id) {
 						ad.book.add(now, v, time.Now())
 					}
@@ -260,7 +260,7 @@
 		ad.flying++
 		go func() {
 			ad.create(key, in)
-			ad.post(func() { ad.flying-- })
+			ad.ahead(func() { ad.flying-- })
 		}()
 	}
 }
@@ -288,7 +288,7 @@
 // applied, and the conditions show it, or the second one takes its place.
 func (ad *admission) create(key string, in []*arrival) {
 	all := func(p *peer.Reply) {
-		ad.post(func() {
+		ad.ahead(func() {
 			for _, x := range in {
 				ad.done(x, p)
 			}
@@ -342,7 +342,7 @@
 			return
 		case errors.Is(err, state.ErrRejected) && !unclear:
 			// Too large, it may be: once more in smaller groups, but not alone.
-			ad.post(func() {
+			ad.ahead(func() {
 				ad.writer.smaller(err)
 				for _, x := range in {
 					if len(in) == 1 {
@@ -355,7 +355,7 @@
 			return
 		default:
 			unclear = true
-			ad.post(func() {
+			ad.ahead(func() {
 				for _, x := range in {
 					x.tell(Later("submission is not settled yet"))
 				}
@@ -372,7 +372,7 @@
 		kind = "group"
 	}
 	ad.c.Meter.Add(meter.Accepted, kind, len(in))
-	ad.post(func() {
+	ad.ahead(func() {
 		if key != "" {
 			recs := make([]job.Record, len(in))
 			for i, x := range in {
@@ -399,7 +399,7 @@
 			ad.pause(200 * time.Millisecond)
 			continue
 		}
-		ad.post(func() {
+		ad.ahead(func() {
 			switch {
 			case found == nil:
 				// The term has moved on.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,7 @@
 		return nil // any node can answer that from the state service, sooner
 	}
 	var do func(*reign, func(*peer.Reply))
+	box := r.users
 	switch q.Kind {
 	case peer.KindSubmit:
 		id, spec, err := submission(q.Body)
@@ -151,7 +152,7 @@
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed report"})
 		}
-		do = func(r *reign, back func(*peer.Reply)) { r.report(m, back) }
+		do, box = func(r *reign, back func(*peer.Reply)) { r.report(m, back) }, r.inbox
 	default:
 		return reply(http.StatusBadRequest, wire.Error{Error: "unknown request"})
 	}
@@ -163,7 +164,7 @@
 		}
 	}
 	select {
-	case r.inbox <- func() { do(r, back) }:
+	case box <- func() { do(r, back) }:
 	case <-r.ctx.Done():
 		return nil
 	case <-ctx.Done():
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -94,7 +94,7 @@
 		if err != nil {
 			en.pause(200 * time.Millisecond)
 		}
-		en.post(func() {
+		en.ahead(func() {
 			en.moving = false
 			en.writer.smaller(err)
 			// On a conflict an unclear commit of before was applied; what is left of the
@@ -140,7 +140,7 @@
 		case rec.Phase == "":
 			back(active(rec))
 		default:
-			en.post(func() { en.remember(rec) })
+			en.ahead(func() { en.remember(rec) })
 			back(recorded(rec))
 		}
 	}()
@@ -179,7 +179,7 @@
 		return
 	}
 	en.readBack(id, absent, func(*job.Record) *peer.Reply {
-		en.post(func() { en.admission.admitted(id) })
+		en.ahead(func() { en.admission.admitted(id) })
 		return Later("job is being taken in")
 	}, back)
 }
@@ -220,7 +220,7 @@
 			version, err := en.c.State.Commit(en.ctx, txn)
 			switch {
 			case err == nil && inPlace:
-				en.post(func() { en.moves = append(en.moves, move{rec, version}) })
+				en.ahead(func() { en.moves = append(en.moves, move{rec, version}) })
 			case err == nil:
 			case errors.Is(err, state.ErrConflict):
 				found, _, err := lookup(en.ctx, en.c.State, id)
@@ -236,7 +236,7 @@
 				en.pause(200 * time.Millisecond)
 				continue
 			}
-			en.post(func() { en.finished(j, rec) })
+			en.ahead(func() { en.finished(j, rec) })
 			return
 		}
 	}()
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -120,7 +120,7 @@
 		if gs.limit.Wait(gs.ctx) != nil {
 			return
 		}
-		gs.post(func() {
+		gs.ahead(func() {
 			g.waiting = false
 			if !g.writing && len(g.ends) > 0 {
 				gs.store(g)
@@ -213,7 +213,7 @@
 	gone := writes[len(writes)-1].Delete != ""
 	txn := state.Txn{If: append([]state.Cond{gs.fence, {Key: g.key, Version: was}}, conds...), Writes: writes}
 	done := func(version uint64) {
-		gs.post(func() {
+		gs.ahead(func() {
 			g.writing, g.version = false, version
 			gs.moving = gs.moving && len(conds) == 0
 			then()
@@ -245,7 +245,7 @@
 					return
 				case gerr == nil && len(conds) > 0:
 					// A job that was admitted twice: the other record goes first.
-					gs.post(func() {
+					gs.ahead(func() {
 						for _, c := range conds {
 							if slices.Contains(conflict.Failed, c.Key) {
 								gs.results.drop(c.Key)
@@ -256,9 +256,9 @@
 					return
 				}
 			case errors.Is(err, state.ErrRejected):
-				gs.post(func() { gs.writer.smaller(err) })
+				gs.ahead(func() { gs.writer.smaller(err) })
 				if len(conds) > 0 && !unclear {
-					gs.post(again)
+					gs.ahead(again)
 					return
 				}
 			case !errors.Is(err, state.ErrRefused):
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -30,6 +30,9 @@
 	since time.Time
 	alive time.Time // when the leader before was last heard of
 	inbox chan func()
+	// users is the inbox for what users ask and wait for. It comes first: hundreds
+	// of reports can be queued where the processor is short.
+	users chan func()
 	fleet *fleet.Fleet
 	dirty bool // something has changed that a plan may use
 }
@@ -42,6 +45,14 @@
 	}
 }
 
+// ahead hands the actor a result that users wait for.
+func (co *core) ahead(f func()) {
+	select {
+	case co.users <- f:
+	case <-co.ctx.Done():
+	}
+}
+
 func (co *core) pause(d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -81,7 +92,7 @@
 	f := &c.Settings.Facts
 	co := &core{c: c, ctx: ctx, log: c.Log.With("term", l.Term), debug: c.Log.Enabled(ctx, slog.LevelDebug),
 		term: l.Term, since: l.Since, alive: l.Alive, fence: state.Cond{Key: lead.KeyTerm, Version: l.TermVersion},
-		inbox: make(chan func(), 256), fleet: fleet.New(l.Term, config.Seconds(f.Workers.LeaseS))}
+		inbox: make(chan func(), 256), users: make(chan func(), 256), fleet: fleet.New(l.Term, config.Seconds(f.Workers.LeaseS))}
 	budget := StateBudget(c.Settings, true)
 	share := func(of float64) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(of*budget.WriteRPS), max(2, int(of*budget.WriteRPS)))
@@ -126,12 +137,15 @@
 		select {
 		case <-r.ctx.Done():
 			return
+		case f := <-r.users:
+			f()
 		case f := <-r.inbox:
 			f()
 		case <-tick.C:
 		}
 		// Take what else has come, so that a burst costs one plan.
 		for range 64 {
+			r.serve()
 			select {
 			case f := <-r.inbox:
 				f()
@@ -144,6 +158,15 @@
 	}
 }
 
+// serve takes what users ask, and stores what they have submitted.
+func (r *reign) serve() {
+	for n := len(r.users); n > 0; n-- {
+		f := <-r.users
+		f()
+	}
+	r.admission.flush(time.Now())
+}
+
 // maxOrders bounds one answer, well below the limit for bodies.
 const maxOrders = 400
 
