Emulation as a package; emulate and demo run a cluster on this machine

Need: a newcomer could not run the product: state service, cloud and workers were stand-ins inside the tests of one package.

--- a/cmd/vetchstream/main.go
+++ b/cmd/vetchstream/main.go
@@ -68,6 +68,7 @@
 	root.PersistentFlags().StringVar(&tuning, "tuning", os.Getenv("VETCHSTREAM_TUNING"), "operators' own settings (JSON); also VETCHSTREAM_TUNING")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(clientCommands(&tuning, pause)...)
+	root.AddCommand(emulateCommands(&tuning)...)
 	return root
 }
 
@@ -78,6 +79,11 @@
 	return nil
 }
 
+// logger writes to standard error, as much as LOG_LEVEL says.
+func logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()}))
+}
+
 func level() slog.Level {
 	switch os.Getenv("LOG_LEVEL") {
 	case "debug":
@@ -102,7 +108,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(200)
 	debug.SetMemoryLimit(int64(set.Facts.Resources.RAMMB * 0.6 * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level()}))
+	log := logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	return node.Run(ctx, set, tun, node.System(), log)
--- a/cmd/vetchstream/main_test.go
+++ b/cmd/vetchstream/main_test.go
@@ -60,6 +60,9 @@
 		{[]string{}, 2, "--config FILE is needed"},
 		{[]string{"--version"}, 0, version},
 		{[]string{"check", jobFile}, 1, "settings:"},
+		{[]string{"emulate"}, 2, "--settings FILE is needed"},
+		{[]string{"demo", "--listen", "10.0.0.1:80"}, 2, "not an address of loopback"},
+		{[]string{"demo", "--nodes", "0", "--for", "1s"}, 2, "controllers"},
 	}
 	for _, tt := range tests {
 		calls = 0
--- /dev/null
+++ b/internal/emulate/judge.go
@@ -0,0 +1,172 @@
+package emulate
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// judge keeps what users were told and what has run, and notes every broken rule
+// of the protocol. The world's lock guards it.
+type judge struct {
+	told    map[string]string // job -> last final phase told, or "accepted"
+	aborted map[string]time.Time
+	done    map[string]map[int32]bool
+	broken  []string
+	starts  int
+}
+
+func newJudge() judge {
+	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}}
+}
+
+// maxBroken bounds the list of broken rules: one fault can break thousands.
+const maxBroken = 20
+
+// breaks notes a broken rule; the caller holds the lock.
+func (w *World) breaks(format string, a ...any) {
+	if len(w.judge.broken) < maxBroken {
+		w.judge.broken = append(w.judge.broken, fmt.Sprintf(format, a...))
+	}
+}
+
+// Fail notes a broken rule that a user has seen.
+func (w *World) Fail(format string, a ...any) {
+	w.mu.Lock()
+	w.breaks(format, a...)
+	w.mu.Unlock()
+}
+
+// Broken are the rules that were broken.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.judge.broken)
+}
+
+// Starts counts the tasks that got their image.
+func (w *World) Starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judge.starts
+}
+
+// Open lists the jobs whose users have not been told that they are over, with
+// what they were told.
+func (w *World) Open() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	open := map[string]string{}
+	for id := range w.specs {
+		if p := w.judge.told[id]; p != wire.JobDone && p != wire.JobAborted {
+			open[id] = p
+		}
+	}
+	return open
+}
+
+// Accepted notes that a user was told that a job is accepted.
+func (w *World) Accepted(id string) {
+	w.mu.Lock()
+	w.judge.told[id] = "accepted"
+	w.mu.Unlock()
+}
+
+// Aborted notes the answer to a cancellation.
+func (w *World) Aborted(id, phase string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.judge.told[id] = phase
+	if phase == wire.JobAborted {
+		w.judge.aborted[id] = time.Now()
+	}
+}
+
+// Polled judges the answer to a poll: what was told before, and whether its user
+// has asked to cancel. It returns the phase to hold the next answer against.
+func (w *World) Polled(spec *job.Spec, status int, phase, before string, cancelled bool) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if status == 404 {
+		w.breaks("forgotten: %s got 404", spec.ID)
+	}
+	if status != 200 {
+		return before
+	}
+	if before != "" && phase != before {
+		w.breaks("went_back: %s was %s, is %s", spec.ID, before, phase)
+	}
+	if n := len(w.judge.done[spec.ID]); phase == wire.JobDone && n != spec.Tasks {
+		w.breaks("not_done: %s has %d of %d tasks", spec.ID, n, spec.Tasks)
+	}
+	if phase == wire.JobAborted && !cancelled {
+		w.breaks("went_back: %s was not cancelled by its user", spec.ID)
+	}
+	if phase == wire.JobDone || phase == wire.JobAborted {
+		w.judge.told[spec.ID] = phase
+		return phase
+	}
+	return before
+}
+
+// started judges a task that gets its image; the caller holds the lock.
+func (w *World) started(k *Worker, t *task) {
+	w.judge.starts++
+	team := 0.0
+	for _, o := range w.workers {
+		for _, x := range o.tasks {
+			if !o.on(x) || x == t || x.spec == nil {
+				continue
+			}
+			if x.name == t.name {
+				w.breaks("ran_twice: %s starts on %s while it is on %s", t.name, k.name, o.name)
+			}
+			if x.spec.Team == t.spec.Team {
+				team += x.spec.CPUs
+			}
+			if x.spec.ID == t.spec.ID && t.spec.OneZone && o.zone != k.zone {
+				w.breaks("wrong_place: %s in %s and %s", t.spec.ID, o.zone, k.zone)
+			}
+		}
+	}
+	if l := w.cfg.Limits[t.spec.Team]; l > 0 && team+t.spec.CPUs > l+1e-6 {
+		w.breaks("quota: %s uses %v of %v", t.spec.Team, team+t.spec.CPUs, l)
+	}
+	if k.spot && !t.spec.Spot {
+		w.breaks("wrong_place: %s on a spot machine", t.name)
+	}
+	if t.spec.Types != nil && !slices.Contains(t.spec.Types, k.typ) {
+		w.breaks("wrong_place: %s on a %s", t.name, k.typ)
+	}
+	if t.spec.Zone != "" && t.spec.Zone != k.zone {
+		w.breaks("wrong_place: %s in %s", t.name, k.zone)
+	}
+	if at, ok := w.judge.aborted[t.spec.ID]; ok && time.Since(at) > w.cfg.Cancel {
+		w.breaks("ran_cancelled: %s starts %v after the answer", t.name, time.Since(at))
+	}
+}
+
+// stays judges a task that is on its machine; the caller holds the lock.
+func (w *World) stays(k *Worker, t *task) {
+	if at, ok := w.judge.aborted[t.id()]; ok && k.on(t) && time.Since(at) > w.cfg.Cancel {
+		w.breaks("ran_cancelled: %s is on %s %v after the answer", t.name, k.name, time.Since(at))
+	}
+}
+
+// completed notes a task that is done; the members of a gang complete together.
+func (w *World) completed(t *task) {
+	set := w.judge.done[t.spec.ID]
+	if set == nil {
+		set = map[int32]bool{}
+		w.judge.done[t.spec.ID] = set
+	}
+	set[t.idx] = true
+	if t.spec.ShapeName == gang {
+		for i := range t.spec.Tasks {
+			set[int32(i)] = true
+		}
+	}
+}
--- a/internal/node/net_test.go
+++ b/internal/emulate/memory.go
@@ -1,4 +1,4 @@
-package node
+package emulate
 
 import (
 	"context"
@@ -6,47 +6,51 @@
 	"net"
 	"sync"
 	"time"
+
+	"vetchstream/internal/state"
 )
 
-// simNet is a network in memory with cuts. Packets that meet a cut are held and
+// Memory is a network in memory with cuts, for days in simulated time. Packets that meet a cut are held and
 // delivered in order once it ends, even when the sender has closed meanwhile.
-type simNet struct {
+type Memory struct {
 	mu        sync.Mutex
-	listeners map[string]*simListener
-	conns     map[*simConn]bool
+	listeners map[string]*memListener
+	conns     map[*memConn]bool
 	cut       func(from, to string) bool
 }
 
-func newSimNet() *simNet {
-	return &simNet{listeners: map[string]*simListener{}, conns: map[*simConn]bool{}, cut: func(string, string) bool { return false }}
+// NewMemory makes a network without cuts.
+func NewMemory() *Memory {
+	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false }}
 }
 
-func (n *simNet) isCut(from, to string) bool {
+func (n *Memory) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cut(from, to) || n.cut(to, from)
 }
 
-func (n *simNet) setCut(f func(from, to string) bool) {
+// Cut holds what passes between two hosts for which f is true, in either direction.
+func (n *Memory) Cut(f func(from, to string) bool) {
 	n.mu.Lock()
 	n.cut = f
 	n.mu.Unlock()
 }
 
-type simListener struct {
-	n     *simNet
+type memListener struct {
+	n     *Memory
 	addr  string
 	ch    chan net.Conn
 	once  sync.Once
 	ended chan struct{}
 }
 
-type simAddr string
+type memAddr string
 
-func (a simAddr) Network() string { return "sim" }
-func (a simAddr) String() string  { return string(a) }
+func (a memAddr) Network() string { return "memory" }
+func (a memAddr) String() string  { return string(a) }
 
-func (l *simListener) Accept() (net.Conn, error) {
+func (l *memListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.ch:
 		return c, nil
@@ -55,7 +59,7 @@
 	}
 }
 
-func (l *simListener) Close() error {
+func (l *memListener) Close() error {
 	l.once.Do(func() {
 		close(l.ended)
 		l.n.mu.Lock()
@@ -67,32 +71,34 @@
 	return nil
 }
 
-func (l *simListener) Addr() net.Addr { return simAddr(l.addr) }
+func (l *memListener) Addr() net.Addr { return memAddr(l.addr) }
 
-func (n *simNet) listen(addr string) (net.Listener, error) {
+// Listen implements Network.
+func (n *Memory) Listen(addr string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners[addr] != nil {
 		return nil, errors.New("address in use")
 	}
-	l := &simListener{n: n, addr: addr, ch: make(chan net.Conn, 64), ended: make(chan struct{})}
+	l := &memListener{n: n, addr: addr, ch: make(chan net.Conn, 64), ended: make(chan struct{})}
 	n.listeners[addr] = l
 	return l, nil
 }
 
-// simConn is one end; out carries what it writes to the other end's pump.
-type simConn struct {
+// memConn is one end; out carries what it writes to the other end's pump.
+type memConn struct {
 	net.Conn
 	from, to string
 	stop     func()
 }
 
-func (c *simConn) RemoteAddr() net.Addr { return simAddr(c.to) }
-func (c *simConn) LocalAddr() net.Addr  { return simAddr(c.from) }
+func (c *memConn) RemoteAddr() net.Addr { return memAddr(c.to) }
+func (c *memConn) LocalAddr() net.Addr  { return memAddr(c.from) }
 
-const simDelay = 2 * time.Millisecond
+const memDelay = 2 * time.Millisecond
 
-func (n *simNet) dialer(from string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// Dialer implements Network.
+func (n *Memory) Dialer(from string) state.DialFunc {
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
 		to, _, _ := net.SplitHostPort(addr)
 		for n.isCut(from, to) {
@@ -110,7 +116,7 @@
 		}
 		a, ap := net.Pipe()
 		bp, b := net.Pipe()
-		ca, cb := &simConn{Conn: a, from: from + ":1", to: addr}, &simConn{Conn: b, from: addr, to: from + ":1"}
+		ca, cb := &memConn{Conn: a, from: from + ":1", to: addr}, &memConn{Conn: b, from: addr, to: from + ":1"}
 		dead := make(chan struct{})
 		var once sync.Once
 		reset := func() {
@@ -145,7 +151,7 @@
 	b  []byte
 }
 
-func (n *simNet) pump(src, dst net.Conn, from, to string, dead chan struct{}) {
+func (n *Memory) pump(src, dst net.Conn, from, to string, dead chan struct{}) {
 	q := make(chan packet, 4096)
 	go func() {
 		defer close(q)
@@ -154,7 +160,7 @@
 			k, err := src.Read(buf)
 			if k > 0 {
 				select {
-				case q <- packet{time.Now().Add(simDelay), append([]byte(nil), buf[:k]...)}:
+				case q <- packet{time.Now().Add(memDelay), append([]byte(nil), buf[:k]...)}:
 				case <-dead:
 					return
 				}
@@ -180,10 +186,10 @@
 	_ = dst.Close()
 }
 
-// reset breaks every connection of a host, as when its process ends.
-func (n *simNet) reset(match func(from, to string) bool) {
+// Reset breaks every connection of a host, as when its process ends.
+func (n *Memory) Reset(match func(from, to string) bool) {
 	n.mu.Lock()
-	var hit []*simConn
+	var hit []*memConn
 	for c := range n.conns {
 		f, _, _ := net.SplitHostPort(c.from)
 		t, _, _ := net.SplitHostPort(c.to)
--- /dev/null
+++ b/internal/emulate/store.go
@@ -0,0 +1,271 @@
+package emulate
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// Store is a stand-in for the state service, after its published protocol.
+type Store struct {
+	mu      sync.Mutex
+	epoch   uint64
+	kv      map[string]state.Entry
+	dropped map[string]uint64 // key -> revision of its last removal
+	leases  map[uint64]time.Time
+	ttl     map[uint64]time.Duration
+	next    uint64
+	refuse  func(from string) bool
+	ops     int // the most writes in a transaction
+	slow    time.Duration
+	page    int // entries in a listing
+	changed chan struct{}
+}
+
+// Page sets how many entries a listing may have.
+func (s *Store) Page(entries int) {
+	s.mu.Lock()
+	s.page = entries
+	s.mu.Unlock()
+}
+
+// NewStore makes an empty state service.
+func NewStore() *Store {
+	return &Store{kv: map[string]state.Entry{}, dropped: map[string]uint64{}, leases: map[uint64]time.Time{}, ttl: map[uint64]time.Duration{},
+		refuse: func(string) bool { return false }, ops: 12, page: 500, changed: make(chan struct{})}
+}
+
+// Refuse turns away the hosts for which f is true with 503.
+func (s *Store) Refuse(f func(from string) bool) {
+	s.mu.Lock()
+	s.refuse = f
+	s.mu.Unlock()
+}
+
+// Limit sets the most writes in a transaction.
+func (s *Store) Limit(ops int) {
+	s.mu.Lock()
+	s.ops = ops
+	s.mu.Unlock()
+}
+
+// Slow makes every answer but those of watches take that much longer.
+func (s *Store) Slow(d time.Duration) {
+	s.mu.Lock()
+	s.slow = d
+	s.mu.Unlock()
+}
+
+// Entry reads a key.
+func (s *Store) Entry(key string) (state.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.kv[key]
+	return e, ok
+}
+
+// Job finds the description of a job among the records that controllers keep:
+// the emulated workers read there what users would have uploaded for them.
+func (s *Store) Job(id string) *job.Spec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, prefix := range []string{job.ActivePrefix, job.FinalPrefix} {
+		var rec job.Record
+		if e, ok := s.kv[prefix+id]; ok && wire.Unmarshal(e.Value, &rec) == nil {
+			return &rec.Spec
+		}
+	}
+	for k, e := range s.kv {
+		var g job.Group
+		if !strings.HasPrefix(k, job.GroupPrefix) || wire.Unmarshal(e.Value, &g) != nil {
+			continue
+		}
+		for i := range g.Jobs {
+			if g.Jobs[i].Spec.ID == id {
+				return &g.Jobs[i].Spec
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Store) bump() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases whose time is over; the caller holds the lock.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, until := range s.leases {
+		if now.After(until) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id uint64) {
+	delete(s.leases, id)
+	for k, e := range s.kv {
+		if e.Lease == id {
+			s.epoch++
+			delete(s.kv, k)
+			s.dropped[k] = s.epoch
+		}
+	}
+	s.bump()
+}
+
+// Outage refuses everybody for a while; afterwards leases have their full time.
+func (s *Store) Outage(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.refuse = func(string) bool { return true }
+		for id := range s.leases {
+			s.leases[id] = time.Now().Add(time.Hour)
+		}
+		return
+	}
+	s.refuse = func(string) bool { return false }
+	for id := range s.leases {
+		s.leases[id] = time.Now().Add(s.ttl[id])
+	}
+}
+
+func (s *Store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	from, _, _ := net.SplitHostPort(q.RemoteAddr)
+	s.mu.Lock()
+	if d := s.slow; d > 0 && q.URL.Path != "/changes" {
+		s.mu.Unlock()
+		time.Sleep(d)
+		s.mu.Lock()
+	}
+	defer s.mu.Unlock()
+	if s.refuse(from) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.expire()
+	path := q.URL.Path
+	switch {
+	case path == "/kv":
+		under, after := q.URL.Query().Get("under"), q.URL.Query().Get("after")
+		out := []state.Entry{}
+		for _, k := range slices.Sorted(maps.Keys(s.kv)) {
+			if strings.HasPrefix(k, under) && k > after {
+				out = append(out, s.kv[k])
+			}
+		}
+		page := min(len(out), s.page)
+		encode(w, 200, map[string]any{"entries": out[:page], "more": page < len(out), "epoch": s.epoch})
+	case strings.HasPrefix(path, "/kv/"):
+		e, ok := s.kv[path[4:]]
+		if !ok {
+			encode(w, 404, map[string]any{"epoch": s.epoch})
+			return
+		}
+		encode(w, 200, e)
+	case path == "/commit":
+		var t state.Txn
+		if !decode(q, &t) || len(t.Writes) > s.ops {
+			encode(w, 400, wire.Error{Error: "malformed"})
+			return
+		}
+		var failed []string
+		for _, c := range t.If {
+			if s.kv[c.Key].Version != c.Version {
+				failed = append(failed, c.Key)
+			}
+		}
+		if failed != nil {
+			encode(w, 409, map[string]any{"failed": failed, "epoch": s.epoch})
+			return
+		}
+		for _, x := range t.Writes {
+			if _, ok := s.leases[x.Lease]; x.Lease != 0 && !ok {
+				encode(w, 400, map[string]any{"error": "no such lease"})
+				return
+			}
+		}
+		s.epoch++
+		for _, x := range t.Writes {
+			if x.Delete != "" {
+				delete(s.kv, x.Delete)
+				s.dropped[x.Delete] = s.epoch
+				continue
+			}
+			s.kv[x.Put] = state.Entry{Key: x.Put, Value: append(wire.Raw(nil), x.Value...), Version: s.epoch, Lease: x.Lease}
+		}
+		s.bump()
+		encode(w, 200, map[string]any{"epoch": s.epoch})
+	case path == "/leases":
+		var in struct {
+			TTL int64 `codec:"ttl_ms"`
+		}
+		if !decode(q, &in) {
+			w.WriteHeader(400)
+			return
+		}
+		s.next++
+		s.ttl[s.next] = time.Duration(in.TTL) * time.Millisecond
+		s.leases[s.next] = time.Now().Add(s.ttl[s.next])
+		encode(w, 200, map[string]any{"tenure": s.next})
+	case strings.HasPrefix(path, "/leases/"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(path[8:], "/extend"), 10, 64)
+		if _, ok := s.leases[id]; !ok {
+			w.WriteHeader(404)
+			return
+		}
+		if q.Method == http.MethodDelete {
+			s.end(id)
+		} else {
+			s.leases[id] = time.Now().Add(s.ttl[id])
+		}
+		encode(w, 200, map[string]any{})
+	case path == "/changes":
+		v := q.URL.Query()
+		after, _ := strconv.ParseUint(v.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(v.Get("wait_ms"))
+		end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+		for {
+			s.expire()
+			events := []map[string]any{}
+			for k, e := range s.kv {
+				if strings.HasPrefix(k, v.Get("under")) && e.Version > after {
+					events = append(events, map[string]any{"put": k, "data": e.Value, "stamp": e.Version})
+				}
+			}
+			for k, rev := range s.dropped {
+				if strings.HasPrefix(k, v.Get("under")) && rev > after {
+					events = append(events, map[string]any{"drop": k, "stamp": rev})
+				}
+			}
+			if (len(events) > 0 && !s.refuse(from)) || time.Now().After(end) {
+				encode(w, 200, map[string]any{"epoch": s.epoch, "events": events})
+				return
+			}
+			ch := s.changed
+			s.mu.Unlock()
+			select {
+			case <-ch:
+			case <-time.After(100 * time.Millisecond):
+			case <-q.Context().Done():
+				s.mu.Lock()
+				return
+			}
+			s.mu.Lock()
+		}
+	default:
+		w.WriteHeader(404)
+	}
+}
--- /dev/null
+++ b/internal/emulate/world.go
@@ -0,0 +1,271 @@
+package emulate
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// Config says what is emulated.
+type Config struct {
+	Network Network
+	Store   *Store
+	// Types is the cloud's price list.
+	Types []wire.MachineType
+	// Most is how many machines the cloud has.
+	Most int
+	// Controllers are the nodes' addresses for workers, by their members' names.
+	Controllers []Controller
+	// Lease is how long a worker keeps its tasks without an answer, Cancel how long
+	// a cancelled task may stay, and Report how often a worker reports.
+	Lease, Cancel, Report time.Duration
+	// GangWait is how long a gang's member waits for the others.
+	GangWait time.Duration
+	// Fetch is how long an image takes to come, and ListLag how long a new machine
+	// is missing from the list.
+	Fetch, ListLag time.Duration
+	// Limits are the teams' CPUs; 0 or none: unlimited.
+	Limits map[string]float64
+	Log    *slog.Logger
+}
+
+// Controller is a node as workers know it.
+type Controller struct{ Member, Addr string }
+
+// World is the cloud and its workers, with the judge of the rules.
+type World struct {
+	cfg Config
+
+	mu      sync.Mutex
+	specs   map[string]*job.Spec
+	workers map[string]*Worker
+	hires   map[string][]string
+	images  map[string]Image
+	count   int
+	judge   judge
+	wg      sync.WaitGroup
+	end     chan struct{}
+}
+
+// New makes a world without machines.
+func New(cfg Config) *World {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &World{cfg: cfg, specs: map[string]*job.Spec{}, workers: map[string]*Worker{}, hires: map[string][]string{}, images: map[string]Image{},
+		judge: newJudge(), end: make(chan struct{})}
+}
+
+// Close ends all workers and waits for them.
+func (w *World) Close() {
+	close(w.end)
+	w.wg.Wait()
+}
+
+// Ended is closed when the world ends.
+func (w *World) Ended() <-chan struct{} { return w.end }
+
+// Go runs f as a part of the world: Close waits for it.
+func (w *World) Go(f func()) { w.wg.Go(f) }
+
+// Describe uploads a job's description, as its user does. A job that was not
+// described is looked up among the controllers' records.
+func (w *World) Describe(spec *job.Spec) {
+	w.mu.Lock()
+	w.specs[spec.ID] = spec
+	w.mu.Unlock()
+}
+
+// spec is a job's description; the caller holds the lock.
+func (w *World) spec(id string) *job.Spec {
+	if s := w.specs[id]; s != nil {
+		return s
+	}
+	s := w.cfg.Store.Job(id)
+	if s != nil {
+		w.specs[id] = s
+	}
+	return s
+}
+
+// Image is how the tasks of an image behave.
+type Image struct {
+	// CrashAfter is when they fail; 0: never.
+	CrashAfter time.Duration
+}
+
+// Behave sets how an image's tasks behave from now on.
+func (w *World) Behave(image string, b Image) {
+	w.mu.Lock()
+	w.images[image] = b
+	w.mu.Unlock()
+}
+
+// Machines is how many machines there are, and how many of them are up.
+func (w *World) Machines() (all, up int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		all++
+		if time.Now().After(k.up) {
+			up++
+		}
+	}
+	return all, up
+}
+
+// Running counts the running tasks of a job.
+func (w *World) Running(id string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.phase == wire.Running && t.spec.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Any picks n workers.
+func (w *World) Any(r *rand.Rand, n int) (out []*Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := slices.Sorted(maps.Keys(w.workers))
+	for range min(n, len(names)) {
+		i := r.IntN(len(names))
+		out = append(out, w.workers[names[i]])
+		names = slices.Delete(names, i, i+1)
+	}
+	return out
+}
+
+// Kill takes machines away without a word.
+func (w *World) Kill(ks []*Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range ks {
+		k.gone = true
+		delete(w.workers, k.name)
+	}
+}
+
+// Hang stops workers, or lets them go on.
+func (w *World) Hang(ks []*Worker, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range ks {
+		k.hung = on
+	}
+}
+
+// Sicken lets machines fail every task.
+func (w *World) Sicken(ks []*Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range ks {
+		k.sick = true
+	}
+}
+
+// Boot starts a machine without a rental.
+func (w *World) Boot(typ, zone string, spot bool, in time.Duration) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.boot(typ, zone, spot, in)
+}
+
+// boot starts a worker; the caller holds the lock.
+func (w *World) boot(typ, zone string, spot bool, in time.Duration) string {
+	w.count++
+	k := &Worker{w: w, name: fmt.Sprintf("host-%06d", w.count), addr: fmt.Sprintf("w%d:9000", w.count), typ: typ, zone: zone, spot: spot,
+		born: time.Now(), up: time.Now().Add(in), session: 1, tasks: map[string]*task{}, node: w.count % len(w.cfg.Controllers)}
+	w.workers[k.name] = k
+	w.wg.Go(k.run)
+	return k.name
+}
+
+// kind is a machine type; nil: there is none of that name.
+func (w *World) kind(name string) *wire.MachineType {
+	for i := range w.cfg.Types {
+		if w.cfg.Types[i].Name == name {
+			return &w.cfg.Types[i]
+		}
+	}
+	return nil
+}
+
+// ServeHTTP is the cloud.
+func (w *World) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch q.URL.Path {
+	case "/machine_types":
+		encode(rw, 200, wire.MachineTypes{Types: w.cfg.Types})
+	case "/hosts/release":
+		var in wire.HostNames
+		if !decode(q, &in) {
+			encode(rw, 400, wire.Error{Error: "malformed"})
+			return
+		}
+		for _, n := range in.Hosts {
+			if k := w.workers[n]; k != nil {
+				k.gone = true
+				delete(w.workers, n)
+			}
+		}
+		encode(rw, 200, map[string]any{})
+	case "/hosts":
+		if q.Method == http.MethodGet {
+			encode(rw, 200, w.list(q.URL.Query().Get("after")))
+			return
+		}
+		var in wire.Hire
+		if !decode(q, &in) || w.kind(in.Type) == nil {
+			encode(rw, 400, wire.Error{Error: "malformed"})
+			return
+		}
+		if old, ok := w.hires[in.Request]; ok {
+			encode(rw, 200, wire.HostNames{Hosts: old})
+			return
+		}
+		n := min(in.Count, w.cfg.Most-len(w.workers))
+		if n <= 0 {
+			encode(rw, 503, wire.Error{Error: "no capacity"})
+			return
+		}
+		var names []string
+		for range n {
+			names = append(names, w.boot(in.Type, in.Zone, in.Spot, time.Duration(w.kind(in.Type).BootS*float64(time.Second))))
+		}
+		w.hires[in.Request] = names
+		encode(rw, 200, wire.HostNames{Hosts: names})
+	default:
+		encode(rw, 404, wire.Error{Error: "no such route"})
+	}
+}
+
+// list is the machine list, which lags.
+func (w *World) list(after string) wire.CloudHosts {
+	out := []wire.CloudHost{}
+	for _, n := range slices.Sorted(maps.Keys(w.workers)) {
+		k := w.workers[n]
+		phase := "running"
+		if time.Now().Before(k.up) {
+			phase = "booting"
+		}
+		if n > after && time.Since(k.born) > w.cfg.ListLag {
+			out = append(out, wire.CloudHost{Name: n, Addr: k.addr, Type: k.typ, Zone: k.zone, Spot: k.spot, Phase: phase, AgeS: time.Since(k.born).Seconds()})
+		}
+	}
+	return wire.CloudHosts{Hosts: out}
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +16,7 @@
 	"time"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
 	"vetchstream/internal/job"
 	"vetchstream/internal/wire"
 )
@@ -67,9 +67,18 @@
 	return s
 }
 
+var controllers = []emulate.Controller{{Member: "n0", Addr: "n0:80"}, {Member: "n1", Addr: "n1:80"}, {Member: "n2", Addr: "n2:80"}}
+
+var simTypes = []wire.MachineType{
+	{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: []string{"a", "b", "c"}},
+	{Name: "large", CPUs: 16, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.7, SpotPrice: 0.2, BootS: 4, Zones: []string{"a", "b"}},
+}
+
 type sim struct {
-	*world
+	*emulate.World
 	t     *testing.T
+	net   *emulate.Memory
+	store *emulate.Store
 	nodes [3]context.CancelFunc
 	ended [3]chan struct{}
 	still [3]gate
@@ -142,10 +151,10 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	dial := s.net.dialer(fmt.Sprintf("n%d", i))
+	dial := s.net.Dialer(fmt.Sprintf("n%d", i))
 	g := &s.still[i]
 	nw := Net{Listen: func(addr string) (net.Listener, error) {
-		l, err := s.net.listen(addr)
+		l, err := s.net.Listen(addr)
 		return gateListener{l, g}, err
 	}, Dial: func(c context.Context, network, addr string) (net.Conn, error) {
 		if ctx.Err() != nil {
@@ -169,17 +178,15 @@
 func (s *sim) kill(i int) {
 	s.nodes[i]()
 	name := fmt.Sprintf("n%d", i)
-	s.net.reset(func(f, _ string) bool { return f == name })
+	s.net.Reset(func(f, _ string) bool { return f == name })
 	<-s.ended[i]
 }
 
 func (s *sim) leader() int {
-	s.store.mu.Lock()
-	defer s.store.mu.Unlock()
 	var h struct {
 		Member string `codec:"member"`
 	}
-	if e, ok := s.store.kv["lead/holder"]; ok && wire.Unmarshal(e.Value, &h) == nil && len(h.Member) == 2 {
+	if e, ok := s.store.Entry("lead/holder"); ok && wire.Unmarshal(e.Value, &h) == nil && len(h.Member) == 2 {
 		return int(h.Member[1] - '0')
 	}
 	return 0
@@ -195,7 +202,7 @@
 	for _, c := range s.cuts {
 		all = append(all, c)
 	}
-	s.net.setCut(func(a, b string) bool {
+	s.net.Cut(func(a, b string) bool {
 		for _, c := range all {
 			if c(a, b) {
 				return true
@@ -209,11 +216,11 @@
 func (s *sim) user(hc *http.Client, method, path string, body []byte, want func(status int, st wire.Status) bool) bool {
 	for try := range 90 {
 		select {
-		case <-s.end:
+		case <-s.Ended():
 			return false
 		default:
 		}
-		req, err := http.NewRequest(method, "http://"+s.ctlAddr[try%3]+path, bytes.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+controllers[try%3].Addr+path, bytes.NewReader(body))
 		if err != nil {
 			panic(err)
 		}
@@ -242,7 +249,7 @@
 	}
 	return s.user(hc, "POST", "/api/jobs", body, func(status int, _ wire.Status) bool {
 		if status == 400 || status == 422 || status == 404 {
-			s.fail("refused: %s got %d", spec.ID, status)
+			s.Fail("refused: %s got %d", spec.ID, status)
 		}
 		return status == 200 || status == 201
 	})
@@ -250,82 +257,48 @@
 
 func (s *sim) live(spec *job.Spec, at, abort time.Duration) {
 	select {
-	case <-s.end:
+	case <-s.Ended():
 		return
 	case <-time.After(at):
 	}
-	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.dialer("user"), DisableKeepAlives: true}}
-	s.mu.Lock()
-	s.specs[spec.ID] = spec
-	s.mu.Unlock()
+	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	s.Describe(spec)
 	if !s.submit(hc, spec) {
 		return
 	}
-	s.mu.Lock()
-	s.told[spec.ID] = "accepted"
-	s.mu.Unlock()
+	s.Accepted(spec.ID)
 	if abort > 0 {
 		time.Sleep(abort)
 		s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
 			if status == 404 {
-				s.fail("forgotten: abort of %s got 404", spec.ID)
+				s.Fail("forgotten: abort of %s got 404", spec.ID)
 			}
 			if status != 200 {
 				return false
 			}
-			s.mu.Lock()
-			s.told[spec.ID] = st.Phase
-			if st.Phase == wire.JobAborted {
-				s.aborted[spec.ID] = time.Now()
-			}
-			s.mu.Unlock()
+			s.Aborted(spec.ID, st.Phase)
 			return true
 		})
 	}
 	final := ""
 	for range 200 {
 		if !s.user(hc, "GET", "/api/jobs/"+spec.ID, nil, func(status int, st wire.Status) bool {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if status == 404 {
-				s.break_("forgotten: %s got 404", spec.ID)
-			}
+			final = s.Polled(spec, status, st.Phase, final, abort > 0)
 			if status != 200 {
 				return false
 			}
-			if final != "" && st.Phase != final {
-				s.break_("went_back: %s was %s, is %s", spec.ID, final, st.Phase)
-			}
-			if st.Phase == wire.JobDone {
-				if n := len(s.doneSet[spec.ID]); n != spec.Tasks {
-					s.break_("not_done: %s has %d of %d tasks", spec.ID, n, spec.Tasks)
-				}
-			}
-			if st.Phase == wire.JobAborted && abort == 0 {
-				s.break_("went_back: %s was not cancelled by its user", spec.ID)
-			}
-			if st.Phase == wire.JobDone || st.Phase == wire.JobAborted {
-				final = st.Phase
-				s.told[spec.ID] = final
-			}
 			return true
 		}) {
 			return
 		}
 		select {
-		case <-s.end:
+		case <-s.Ended():
 			return
 		case <-time.After(3 * time.Second):
 		}
 	}
 }
 
-func (s *sim) fail(format string, a ...any) {
-	s.mu.Lock()
-	s.break_(format, a...)
-	s.mu.Unlock()
-}
-
 type fault struct {
 	at time.Duration
 	do func(s *sim)
@@ -333,22 +306,6 @@
 
 func isWorker(h string) bool { return strings.HasPrefix(h, "w") }
 
-func (s *sim) anyWorker(r *rand.Rand, n int) (out []*worker) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var names []string
-	for n := range s.workers {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	for range min(n, len(names)) {
-		i := r.IntN(len(names))
-		out = append(out, s.workers[names[i]])
-		names = slices.Delete(names, i, i+1)
-	}
-	return out
-}
-
 // The faults. Each undoes itself.
 func crash(n int) func(*sim) {
 	return func(s *sim) {
@@ -365,22 +322,18 @@
 
 func outage(d time.Duration) func(*sim) {
 	return func(s *sim) {
-		s.store.outage(true)
+		s.store.Outage(true)
 		time.Sleep(d)
-		s.store.outage(false)
+		s.store.Outage(false)
 	}
 }
 
 func refuseLeader(d time.Duration) func(*sim) {
 	return func(s *sim) {
 		l := fmt.Sprintf("n%d", s.leader())
-		s.store.mu.Lock()
-		s.store.refuse = func(from string) bool { return from == l }
-		s.store.mu.Unlock()
+		s.store.Refuse(func(from string) bool { return from == l })
 		time.Sleep(d)
-		s.store.mu.Lock()
-		s.store.refuse = func(string) bool { return false }
-		s.store.mu.Unlock()
+		s.store.Refuse(func(string) bool { return false })
 	}
 }
 
@@ -396,8 +349,8 @@
 func cutWorkers(r *rand.Rand, n int, d time.Duration) func(*sim) {
 	return func(s *sim) {
 		hit := map[string]bool{}
-		for _, k := range s.anyWorker(r, n) {
-			hit[k.host()] = true
+		for _, k := range s.Any(r, n) {
+			hit[k.Host()] = true
 		}
 		s.cutLinks("workers", func(a, b string) bool { return hit[a] })
 		time.Sleep(d)
@@ -407,18 +360,10 @@
 
 func hang(r *rand.Rand, n int, d time.Duration) func(*sim) {
 	return func(s *sim) {
-		ks := s.anyWorker(r, n)
-		s.mu.Lock()
-		for _, k := range ks {
-			k.hung = true
-		}
-		s.mu.Unlock()
+		ks := s.Any(r, n)
+		s.Hang(ks, true)
 		time.Sleep(d)
-		s.mu.Lock()
-		for _, k := range ks {
-			k.hung = false
-		}
-		s.mu.Unlock()
+		s.Hang(ks, false)
 	}
 }
 
@@ -444,19 +389,17 @@
 			if i%2 == 0 {
 				abort = time.Duration(i%7) * time.Second
 			}
-			s.mu.Lock()
-			s.specs[spec.ID] = spec
-			s.mu.Unlock()
-			s.wg.Go(func() { s.live(spec, 0, abort+time.Millisecond*time.Duration(1-i%2)) })
-			hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.dialer("user"), DisableKeepAlives: true}}
+			s.Describe(spec)
+			s.Go(func() { s.live(spec, 0, abort+time.Millisecond*time.Duration(1-i%2)) })
+			hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
 			for range 2 {
-				s.wg.Go(func() { s.submit(hc, spec) })
+				s.Go(func() { s.submit(hc, spec) })
 			}
 			if i%4 == 0 {
-				s.wg.Go(func() {
+				s.Go(func() {
 					s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
 						if status == 200 && st.Phase != wire.JobAborted && st.Phase != wire.JobDone {
-							s.fail("went_back: an abort of %s got %s", spec.ID, st.Phase)
+							s.Fail("went_back: an abort of %s got %s", spec.ID, st.Phase)
 						}
 						return status == 200 || status == 404 // not submitted yet
 					})
@@ -468,26 +411,11 @@
 
 // die takes machines away without a word.
 func die(r *rand.Rand, n int) func(*sim) {
-	return func(s *sim) {
-		ks := s.anyWorker(r, n)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, k := range ks {
-			k.gone = true
-			delete(s.workers, k.name)
-		}
-	}
+	return func(s *sim) { s.Kill(s.Any(r, n)) }
 }
 
 func sick(r *rand.Rand) func(*sim) {
-	return func(s *sim) {
-		ks := s.anyWorker(r, 1)
-		s.mu.Lock()
-		for _, k := range ks {
-			s.faulty[k.name] = true
-		}
-		s.mu.Unlock()
-	}
+	return func(s *sim) { s.Sicken(s.Any(r, 1)) }
 }
 
 // TestRules plays days of several controllers against the stand-ins, in
@@ -511,11 +439,7 @@
 		{"workers hang inside and past their lease (8, 9)", []fault{{13 * time.Second, hang(rng(4), 3, 8*time.Second)}, {35 * time.Second, hang(rng(5), 3, 20*time.Second)}}},
 		{"workers cut while the leader changes (4, 6, 9, 15)", []fault{{14 * time.Second, cutWorkers(rng(6), 3, 20*time.Second)}, {16 * time.Second, crash(1)}}},
 		{"workers hang while all controllers crash (6, 8)", []fault{{14 * time.Second, hang(rng(7), 3, 9*time.Second)}, {15 * time.Second, crash(3)}}},
-		{"state service takes less at a time than the settings say", []fault{{5 * time.Second, func(s *sim) {
-			s.store.mu.Lock()
-			s.store.ops = 2
-			s.store.mu.Unlock()
-		}}}},
+		{"state service takes less at a time than the settings say", []fault{{5 * time.Second, func(s *sim) { s.store.Limit(2) }}}},
 		{"controllers cut from each other (13, 14)", []fault{{8 * time.Second, func(s *sim) {
 			s.cutLinks("peers", func(a, b string) bool { return strings.HasPrefix(a, "n") && strings.HasPrefix(b, "n") })
 			time.Sleep(30 * time.Second)
@@ -523,9 +447,9 @@
 		}}}},
 		{"the leader stands still within its lease, then beyond (2, 4, 8)", []fault{{13 * time.Second, freeze(1, 2*time.Second)}, {18 * time.Second, freeze(1, 7*time.Second)}, {40 * time.Second, freeze(1, 16*time.Second)}}},
 		{"all controllers stand still, then the leader in an outage (2, 9, 17)", []fault{{14 * time.Second, freeze(3, 6*time.Second)}, {30 * time.Second, func(s *sim) {
-			s.store.outage(true)
+			s.store.Outage(true)
 			freeze(1, 14*time.Second)(s)
-			s.store.outage(false)
+			s.store.Outage(false)
 		}}}},
 		{"a machine dies, then the leader (6, 12)", []fault{{15 * time.Second, die(rng(9), 1)}, {16 * time.Second, crash(1)}}},
 		{"a swarm whose ids repeat, half of it cancelled, while the leader crashes (13, 14, 15, 16)", []fault{{10 * time.Second, swarm(240)}, {12 * time.Second, crash(1)}}},
@@ -584,15 +508,15 @@
 }
 
 func playDay(t *testing.T, scale int, faults []fault) {
-	n := newSimNet()
-	w := &world{net: n, store: newStore(), specs: map[string]*job.Spec{}, workers: map[string]*worker{}, hires: map[string][]string{},
-		told: map[string]string{}, aborted: map[string]time.Time{}, doneSet: map[string]map[int32]bool{}, faulty: map[string]bool{},
-		lease: 10 * time.Second, cancel: 25 * time.Second, limit: map[string]float64{"red": 14 * float64(scale)}, most: 12 * scale,
-		ctlAddr: []string{"n0:80", "n1:80", "n2:80"}, end: make(chan struct{})}
-	s := &sim{world: w, t: t, cuts: map[string]func(string, string) bool{}, scale: scale}
+	n, store := emulate.NewMemory(), emulate.NewStore()
+	store.Page(7) // small pages, so that paging is in use
+	w := emulate.New(emulate.Config{Network: n, Store: store, Types: simTypes, Most: 12 * scale, Controllers: controllers,
+		Lease: 10 * time.Second, Cancel: 25 * time.Second, Report: 2 * time.Second, GangWait: 20 * time.Second,
+		Fetch: time.Second, ListLag: 4 * time.Second, Limits: map[string]float64{"red": 14 * float64(scale)}})
+	s := &sim{World: w, t: t, net: n, store: store, cuts: map[string]func(string, string) bool{}, scale: scale}
 	var servers []*http.Server
-	for addr, h := range map[string]http.Handler{"state:1": w.store, "cloud:1": w} {
-		l, err := n.listen(addr)
+	for addr, h := range map[string]http.Handler{"state:1": store, "cloud:1": w} {
+		l, err := n.Listen(addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -600,13 +524,11 @@
 		servers = append(servers, srv)
 		go func() { _ = srv.Serve(l) }()
 	}
-	w.mu.Lock()
 	for range scale {
-		w.boot("large", "a", false, 0)
-		w.boot("small", "b", false, 0)
-		w.boot("small", "c", true, 0)
+		w.Boot("large", "a", false, 0)
+		w.Boot("small", "b", false, 0)
+		w.Boot("small", "c", true, 0)
 	}
-	w.mu.Unlock()
 	for i := range 3 {
 		s.startNode(i)
 	}
@@ -617,7 +539,7 @@
 		if edit != nil {
 			edit(sp)
 		}
-		w.wg.Go(func() { s.live(sp, at, abort) })
+		w.Go(func() { s.live(sp, at, abort) })
 	}
 	sec := time.Second
 	for i := range 5 {
@@ -653,40 +575,29 @@
 	<-done
 	for range 150 {
 		time.Sleep(2 * sec)
-		if s.settled() == 0 {
+		if len(s.Open()) == 0 {
 			break
 		}
 	}
-	left := s.settled()
-	close(w.end)
+	left := s.Open()
+	ended := make(chan struct{})
+	go func() { defer close(ended); w.Close() }()
 	for i := range 3 {
 		s.kill(i)
 	}
 	for _, srv := range servers {
 		_ = srv.Close()
 	}
-	n.reset(func(string, string) bool { return true })
-	w.wg.Wait()
+	n.Reset(func(string, string) bool { return true })
+	<-ended
 	time.Sleep(30 * sec)
-	if len(w.broken) > 0 {
-		t.Errorf("rules broken: %s", strings.Join(w.broken, "\n"))
-	}
-	if left > 0 {
-		t.Errorf("%d jobs are not over: %v", left, w.told)
+	if broken := w.Broken(); len(broken) > 0 {
+		t.Errorf("rules broken: %s", strings.Join(broken, "\n"))
 	}
-	if w.starts < 100*scale {
-		t.Errorf("only %d tasks were started", w.starts)
+	if len(left) > 0 {
+		t.Errorf("%d jobs are not over: %v", len(left), left)
 	}
-}
-
-// settled counts the jobs whose users have not been told that they are over.
-func (s *sim) settled() (left int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id := range s.specs {
-		if p := s.told[id]; p != wire.JobDone && p != wire.JobAborted {
-			left++
-		}
+	if w.Starts() < 100*scale {
+		t.Errorf("only %d tasks were started", w.Starts())
 	}
-	return left
 }
