Submissions: a node that is far quicker than the leader takes them in by itself

Change: a node times the leader's answers to submissions and its own; where the leader takes three times as long, the node admits by itself (point 13 of docs/safety.md) and asks the leader once a second whether it has caught up. Beyond its own budget it hands on as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	elector *lead.Elector
 	ctl     *control.Controller
 	mesh    *peer.Mesh
+	route   route
 
 	mu      sync.Mutex
 	useless time.Time // since when users could not be served here; zero: they can
@@ -148,10 +149,20 @@
 		limit := forwardTime
 		if q.Kind == peer.KindSubmit {
 			limit = submitForwardTime
+			if n.route.direct(time.Now()) {
+				if p := n.admit(ctx, q); p.Status != http.StatusServiceUnavailable {
+					return p
+				}
+			}
 		}
 		fctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		if p, err := n.mesh.Forward(fctx, l, q); err == nil && (p.Settled || p.Status != http.StatusServiceUnavailable) {
+		begun := time.Now()
+		p, err := n.mesh.Forward(fctx, l, q)
+		if q.Kind == peer.KindSubmit {
+			n.route.tookLeader(time.Since(begun))
+		}
+		if err == nil && (p.Settled || p.Status != http.StatusServiceUnavailable) {
 			return p
 		}
 	}
@@ -160,12 +171,20 @@
 		case peer.KindStatus:
 			return n.ctl.Direct(ctx, q.ID)
 		case peer.KindSubmit:
-			return n.ctl.Admit(ctx, q.Body)
+			return n.admit(ctx, q)
 		}
 	}
 	return n.vacant()
 }
 
+// admit takes in a submission without the leader.
+func (n *Node) admit(ctx context.Context, q *peer.Request) *peer.Reply {
+	begun := time.Now()
+	p := n.ctl.Admit(ctx, q.Body)
+	n.route.tookOwn(time.Since(begun))
+	return p
+}
+
 // vacant tells a user to come back when the lead may have passed on: what is left
 // of the lease of a leader that is not to be reached. The next one takes a moment
 // more, but a user who comes a little early loses nothing by it.
