--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	ctl     *control.Controller
 	mesh    *peer.Mesh
 	route   route
+	lag     lag
 
 	mu      sync.Mutex
 	useless time.Time // since when users could not be served here; zero: they can
@@ -90,6 +91,7 @@
 	defer cancel(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { n.elector.Run(ctx) })
+	wg.Go(func() { n.lag.watch(ctx) })
 	if m != nil {
 		wg.Go(func() {
 			if err := m.Serve(ctx, ml); err != nil {
@@ -228,8 +230,13 @@
 // other node could serve them either.
 const patience = 20 * time.Second
 
-// Healthy implements api.Backend.
+// Healthy implements api.Backend. A leader that is short of processor sends its
+// users to the other nodes, which have little to do: they can admit and answer
+// without it.
 func (n *Node) Healthy() bool {
+	if n.ctl.Leading() && n.lag.Behind() && n.mesh.AnyReached() {
+		return false
+	}
 	v := n.elector.View()
 	able := n.ctl.Leading() || time.Since(v.Seen) < 8*time.Second || (v.Leader != "" && n.mesh.Reached(v.Leader))
 	n.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -151,6 +151,16 @@
 	return ok && time.Since(t) < 2500*time.Millisecond
 }
 
+// AnyReached reports whether any member answered a ping lately.
+func (m *Mesh) AnyReached() bool {
+	for name := range m.conns {
+		if m.Reached(name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Forward hands a request to another member.
 func (m *Mesh) Forward(ctx context.Context, member string, r *Request) (*Reply, error) {
 	c := m.conns[member]
