--- a/cmd/vetchstream/client.go
+++ b/cmd/vetchstream/client.go
@@ -18,14 +18,31 @@
 	"vetchstream/internal/wire"
 )
 
+// client is what the subcommands that talk to a running service share.
+type client struct {
+	server string
+	output string
+	pause  func(time.Duration)
+}
+
+// one wants exactly one argument.
+func one(cmd *cobra.Command, args []string) error {
+	if err := cobra.ExactArgs(1)(cmd, args); err != nil {
+		return usageError{err}
+	}
+	return nil
+}
+
 // clientCommands are the subcommands that talk to a running service.
 func clientCommands(tuning *string, pause func(time.Duration)) []*cobra.Command {
-	var server string
-	one := func(cmd *cobra.Command, args []string) error {
-		if err := cobra.ExactArgs(1)(cmd, args); err != nil {
-			return usageError{err}
-		}
-		return nil
+	c := &client{pause: pause}
+	aboutJob := func(use, short, method, suffix string) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: one, RunE: func(cmd *cobra.Command, args []string) error {
+			if !job.ValidID(args[0]) {
+				return usageError{fmt.Errorf("%q is not a job id", args[0])}
+			}
+			return c.job(cmd, method, "/api/jobs/"+args[0]+suffix, nil)
+		}}
 	}
 	submit := &cobra.Command{
 		Use: "submit FILE", Short: "Submit a job described in a JSON file (- for standard input)", Args: one,
@@ -41,29 +58,14 @@
 			if _, err := job.ParseSpec(body); err != nil {
 				return err
 			}
-			return call(cmd, pause, http.MethodPost, server, "/api/jobs", body)
+			return c.job(cmd, http.MethodPost, "/api/jobs", body)
 		},
 	}
-	get := &cobra.Command{
-		Use: "get JOB", Short: "Show a job's state", Args: one,
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if !job.ValidID(args[0]) {
-				return usageError{fmt.Errorf("%q is not a job id", args[0])}
-			}
-			return call(cmd, pause, http.MethodGet, server, "/api/jobs/"+args[0], nil)
-		},
-	}
-	abort := &cobra.Command{
-		Use: "abort JOB", Short: "Cancel a job", Args: one,
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if !job.ValidID(args[0]) {
-				return usageError{fmt.Errorf("%q is not a job id", args[0])}
-			}
-			return call(cmd, pause, http.MethodPost, server, "/api/jobs/"+args[0]+"/abort", nil)
-		},
-	}
-	for _, c := range []*cobra.Command{submit, get, abort} {
-		c.Flags().StringVar(&server, "server", "127.0.0.1:8080", "address of a controller or of the load balancer")
+	talk := []*cobra.Command{submit, aboutJob("get JOB", "Show a job's state", http.MethodGet, ""),
+		aboutJob("abort JOB", "Cancel a job", http.MethodPost, "/abort"), rolloutCommands(c)}
+	for _, cmd := range talk {
+		cmd.PersistentFlags().StringVar(&c.server, "server", "127.0.0.1:8080", "address of a controller or of the load balancer")
+		cmd.PersistentFlags().StringVar(&c.output, "output", "table", "how to print: table, for people, or json")
 	}
 	check := &cobra.Command{
 		Use: "check FILE", Short: "Check a platform settings file, and the operators' settings of --tuning", Args: one,
@@ -78,7 +80,33 @@
 			return nil
 		},
 	}
-	return []*cobra.Command{submit, get, abort, check}
+	return append(talk, check)
+}
+
+// job makes a request and shows the job that it answers with.
+func (c *client) job(cmd *cobra.Command, method, path string, body []byte) error {
+	var s wire.Status
+	if err := c.call(cmd, method, path, body, &s); err != nil {
+		return err
+	}
+	doc := map[string]any{"uid": s.ID, "phase": s.Phase, "done": s.Done, "running": s.Running}
+	return c.print(cmd, doc, func(w io.Writer) {
+		fmt.Fprintf(w, "%s: %s, %d tasks done, %d running\n", s.ID, s.Phase, s.Done, s.Running)
+	})
+}
+
+// print shows an answer as the user wants it.
+func (c *client) print(cmd *cobra.Command, v any, table func(io.Writer)) error {
+	switch c.output {
+	case "table":
+		table(cmd.OutOrStdout())
+		return nil
+	case "json":
+		enc := json.NewEncoder(cmd.OutOrStdout())
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	return usageError{fmt.Errorf("--output %q is neither table nor json", c.output)}
 }
 
 func readJSON(path string) (map[string]any, error) {
@@ -110,30 +138,35 @@
 	callTime = 5 * time.Second
 )
 
-// call makes a request and repeats it while the service asks for patience.
-func call(cmd *cobra.Command, pause func(time.Duration), method, server, path string, body []byte) error {
+// call makes a request, repeats it while the service asks for patience, and reads
+// the answer.
+func (c *client) call(cmd *cobra.Command, method, path string, body []byte, out any) error {
+	if c.output != "table" && c.output != "json" {
+		return usageError{fmt.Errorf("--output %q is neither table nor json", c.output)}
+	}
 	hc := &http.Client{Timeout: callTime}
 	for try := 1; ; try++ {
-		status, wait, out, err := once(cmd.Context(), hc, method, "http://"+server+path, body)
+		status, wait, answer, err := once(cmd.Context(), hc, method, "http://"+c.server+path, body)
 		if err == nil && (status == http.StatusOK || status == http.StatusCreated) {
-			enc := json.NewEncoder(cmd.OutOrStdout())
-			enc.SetIndent("", "  ")
-			return enc.Encode(out)
-		}
-		if err == nil && status >= 400 && status < 500 && status != http.StatusTooManyRequests {
-			return fmt.Errorf("%s: %v", http.StatusText(status), out["error"])
+			return wire.Unmarshal(answer, out)
 		}
-		if try == tries {
-			if err != nil {
+		var refusal wire.Error
+		if err == nil {
+			_ = wire.Unmarshal(answer, &refusal) // a refusal may have no body
+			err = fmt.Errorf("%s: %s", http.StatusText(status), refusal.Error)
+			if status >= 400 && status < 500 && status != http.StatusTooManyRequests {
 				return err
 			}
-			return fmt.Errorf("gave up: %s: %v", http.StatusText(status), out["error"])
 		}
-		pause(wait)
+		if try == tries {
+			return fmt.Errorf("gave up: %w", err)
+		}
+		c.pause(wait)
 	}
 }
 
-func once(ctx context.Context, hc *http.Client, method, url string, body []byte) (status int, wait time.Duration, out map[string]any, err error) {
+// once makes a request once, and says when to come back.
+func once(ctx context.Context, hc *http.Client, method, url string, body []byte) (status int, wait time.Duration, answer []byte, err error) {
 	wait = time.Second
 	if ctx == nil {
 		ctx = context.Background()
@@ -151,14 +184,6 @@
 	if d, perr := time.ParseDuration(res.Header.Get("Retry-After") + "s"); perr == nil && d > 0 && d <= 30*time.Second {
 		wait = d
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, 4*wire.MaxBody))
-	if err != nil {
-		return 0, wait, nil, err
-	}
-	if len(b) > 0 {
-		if err := wire.Unmarshal(b, &out); err != nil {
-			return 0, wait, nil, err
-		}
-	}
-	return res.StatusCode, wait, out, nil
+	answer, err = io.ReadAll(io.LimitReader(res.Body, 16*wire.MaxBody))
+	return res.StatusCode, wait, answer, err
 }
--- a/cmd/vetchstream/emulate.go
+++ b/cmd/vetchstream/emulate.go
@@ -203,6 +203,7 @@
 		},
 	}
 	em.flags(demo, 3)
+	demo.AddCommand(demoRollout(tuning))
 	return demo
 }
 
--- a/cmd/vetchstream/main_test.go
+++ b/cmd/vetchstream/main_test.go
@@ -49,9 +49,13 @@
 		code int
 		out  string
 	}{
-		{[]string{"get", "run-1", "--server", at}, 0, `"phase": "running"`},
-		{[]string{"submit", jobFile, "--server", at}, 0, `"uid": "run-1"`},
-		{[]string{"abort", "run-1", "--server", at}, 0, `"uid": "run-1"`},
+		{[]string{"get", "run-1", "--server", at}, 0, "run-1: running, 3 tasks done, 2 running"},
+		{[]string{"get", "run-1", "--server", at, "--output", "json"}, 0, `"phase": "running"`},
+		{[]string{"get", "run-1", "--output", "xml"}, 2, "neither table nor json"},
+		{[]string{"rollout"}, 2, "is needed"},
+		{[]string{"rollout", "start", jobFile}, 2, "service: missing"},
+		{[]string{"submit", jobFile, "--server", at}, 0, "run-1: running"},
+		{[]string{"abort", "run-1", "--server", at}, 0, "run-1: running"},
 		{[]string{"get", "run-9", "--server", at}, 1, "no such job"},
 		{[]string{"get", "x"}, 2, "Usage:"},
 		{[]string{"get"}, 2, "Usage:"},
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -81,6 +81,7 @@
 	rt.POST("/api/jobs/:id/abort", func(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
 		s.user(w, q, &peer.Request{Kind: peer.KindAbort, ID: p.ByName("id")}, submitTime)
 	})
+	s.rollouts(rt)
 	rt.POST("/checkin", s.checkin)
 	rt.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		if !s.back.Healthy() {
--- /dev/null
+++ b/internal/api/rollouts.go
@@ -0,0 +1,49 @@
+package api
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"vetchstream/internal/peer"
+	"vetchstream/internal/wire"
+)
+
+// rollouts are the routes for operators' roll-outs, beside the protocol's own:
+//
+//	POST /api/rollouts                 start one; the body is its specification
+//	GET  /api/rollouts                 all of them
+//	GET  /api/rollouts/{service}       one
+//	POST /api/rollouts/{service}/VERB  pause, resume or undo it
+func (s *Server) rollouts(rt *httprouter.Router) {
+	operate := func(w http.ResponseWriter, q *http.Request, op peer.Operation) {
+		b, err := wire.Marshal(op)
+		if err != nil {
+			write(w, refuse(http.StatusInternalServerError, err.Error()))
+			return
+		}
+		s.user(w, q, &peer.Request{Kind: peer.KindRollout, Body: b}, submitTime)
+	}
+	rt.POST("/api/rollouts", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		body, err := read(q)
+		if err != nil {
+			write(w, refuse(http.StatusBadRequest, err.Error()))
+			return
+		}
+		operate(w, q, peer.Operation{Verb: peer.VerbStart, Spec: body})
+	})
+	rt.GET("/api/rollouts", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbList})
+	})
+	rt.GET("/api/rollouts/:service", func(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbStatus, Service: p.ByName("service")})
+	})
+	rt.POST("/api/rollouts/:service/:verb", func(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
+		switch verb := p.ByName("verb"); verb {
+		case peer.VerbPause, peer.VerbResume, peer.VerbUndo:
+			operate(w, q, peer.Operation{Verb: verb, Service: p.ByName("service")})
+		default:
+			write(w, refuse(http.StatusNotFound, "no such route"))
+		}
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -194,6 +194,14 @@
 type Tuning struct {
 	// LeaderLeaseMs is the length of the leader's lease in the state service.
 	LeaderLeaseMs int `json:"leader_lease_ms"`
+	// Rollouts switches roll-outs of services on.
+	Rollouts struct {
+		Enabled bool `json:"enabled"`
+		// Most is how many services may have a record of roll-outs.
+		Most int `json:"most"`
+		// Checks is how many health checks may be under way at a time.
+		Checks int `json:"checks"`
+	} `json:"rollouts"`
 	// MetricsListen is the address of the metrics page; empty: there is none.
 	MetricsListen string `json:"metrics_listen"`
 	Weights       struct {
@@ -230,6 +238,7 @@
 	w := &t.Weights
 	w.Queue, w.Jobs, w.CPU, w.Price = 13, 7, 1, 30
 	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
+	t.Rollouts.Most, t.Rollouts.Checks = 1000, 16
 	h := &t.Hosts
 	h.IdleBoots, h.GiveUpBoots, h.MinFill, h.PatienceS, h.SickErrors = 1, 4, 0.5, 15, 3
 	return t
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -147,6 +147,12 @@
 		do = func(r *reign, back func(*peer.Reply)) { r.admission.status(q.ID, back) }
 	case peer.KindAbort:
 		do = func(r *reign, back func(*peer.Reply)) { r.endings.abort(q.ID, back) }
+	case peer.KindRollout:
+		var op peer.Operation
+		if err := wire.Unmarshal(q.Body, &op); err != nil {
+			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
+		}
+		do = func(r *reign, back func(*peer.Reply)) { r.rollouts.operate(&op, back) }
 	case peer.KindReport:
 		m := &wire.Report{}
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -34,8 +34,8 @@
 	never        // never applied, no answer
 )
 
-// service is the state service in memory, on a network of pipes.
-type service struct {
+// stateService is the state service in memory, on a network of pipes.
+type stateService struct {
 	mu    sync.Mutex
 	rev   uint64
 	kv    map[string]state.Entry
@@ -46,8 +46,8 @@
 	conns chan net.Conn
 }
 
-func newService(t *testing.T) *service {
-	s := &service{kv: map[string]state.Entry{}, most: 12, doom: job.GroupPrefix[:1], conns: make(chan net.Conn)}
+func newStateService(t *testing.T) *stateService {
+	s := &stateService{kv: map[string]state.Entry{}, most: 12, doom: job.GroupPrefix[:1], conns: make(chan net.Conn)}
 	srv := &http.Server{Handler: s}
 	go func() { _ = srv.Serve(s) }()
 	t.Cleanup(func() {
@@ -57,17 +57,17 @@
 	return s
 }
 
-func (s *service) Accept() (net.Conn, error) {
+func (s *stateService) Accept() (net.Conn, error) {
 	c, ok := <-s.conns
 	if !ok {
 		return nil, net.ErrClosed
 	}
 	return c, nil
 }
-func (s *service) Close() error   { close(s.conns); return nil }
-func (s *service) Addr() net.Addr { return &net.TCPAddr{} }
+func (s *stateService) Close() error   { close(s.conns); return nil }
+func (s *stateService) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (s *service) dial(_ context.Context, _, addr string) (net.Conn, error) {
+func (s *stateService) dial(_ context.Context, _, addr string) (net.Conn, error) {
 	if addr != "state:1" {
 		return nil, net.ErrClosed
 	}
@@ -76,7 +76,7 @@
 	return a, nil
 }
 
-func (s *service) put(key string, v any) {
+func (s *stateService) put(key string, v any) {
 	w, err := state.Put(key, v)
 	if err != nil {
 		panic(err)
@@ -87,14 +87,14 @@
 	s.kv[key] = state.Entry{Key: key, Value: w.Value, Version: s.rev}
 }
 
-func (s *service) absent(key string) bool {
+func (s *stateService) absent(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, ok := s.kv[key]
 	return !ok
 }
 
-func (s *service) apply(t state.Txn) (status int, body any) {
+func (s *stateService) apply(t state.Txn) (status int, body any) {
 	var failed []string
 	for _, c := range t.If {
 		if s.kv[c.Key].Version != c.Version {
@@ -115,7 +115,7 @@
 	return 200, map[string]any{"epoch": s.rev}
 }
 
-func (s *service) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
+func (s *stateService) ServeHTTP(rw http.ResponseWriter, q *http.Request) {
 	answer := func(status int, v any) {
 		b, err := wire.Marshal(v)
 		if err != nil {
@@ -189,7 +189,7 @@
 }
 
 // jobs counts the entries of active jobs, in groups and alone.
-func (s *service) jobs() (n int) {
+func (s *stateService) jobs() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, e := range s.kv {
@@ -205,7 +205,7 @@
 }
 
 // keys are those below the prefixes.
-func (s *service) keys(prefixes string) (n int) {
+func (s *stateService) keys(prefixes string) (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k := range s.kv {
@@ -220,12 +220,12 @@
 type seat struct {
 	*Controller
 	t    *testing.T
-	s    *service
+	s    *stateService
 	term uint64
 	stop func()
 }
 
-func sit(t *testing.T, s *service, term uint64) *seat {
+func sit(t *testing.T, s *stateService, term uint64) *seat {
 	t.Helper()
 	set := &config.Settings{Member: "n0"}
 	f := &set.Facts
@@ -321,9 +321,9 @@
 func TestGroups(t *testing.T) {
 	tests := []struct {
 		name string
-		do   func(t *testing.T, s *service)
+		do   func(t *testing.T, s *stateService)
 	}{
-		{"a swarm takes few writes, and one job a record of its own", func(t *testing.T, s *service) {
+		{"a swarm takes few writes, and one job a record of its own", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			if out := st.submit(swarm(0, 1)...); out[0] != 201 || s.keys("j") != 1 {
 				t.Errorf("one job: %v, %d records", out, s.keys("j"))
@@ -336,7 +336,7 @@
 				t.Errorf("%d writes for 300 jobs", s.txns)
 			}
 		}},
-		{"malformed, impossible and repeated ones are answered each on its own", func(t *testing.T, s *service) {
+		{"malformed, impossible and repeated ones are answered each on its own", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			out := st.submit(body("run-1", nil), body("run-2", map[string]any{"pieces": -1}), body("run-3", map[string]any{"cpus": 99.0}),
 				body("run-4", nil), body("run-4", nil), body("run-5", map[string]any{"owner": "green"}))
@@ -349,7 +349,7 @@
 				t.Errorf("once more: %v", out)
 			}
 		}},
-		{"an unclear commit in the middle of a group that was applied", func(t *testing.T, s *service) {
+		{"an unclear commit in the middle of a group that was applied", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			s.fates = []fate{unheard}
 			st.submit(swarm(0, 20)...)
@@ -358,7 +358,7 @@
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
 		}},
-		{"an unclear commit that is applied after the second try", func(t *testing.T, s *service) {
+		{"an unclear commit that is applied after the second try", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			s.fates = []fate{late}
 			st.submit(swarm(0, 20)...)
@@ -367,7 +367,7 @@
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
 		}},
-		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *service) {
+		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			for _, b := range swarm(5, 3) {
 				if p := st.Admit(context.Background(), b); p.Status != 201 {
@@ -378,7 +378,7 @@
 				t.Errorf("answers %v", out)
 			}
 		}},
-		{"the same group admitted by two nodes is one job each, done once", func(t *testing.T, s *service) {
+		{"the same group admitted by two nodes is one job each, done once", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			s.fates = []fate{late} // the leader's comes after the other node's answer
 			var wg sync.WaitGroup
@@ -405,7 +405,7 @@
 				t.Errorf("%d records of active jobs and groups, %d final ones", s.keys("jg"), s.keys("f"))
 			}
 		}},
-		{"ends that come together take one write, and an unclear one that was applied is told", func(t *testing.T, s *service) {
+		{"ends that come together take one write, and an unclear one that was applied is told", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 100)...)
 			before := s.keys("j")
@@ -424,7 +424,7 @@
 				t.Errorf("%d writes for 100 ends, %d of them of jobs alone", s.txns, before)
 			}
 		}},
-		{"what another node reads as over the leader does not call active, before it knows", func(t *testing.T, s *service) {
+		{"what another node reads as over the leader does not call active, before it knows", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 30)...)
 			s.doom = "jgf"
@@ -445,7 +445,7 @@
 				}
 			}
 		}},
-		{"a state service that takes less at a time", func(t *testing.T, s *service) {
+		{"a state service that takes less at a time", func(t *testing.T, s *stateService) {
 			s.most = 3
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 40)...)
@@ -454,7 +454,7 @@
 				t.Errorf("answers %v", out)
 			}
 		}},
-		{"a node that does not lead finds them with one listing for all who wait", func(t *testing.T, s *service) {
+		{"a node that does not lead finds them with one listing for all who wait", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 60)...)
 			var wg sync.WaitGroup
@@ -475,7 +475,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) { tt.do(t, newService(t)) })
+			synctest.Test(t, func(t *testing.T) { tt.do(t, newStateService(t)) })
 		})
 	}
 }
@@ -490,7 +490,7 @@
 			t.Run(fmt.Sprintf("ends at step %d, %d", step, f), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					s := newService(t)
+					s := newStateService(t)
 					st := sit(t, s, 1)
 					if out := st.submit(swarm(0, jobs)...); count(out, 201) != jobs {
 						t.Fatalf("answers %v", out)
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -182,6 +182,11 @@
 			n++
 		}
 	}
+	if j.Handle {
+		for _, v := range j.Versions {
+			n += bk.running(v)
+		}
+	}
 	return n
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -218,6 +218,14 @@
 			limit = j.Tasks
 		}
 		for t := range j.Needs {
+			if j.Quota != nil {
+				// The replicas of a roll-out's batch belong into its zone: one zone a plan.
+				if len(d.Pending) == 0 {
+					d.Zone = j.ZoneOf(t)
+				} else if d.Zone != j.ZoneOf(t) {
+					continue
+				}
+			}
 			d.Pending = append(d.Pending, t)
 			if len(d.Pending) >= limit {
 				break
@@ -297,9 +305,11 @@
 	if j.Shape == job.Array && !j.OneZone && !j.Spread {
 		return z // nothing depends on it
 	}
-	for s := range pl.fleet.On(j) {
-		if s.On() && s.Host.Zone >= 0 {
-			z[s.Host.Zone]++
+	for _, v := range append([]*job.Job{j}, j.Versions...) {
+		for s := range pl.fleet.On(v) {
+			if s.On() && s.Host.Zone >= 0 {
+				z[s.Host.Zone]++
+			}
 		}
 	}
 	return z
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -84,6 +84,7 @@
 	work      *work
 	writer    *writer
 	groups    *groups
+	rollouts  *rollouts
 
 	scanAt time.Time
 }
@@ -99,7 +100,7 @@
 	}
 	ends := share(endingShare)
 	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
-		endings: newEndings(co, ends), groups: newGroups(co, ends), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
+		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
 		machines: newMachines(co), takeover: &takeover{core: co}, commands: &commands{core: co, most: DirectCalls(f.Resources.MaxSockets)},
 		planner: newPlanner(co), work: &work{core: co}, writer: &writer{core: co, batch: f.State.TxnOps}}
 	r.wire()
@@ -123,6 +124,8 @@
 	r.work.names, r.work.book, r.work.registry, r.work.machines = r.names, r.book, r.registry, r.machines
 	r.work.endings, r.work.results = r.endings, r.results
 	r.writer.registry = r.registry
+	r.rollouts.names, r.rollouts.book, r.rollouts.endings, r.rollouts.work, r.rollouts.takeover = r.names, r.book, r.endings, r.work, r.takeover
+	r.rollouts.groups, r.work.rollouts, r.takeover.rollouts = r.groups, r.rollouts, r.rollouts
 	r.groups.writer, r.groups.results = r.writer, r.results
 	r.admission.groups, r.admission.results, r.endings.groups, r.book.groups, r.takeover.groups = r.groups, r.results, r.groups, r.groups, r.groups
 }
@@ -222,6 +225,7 @@
 	if !scan {
 		return
 	}
+	r.rollouts.step(now)
 	r.planner.expire(now)
 	r.c.Meter.Set(meter.Machines, len(r.fleet.Hosts))
 	r.c.Meter.Set(meter.Jobs, len(r.book.all()))
--- /dev/null
+++ b/internal/control/rollouts.go
@@ -0,0 +1,544 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/job"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/rollout"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// rolloutPrefix is below which the records of services and their roll-outs are.
+const rolloutPrefix = "r/"
+
+// rollouts carries out what the records of roll-outs want. It compares the record
+// with what is seen, stores the next step under the term, and only then lets the
+// planner and the commands follow it, so that every step can be taken again by a
+// successor.
+type rollouts struct {
+	*core
+	names    *names
+	book     *book
+	endings  *endings
+	work     *work
+	takeover *takeover
+	groups   *groups
+
+	services map[string]*service
+	byJob    map[string]*service // versions, by job id
+	stepAt   time.Time
+	checker  checker
+}
+
+// service is one service's record as stored, and what has come up since.
+type service struct {
+	rec     *rollout.Record
+	version uint64
+	writing bool
+	// failed are failures of new copies that are not stored yet.
+	failed []failure
+	// asked is what an operator has asked for, with who waits for it.
+	asked []func(*rollout.Record) (changed bool, tell func())
+}
+
+type failure struct {
+	replica int32
+	host    string
+}
+
+func newRollouts(co *core) *rollouts {
+	ro := &rollouts{core: co, checker: checker{free: co.c.Tuning.Rollouts.Checks}}
+	ro.reset()
+	return ro
+}
+
+func (ro *rollouts) reset() {
+	ro.services, ro.byJob = map[string]*service{}, map[string]*service{}
+}
+
+// on reports whether roll-outs are switched on.
+func (ro *rollouts) on() bool { return ro.c.Tuning.Rollouts.Enabled }
+
+// list reads the records; none while roll-outs are switched off.
+func (ro *rollouts) list() ([]state.Entry, error) {
+	if !ro.on() {
+		return nil, nil
+	}
+	entries, _, err := ro.c.State.List(ro.ctx, rolloutPrefix)
+	return entries, err
+}
+
+// load takes in the records of earlier leaders.
+func (ro *rollouts) load(entries []state.Entry) error {
+	ro.reset()
+	for _, e := range entries {
+		rec := &rollout.Record{}
+		if err := wire.Unmarshal(e.Value, rec); err != nil {
+			return fmt.Errorf("roll-out %s: %w", e.Key, err)
+		}
+		ro.adopt(&service{rec: rec, version: e.Version})
+	}
+	return nil
+}
+
+// adopt takes in a stored record.
+func (ro *rollouts) adopt(s *service) {
+	ro.services[s.rec.Service] = s
+	for _, id := range []string{s.rec.Handle, s.rec.Current, s.rec.Next} {
+		if id != "" {
+			ro.byJob[id] = s
+		}
+	}
+	ro.tie(s)
+}
+
+// tie tells the versions' jobs of each other, and holds back all that is not
+// placed yet until the next step says what may be.
+func (ro *rollouts) tie(s *service) {
+	var jobs []*job.Job
+	for _, id := range []string{s.rec.Handle, s.rec.Current, s.rec.Next} {
+		if j := ro.book.sound(id); j != nil && !slices.Contains(jobs, j) {
+			jobs = append(jobs, j)
+		}
+	}
+	for _, j := range jobs {
+		j.Handle = j.ID == s.rec.Handle
+		j.Versions = slices.DeleteFunc(slices.Clone(jobs), func(o *job.Job) bool { return o == j })
+		if j.Quota == nil {
+			j.Quota = &job.Quota{Allowed: make([]bool, j.Tasks)}
+		}
+	}
+}
+
+// failed notes that a copy of a version that is being rolled out has failed.
+func (ro *rollouts) failed(j *job.Job, replica int32, host string) {
+	if s := ro.byJob[j.ID]; s != nil && j.ID == s.rec.Next && !s.rec.State.Over() {
+		s.failed = append(s.failed, failure{replica, host})
+	}
+}
+
+// stepEvery spaces the looks at all roll-outs.
+const rolloutEvery = 250 * time.Millisecond
+
+// step looks at each service once.
+func (ro *rollouts) step(now time.Time) {
+	if len(ro.services) == 0 || now.Sub(ro.stepAt) < rolloutEvery {
+		return
+	}
+	ro.stepAt = now
+	if !ro.takeover.settled() {
+		return // what runs where is not known yet: nothing new starts, nothing is stopped
+	}
+	down := ro.down(now)
+	for _, s := range ro.services {
+		ro.advance(s, down, now)
+	}
+}
+
+// advance stores a service's next step, or carries out the one that is stored.
+func (ro *rollouts) advance(s *service, down map[string]bool, now time.Time) {
+	if s.writing {
+		return
+	}
+	ro.tie(s)
+	view := ro.view(s, down, now)
+	next, changed := s.rec.Clone(), false
+	for _, f := range s.failed {
+		changed = next.Fail(f.replica, f.host) || changed
+	}
+	s.failed = nil
+	var told []func()
+	for _, ask := range s.asked {
+		did, tell := ask(next)
+		changed, told = changed || did, append(told, tell)
+	}
+	s.asked = nil
+	if next.State != rollout.Failed && ro.book.sound(next.Next) == nil && !next.State.Over() {
+		changed = rollout.Undo(next, now) || changed // its job was cancelled
+	}
+	changed = rollout.Step(next, view) || changed
+	if changed {
+		ro.store(s, next, told)
+		return
+	}
+	for _, tell := range told {
+		tell()
+	}
+	ro.apply(s, view)
+}
+
+// store writes a service's record; what it says is done once it is durable.
+func (ro *rollouts) store(s *service, rec *rollout.Record, told []func()) {
+	key := rolloutPrefix + rec.Service
+	put, err := state.Put(key, rec)
+	if err != nil {
+		ro.log.Error("roll-out does not encode", "service", rec.Service, "error", err)
+		return
+	}
+	s.writing = true
+	txn := state.Txn{If: []state.Cond{ro.fence, {Key: key, Version: s.version}}, Writes: []state.Write{put}}
+	was := s.version
+	go func() {
+		for ro.ctx.Err() == nil {
+			version, err := ro.c.State.Commit(ro.ctx, txn)
+			if errors.Is(err, state.ErrConflict) {
+				// Only an entitled leader writes it: a version that has moved on is the work
+				// of an unclear try of this very transaction.
+				if e, gerr := ro.c.State.Get(ro.ctx, key); gerr == nil && e.Version != was {
+					version, err = e.Version, nil
+				}
+			}
+			if err == nil {
+				ro.ahead(func() {
+					if rec.State != s.rec.State || rec.At != s.rec.At {
+						ro.log.Info("roll-out", "service", rec.Service, "state", rec.State, "batch", rec.At+1, "of", len(rec.Batches), "version", rec.Next, "reason", rec.Reason)
+					}
+					s.rec, s.version, s.writing = rec, version, false
+					ro.changed()
+					for _, tell := range told {
+						tell()
+					}
+				})
+				return
+			}
+			ro.pause(200 * time.Millisecond)
+		}
+	}()
+}
+
+// down are the zones in which there are machines, and none that can take work.
+func (ro *rollouts) down(now time.Time) map[string]bool {
+	zones := ro.names.zoneNames()
+	there, able := make([]bool, len(zones)), make([]bool, len(zones))
+	quiet := ro.quiet()
+	for _, h := range ro.fleet.All() {
+		if h.Zone < 0 || h.Booting {
+			continue
+		}
+		there[h.Zone] = true
+		able[h.Zone] = able[h.Zone] || (h.Usable() && h.Silent(now) < quiet)
+	}
+	out := map[string]bool{}
+	for i, z := range zones {
+		if there[i] && !able[i] {
+			out[z] = true
+		}
+	}
+	return out
+}
+
+// quiet is how long a machine may be silent before its copies count as lost.
+func (ro *rollouts) quiet() time.Duration {
+	w := ro.c.Settings.Facts.Workers
+	return config.Seconds(max(2.5*w.ReportS, w.LeaseS/2))
+}
+
+// view is what is seen of a service.
+func (ro *rollouts) view(s *service, down map[string]bool, now time.Time) *rollout.View {
+	old, next := ro.book.sound(s.rec.Current), ro.book.sound(s.rec.Next)
+	v := &rollout.View{Now: now, Down: down, Old: ro.copies(old, now), New: ro.copies(next, now)}
+	v.Cancelled = gone(ro.book.sound(s.rec.Handle)) || gone(old)
+	v.Blind = s.rec.Spec.Check != nil && ro.blind(old, next)
+	if n := len(v.Old); len(v.New) < n {
+		v.New = append(v.New, make([]rollout.Copy, n-len(v.New))...)
+	}
+	return v
+}
+
+func gone(j *job.Job) bool { return j == nil || j.Phase+j.Closing != "" }
+
+// copies are the copies of a version, by replica.
+func (ro *rollouts) copies(j *job.Job, now time.Time) []rollout.Copy {
+	if j == nil {
+		return nil
+	}
+	out := make([]rollout.Copy, j.Tasks)
+	for s := range ro.fleet.On(j) {
+		if !s.On() {
+			continue
+		}
+		c := &out[s.Task]
+		c.Live = true
+		h := s.Host
+		c.Lost = c.Lost || h.Lost || h.Draining || h.Releasing || !h.RecallAt.IsZero() || h.Silent(now) > ro.quiet()
+		if s.Phase == wire.Running && !s.Stopping {
+			c.Running, c.Health = true, health(s)
+			if !s.RunAt.IsZero() {
+				c.SinceS = now.Sub(s.RunAt).Seconds()
+			}
+		}
+	}
+	return out
+}
+
+// health is what worker and check say of a copy: bad if either does, good if
+// neither does and one says so.
+func health(s *fleet.Slot) rollout.Health {
+	switch {
+	case s.Health == wire.HealthBad || s.Checked == wire.HealthBad:
+		return rollout.Unhealthy
+	case s.Health == wire.HealthGood || s.Checked == wire.HealthGood:
+		return rollout.Healthy
+	}
+	return rollout.Unknown
+}
+
+// apply lets the planner and the workers follow the stored record.
+func (ro *rollouts) apply(s *service, v *rollout.View) {
+	w := rollout.Wanted(s.rec, v)
+	old, next := ro.book.sound(s.rec.Current), ro.book.sound(s.rec.Next)
+	if old != nil {
+		ro.quota(old, func(i int) (bool, string) { return i < len(w.Old) && w.Old[i], "" })
+	}
+	if next != nil {
+		ro.quota(next, func(i int) (bool, string) { return i < len(w.New) && w.New[i].Wanted, w.New[i].Zone })
+	}
+	if h := ro.book.sound(s.rec.Handle); h != nil && h != old && h != next {
+		ro.quota(h, func(int) (bool, string) { return false, "" })
+	}
+	if !s.rec.State.Over() {
+		ro.check(s, old, next, v.Now)
+		return
+	}
+	if v.Cancelled {
+		for _, j := range []*job.Job{old, next} {
+			ro.retire(j, s.rec.Handle)
+		}
+		return
+	}
+	if next != nil && len(ro.fleet.On(next)) == 0 {
+		ro.retire(next, s.rec.Handle)
+	}
+}
+
+// retire ends the job of a version that is not wanted any more. The handle is its
+// user's, and stays until they cancel it.
+func (ro *rollouts) retire(j *job.Job, handle string) {
+	if j != nil && j.ID != handle && j.Phase+j.Closing == "" {
+		ro.endings.finish(j, wire.JobAborted)
+	}
+}
+
+// quota sets which replicas of a version may run and where, and stops the others.
+func (ro *rollouts) quota(j *job.Job, want func(int) (bool, string)) {
+	q := &job.Quota{Allowed: make([]bool, j.Tasks), Zone: make([]int, j.Tasks)}
+	for i := range j.Tasks {
+		ok, zone := want(i)
+		q.Allowed[i], q.Zone[i] = ok, -1
+		if zone != "" {
+			q.Zone[i] = ro.names.zone(zone)
+		}
+	}
+	if j.Quota == nil || !slices.Equal(j.Quota.Allowed, q.Allowed) {
+		ro.changed()
+	}
+	j.Quota = q
+	for s := range ro.fleet.On(j) {
+		if s.On() && !s.Stopping && !q.Allowed[s.Task] {
+			ro.work.stopSlot(s, saveGrace(j))
+		}
+	}
+}
+
+// operate answers an operator's request.
+func (ro *rollouts) operate(op *peer.Operation, back func(*peer.Reply)) {
+	if !ro.on() {
+		back(reply(http.StatusNotFound, wire.Error{Error: "roll-outs are switched off here"}))
+		return
+	}
+	switch op.Verb {
+	case peer.VerbStart:
+		ro.start(op.Spec, back)
+		return
+	case peer.VerbList:
+		out := []rollout.Status{}
+		for _, name := range slices.Sorted(maps.Keys(ro.services)) {
+			out = append(out, ro.status(ro.services[name]))
+		}
+		back(reply(http.StatusOK, map[string]any{"rollouts": out}))
+		return
+	}
+	s := ro.services[op.Service]
+	if s == nil {
+		back(reply(http.StatusNotFound, wire.Error{Error: "no roll-out of that service"}))
+		return
+	}
+	var ask func(*rollout.Record, time.Time) bool
+	switch op.Verb {
+	case peer.VerbPause:
+		ask = rollout.Pause
+	case peer.VerbResume:
+		ask = rollout.Resume
+	case peer.VerbUndo:
+		ask = rollout.Undo
+	default:
+		back(reply(http.StatusOK, ro.status(s)))
+		return
+	}
+	s.asked = append(s.asked, func(rec *rollout.Record) (bool, func()) {
+		if !ask(rec, time.Now()) {
+			return false, func() {
+				back(reply(http.StatusConflict, wire.Error{Error: fmt.Sprintf("the roll-out is %s", rec.State)}))
+			}
+		}
+		return true, func() { back(reply(http.StatusOK, ro.status(s))) }
+	})
+}
+
+// status is what an operator is shown.
+func (ro *rollouts) status(s *service) rollout.Status {
+	now := time.Now()
+	return rollout.Tell(s.rec, ro.view(s, ro.down(now), now))
+}
+
+// start stores a new roll-out together with the job of its next version.
+func (ro *rollouts) start(body []byte, back func(*peer.Reply)) {
+	refuse := func(status int, why string) { back(reply(status, wire.Error{Error: why})) }
+	spec, err := rollout.Parse(body)
+	if err != nil {
+		refuse(http.StatusBadRequest, err.Error())
+		return
+	}
+	s := ro.services[spec.Service]
+	handle, current := spec.From, spec.From
+	version := uint64(0)
+	if s != nil {
+		if spec.From != "" && spec.From != s.rec.Handle && spec.From != s.rec.Current {
+			refuse(http.StatusConflict, "from: the service runs "+s.rec.Current)
+			return
+		}
+		switch {
+		case s.writing:
+			back(Later("the service's record is being stored"))
+			return
+		case s.rec.Next == spec.To.ID && !s.rec.State.Over():
+			back(reply(http.StatusOK, ro.status(s))) // the same request once more
+			return
+		case !s.rec.State.Over() && !spec.Supersede:
+			refuse(http.StatusConflict, fmt.Sprintf("a roll-out of the service is %s; supersede it, or undo it first", s.rec.State))
+			return
+		case !s.rec.State.Over():
+			// What has been rolled out is taken back first; the new one is asked for again.
+			s.asked = append(s.asked, func(rec *rollout.Record) (bool, func()) {
+				return rollout.Undo(rec, time.Now()), func() { back(Later("the roll-out before is rolled back first")) }
+			})
+			return
+		}
+		handle, current, version = s.rec.Handle, s.rec.Current, s.version
+	} else if len(ro.services) >= ro.c.Tuning.Rollouts.Most {
+		refuse(http.StatusTooManyRequests, "too many services have roll-outs")
+		return
+	}
+	was := ro.book.sound(current)
+	switch {
+	case current == "":
+		refuse(http.StatusBadRequest, "from: missing in a service's first roll-out")
+		return
+	case was == nil || gone(was):
+		refuse(http.StatusNotFound, "from: no such service is running")
+		return
+	case was.Shape != job.Service:
+		refuse(http.StatusUnprocessableEntity, "from: the job is not a service")
+		return
+	case ro.byJob[current] != nil && ro.byJob[current] != s:
+		refuse(http.StatusConflict, "from: the job belongs to the service "+ro.byJob[current].rec.Service)
+		return
+	case !ro.takeover.settled():
+		back(Later("machines are being met after a change of leader"))
+		return
+	}
+	next := spec.Next(&was.Spec)
+	if p := ro.c.verdict(&next, ro.names.list()); p != nil {
+		back(p)
+		return
+	}
+	if ro.endings.known(next.ID) != nil || ro.groups.has(next.ID) {
+		refuse(http.StatusConflict, "to.uid: the job exists already")
+		return
+	}
+	now := time.Now()
+	rec := rollout.New(spec, handle, current, ro.zonesOf(was), now)
+	ro.create(rec, &job.Record{Spec: next, At: now.UnixMilli()}, version, back)
+}
+
+// zonesOf is where each replica runs.
+func (ro *rollouts) zonesOf(j *job.Job) []string {
+	out := make([]string, j.Tasks)
+	for s := range ro.fleet.On(j) {
+		if s.On() && s.Host.Zone >= 0 {
+			out[s.Task] = ro.names.zoneNames()[s.Host.Zone]
+		}
+	}
+	return out
+}
+
+// create makes a roll-out durable, with its job, before its operator is told.
+func (ro *rollouts) create(rec *rollout.Record, next *job.Record, version uint64, back func(*peer.Reply)) {
+	key, id := rolloutPrefix+rec.Service, next.Spec.ID
+	put, err1 := state.Put(key, rec)
+	job1, err2 := state.Put(job.ActivePrefix+id, next)
+	if err := errors.Join(err1, err2); err != nil {
+		back(reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
+		return
+	}
+	txn := state.Txn{Writes: []state.Write{put, job1}, If: []state.Cond{ro.fence, {Key: key, Version: version},
+		{Key: job.ActivePrefix + id}, {Key: job.FinalPrefix + id}}}
+	if s := ro.services[rec.Service]; s != nil {
+		s.writing = true
+	}
+	done := func(v uint64, p *peer.Reply) {
+		ro.ahead(func() {
+			if s := ro.services[rec.Service]; s != nil {
+				s.writing = false
+			}
+			if v == 0 {
+				back(p)
+				return
+			}
+			if ro.book.sound(id) == nil {
+				ro.book.add(next, v, time.Now())
+			}
+			s := &service{rec: rec, version: v}
+			ro.adopt(s)
+			ro.log.Info("roll-out is taken in", "service", rec.Service, "from", rec.Current, "to", rec.Next, "batches", len(rec.Batches))
+			back(reply(http.StatusCreated, ro.status(s)))
+		})
+	}
+	go func() {
+		for unclear := false; ro.ctx.Err() == nil; {
+			v, err := ro.c.State.Commit(ro.ctx, txn)
+			switch {
+			case err == nil:
+				done(v, nil)
+				return
+			case errors.Is(err, state.ErrConflict):
+				e, gerr := ro.c.State.Get(ro.ctx, key)
+				var stored rollout.Record
+				switch {
+				case gerr == nil && wire.Unmarshal(e.Value, &stored) == nil && stored.Next == rec.Next && stored.Started == rec.Started:
+					done(e.Version, nil)
+					return
+				case gerr == nil || errors.Is(gerr, state.ErrNotFound):
+					done(0, reply(http.StatusConflict, wire.Error{Error: "to.uid: the job exists already, or the service has changed"}))
+					return
+				}
+			case errors.Is(err, state.ErrRefused) && !unclear:
+				done(0, Later("state service refuses writes"))
+				return
+			default:
+				unclear = true
+				back(Later("roll-out is not settled yet"))
+			}
+			ro.pause(200 * time.Millisecond)
+		}
+	}()
+}
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -29,6 +29,7 @@
 	endings   *endings
 	results   *results
 	groups    *groups
+	rollouts  *rollouts
 
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
@@ -285,6 +286,10 @@
 	if err != nil {
 		return err
 	}
+	rs, err := tk.rollouts.list()
+	if err != nil {
+		return err
+	}
 	// From here on nothing of a try that failed half-way may be left.
 	tk.fleet = fleet.New(tk.term, config.Seconds(tk.c.Settings.Facts.Workers.LeaseS))
 	tk.registry.reset()
@@ -352,6 +357,9 @@
 			return err
 		}
 	}
+	if err := tk.rollouts.load(rs); err != nil {
+		return err
+	}
 	for _, j := range tk.book.all() {
 		if j.Over() {
 			tk.endings.finish(j, wire.JobDone)
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -19,6 +19,7 @@
 	machines *machines
 	endings  *endings
 	results  *results
+	rollouts *rollouts
 }
 
 // observe takes in a worker's message.
@@ -134,6 +135,8 @@
 			}
 		case fleet.Ended:
 			wk.ended(s, j, h, now)
+		case fleet.Sickened:
+			wk.rollouts.failed(j, s.Task, h.Name)
 		case fleet.Gone, fleet.Never:
 			if j.Shape == job.Gang && j.GangRan {
 				wk.breakGang(j)
@@ -185,6 +188,7 @@
 		return
 	case wire.CauseError:
 		wk.blame(j, h, now)
+		wk.rollouts.failed(j, s.Task, h.Name)
 	case wire.CauseNoSuch:
 		wk.holdBack(j, now)
 	}
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -32,6 +32,7 @@
 	ready   time.Time // its image is there
 	runs    time.Time
 	saves   time.Time
+	health  string
 }
 
 func (t *task) exit(cause string) { t.phase, t.cause = wire.Exited, cause }
@@ -80,7 +81,7 @@
 	r := wire.Report{Host: k.name, Addr: k.addr, Type: k.typ, Zone: k.zone, Spot: k.spot, Session: k.session, Seq: k.seq, Token: k.token, Tasks: []wire.TaskReport{}}
 	for _, n := range slices.Sorted(maps.Keys(k.tasks)) {
 		t := k.tasks[n]
-		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, Phase: t.phase, Cause: t.cause, Saved: t.saved})
+		r.Tasks = append(r.Tasks, wire.TaskReport{Task: t.name, Attempt: t.attempt, Phase: t.phase, Cause: t.cause, Saved: t.saved, Health: t.health})
 	}
 	return r
 }
@@ -106,7 +107,9 @@
 			if t.phase == wire.Saving && o.Grace != nil && *o.Grace > 0 {
 				continue
 			}
+			was := t.phase
 			t.exit(wire.CauseHalted)
+			k.ended(t, was, time.Now())
 		case wire.Clear:
 			if t != nil && t.phase == wire.Exited {
 				delete(k.tasks, id)
@@ -145,12 +148,14 @@
 
 func (k *Worker) step(now time.Time) {
 	if now.Sub(k.leased) > k.w.cfg.Lease {
+		k.lose(now)
 		k.tasks = map[string]*task{}
 		k.session++
 		k.leased, k.change = now, true
 	}
 	for _, t := range k.tasks {
 		was := t.phase
+		defer k.ended(t, was, now)
 		switch t.phase {
 		case wire.Pulling:
 			k.begin(t, now)
@@ -179,6 +184,7 @@
 		return
 	}
 	k.w.started(k, t)
+	k.w.record(Event{At: now, Task: t.name, Image: t.spec.Image, Host: k.name, Zone: k.zone, Start: true})
 	t.phase, t.runs = wire.Running, now
 	if t.spec.ShapeName == gang {
 		t.phase = wire.Waiting
@@ -200,7 +206,11 @@
 		t.exit(wire.CauseMatesGone)
 	case crash > 0 && ran > crash:
 		t.exit(wire.CauseError)
-	case t.spec.ShapeName != service && ran > time.Duration(t.spec.EstimateS*float64(time.Second)):
+	case t.spec.ShapeName == service:
+		if h := k.w.images[t.spec.Image].health(ran); h != t.health {
+			t.health, k.change = h, true
+		}
+	case ran > time.Duration(t.spec.EstimateS*float64(time.Second)):
 		t.exit(wire.CauseDone)
 		k.w.completed(t)
 	}
@@ -327,7 +337,40 @@
 	}
 }
 
-// serve answers direct commands.
+// ended notes in the history that a task that ran does so no more.
+func (k *Worker) ended(t *task, was string, now time.Time) {
+	if (was == wire.Running || was == wire.Saving) && t.phase == wire.Exited {
+		k.w.record(Event{At: now, Task: t.name, Image: t.spec.Image, Host: k.name, Zone: k.zone, Cause: t.cause})
+	}
+}
+
+// lose notes in the history that all that ran is gone.
+func (k *Worker) lose(now time.Time) {
+	for _, t := range k.tasks {
+		if t.phase == wire.Running || t.phase == wire.Saving {
+			k.w.record(Event{At: now, Task: t.name, Image: t.spec.Image, Host: k.name, Zone: k.zone, Cause: Lost})
+		}
+	}
+}
+
+// check answers a health check of a replica.
+func (k *Worker) check(rw http.ResponseWriter, piece string) {
+	if k.w.mute {
+		panic(http.ErrAbortHandler) // ends the connection without an answer
+	}
+	for _, t := range k.tasks {
+		if t.name != piece || t.phase != wire.Running {
+			continue
+		}
+		if k.w.images[t.spec.Image].health(time.Since(t.runs)) == wire.HealthBad {
+			rw.WriteHeader(http.StatusInternalServerError)
+		}
+		return
+	}
+	rw.WriteHeader(http.StatusNotFound)
+}
+
+// serve answers direct commands and health checks.
 func (k *Worker) serve(rw http.ResponseWriter, q *http.Request) {
 	var d wire.Direct
 	ok := q.URL.Path == "/do" && decode(q, &d)
@@ -346,6 +389,9 @@
 	k.step(time.Now())
 	switch {
 	case q.URL.Path == "/show":
+	case q.Method == http.MethodGet:
+		k.check(rw, q.URL.Query().Get("piece"))
+		return
 	case !ok:
 		encode(rw, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -49,6 +49,9 @@
 	workers map[string]*Worker
 	hires   map[string][]string
 	images  map[string]Image
+	history []Event
+	keeps   bool // the history
+	mute    bool // health checks get no answer
 	count   int
 	judge   judge
 	wg      sync.WaitGroup
@@ -100,6 +103,24 @@
 type Image struct {
 	// CrashAfter is when they fail; 0: never.
 	CrashAfter time.Duration
+	// BadAfter is when a replica's health turns bad; 0: never. With Flap it turns
+	// good and bad again every so often from then on.
+	BadAfter, Flap time.Duration
+	// Mute: its workers say nothing of its health.
+	Mute bool
+}
+
+// health is what a worker says of a replica that has run for so long.
+func (b Image) health(ran time.Duration) string {
+	switch {
+	case b.Mute:
+		return ""
+	case b.BadAfter == 0 || ran < b.BadAfter:
+		return wire.HealthGood
+	case b.Flap > 0 && int((ran-b.BadAfter)/b.Flap)%2 == 1:
+		return wire.HealthGood
+	}
+	return wire.HealthBad
 }
 
 // Behave sets how an image's tasks behave from now on.
@@ -154,6 +175,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, k := range ks {
+		k.lose(time.Now())
 		k.gone = true
 		delete(w.workers, k.name)
 	}
@@ -168,6 +190,14 @@
 	}
 }
 
+// RefuseChecks lets no health check get an answer, as if only the checker were cut
+// off.
+func (w *World) RefuseChecks(on bool) {
+	w.mu.Lock()
+	w.mute = on
+	w.mu.Unlock()
+}
+
 // Sicken lets machines fail every task.
 func (w *World) Sicken(ks []*Worker) {
 	w.mu.Lock()
@@ -219,6 +249,7 @@
 		}
 		for _, n := range in.Hosts {
 			if k := w.workers[n]; k != nil {
+				k.lose(time.Now())
 				k.gone = true
 				delete(w.workers, n)
 			}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,6 +26,9 @@
 	Phase string
 	Cause string
 	Saved bool
+	// Health is the worker's word on a running replica, Checked what the last check
+	// of it said (the same words; empty: nothing).
+	Health, Checked string
 	// Sent: the launch has left, or may have. Before that the slot only holds
 	// its room.
 	Sent bool
@@ -67,6 +70,8 @@
 	Gone
 	// Never: the launch was certainly not executed.
 	Never
+	// Sickened: the worker says that a replica that was good is bad.
+	Sickened
 )
 
 // Event tells the leader about a slot.
@@ -331,6 +336,9 @@
 	}
 }
 
+// Silent is how long no report has come from the machine.
+func (h *Host) Silent(now time.Time) time.Duration { return now.Sub(h.heard) }
+
 // Busy reports whether anything may be on the machine.
 func (h *Host) Busy() bool { return h.Jobs > 0 }
 
@@ -447,6 +455,10 @@
 			continue
 		}
 		s.Phase, s.Cause, s.Saved = t.Phase, t.Cause, t.Saved
+		if s.Health == wire.HealthGood && t.Health == wire.HealthBad {
+			r.Events = append(r.Events, Event{Sickened, s})
+		}
+		s.Health = t.Health
 		switch {
 		case t.Phase == wire.Exited:
 			j.AddLive(task, -1)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -70,6 +70,13 @@
 	dirty     map[int]bool
 	saved     map[int]bool // chunks that exist as keys
 
+	// Quota is which replicas of a service may run while it is rolled out; nil: all.
+	Quota *Quota
+	// Versions are the other versions of the service, and Handle tells that this job
+	// is its user's name for all of them.
+	Versions []*Job
+	Handle   bool
+
 	// Live counts, for each task, the placements that may be on a machine.
 	Live map[int32]int
 	// undone counts the tasks of Live that have not completed.
@@ -158,8 +165,36 @@
 	return j.Shape != Service && j.DoneCount == j.Tasks
 }
 
+// Quota is which replicas of a service may run, and in which zone each (-1: any).
+type Quota struct {
+	Allowed []bool
+	Zone    []int
+}
+
+// May reports whether a task may run.
+func (j *Job) May(task int32) bool {
+	return j.Quota == nil || (int(task) < len(j.Quota.Allowed) && j.Quota.Allowed[task])
+}
+
+// ZoneOf is the only zone that a task may run in, or -1.
+func (j *Job) ZoneOf(task int32) int {
+	if j.Quota != nil && int(task) < len(j.Quota.Zone) && j.Quota.Zone[task] >= 0 {
+		return j.Quota.Zone[task]
+	}
+	return j.ZoneIdx
+}
+
 // Waiting is the number of tasks that need a placement.
 func (j *Job) Waiting() int {
+	if j.Quota != nil {
+		n := 0
+		for t := range int32(j.Tasks) {
+			if j.May(t) && j.Live[t] == 0 {
+				n++
+			}
+		}
+		return n
+	}
 	if j.Shape == Service {
 		return j.Tasks - len(j.Live)
 	}
@@ -178,7 +213,7 @@
 			t += 63 // a large job that is nearly over must not cost a look at each task
 			continue
 		}
-		if j.Live[t] > 0 || (j.Shape != Service && j.IsDone(t)) {
+		if j.Live[t] > 0 || !j.May(t) || (j.Shape != Service && j.IsDone(t)) {
 			continue
 		}
 		if !yield(t) {
@@ -208,9 +243,9 @@
 // Become replaces what is known of a job by its record; what may be on machines
 // stays.
 func (j *Job) Become(r *Record, submitted time.Time) {
-	live, noted := j.Live, j.Noted
+	live, noted, quota, versions, handle := j.Live, j.Noted, j.Quota, j.Versions, j.Handle
 	*j = *New(r, submitted)
-	j.Live, j.Noted = live, noted
+	j.Live, j.Noted, j.Quota, j.Versions, j.Handle = live, noted, quota, versions, handle
 	j.recount()
 }
 
--- /dev/null
+++ b/internal/node/rollout_test.go
@@ -0,0 +1,242 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/job"
+	"vetchstream/internal/rollout"
+	"vetchstream/internal/wire"
+)
+
+// rollBed is a service of six replicas on three controllers, and its roll-out.
+type rollBed struct {
+	*sim
+	t    *testing.T
+	hc   *http.Client
+	spec *job.Spec
+	sv   *served
+}
+
+func newRollBed(t *testing.T, limit float64) (*rollBed, func()) {
+	s, closeAll := newSim(t, 1, func(c *emulate.Config) {
+		c.Most, c.Limits = 30, map[string]float64{}
+		c.Types = []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: []string{"a", "b", "c"}}}
+		if limit > 0 {
+			c.Limits["red"] = 14
+		}
+	}, func(tun *config.Tuning) { tun.Rollouts.Enabled = true })
+	s.Keep()
+	for i := range 9 {
+		s.Boot("small", []string{"a", "b", "c"}[i%3], false, 0)
+	}
+	team := "blue"
+	if limit > 0 {
+		team = "red" // which has a limit of 14 CPUs
+	}
+	b := &rollBed{sim: s, t: t, spec: &job.Spec{ID: "run-1", Team: team, ShapeName: "daemon", RankName: "standard", Tasks: 6, CPUs: max(1, limit), MemGB: 1, Image: "old"},
+		sv: &served{name: "svc"},
+		hc: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}}
+	s.Describe(b.spec)
+	if !s.submit(b.hc, b.spec) {
+		t.Fatal("not accepted")
+	}
+	b.until(60, func() bool { return s.Running("run-1") == 6 })
+	time.Sleep(5 * time.Second)
+	return b, closeAll
+}
+
+// until waits for something, for so many seconds at most.
+func (b *rollBed) until(secs int, what func() bool) {
+	for range 10 * secs {
+		if what() {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	b.t.Errorf("not within %d s; the roll-out is %s (%s)", secs, b.sv.state, b.sv.reason)
+}
+
+func (b *rollBed) start(edit map[string]any) int {
+	doc := map[string]any{"service": "svc", "from": "run-1", "to": map[string]any{"uid": "run-2", "reel": "new"},
+		"batch": 2, "most_extra": 1, "ready_s": 2.0, "soak_s": 6.0, "deadline_s": 60.0}
+	for k, v := range edit {
+		doc[k] = v
+	}
+	body, err := wire.Marshal(doc)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	got := 0
+	b.user(b.hc, "POST", "/api/rollouts", body, func(status int, _ wire.Status) bool {
+		got = status
+		return status < 500
+	})
+	return got
+}
+
+func (b *rollBed) is(state rollout.State) func() bool {
+	return func() bool {
+		b.status(b.hc, b.sv)
+		return b.sv.state == string(state)
+	}
+}
+
+// TestRollouts: roll-outs on whole controllers, through what must not disturb them.
+// A user polls the service's first job all the while.
+func TestRollouts(t *testing.T) {
+	// whenever runs f each time the stored record changes, n times.
+	whenever := func(b *rollBed, n int, f func()) {
+		was := uint64(0)
+		for n > 0 {
+			e, _ := b.store.Entry("r/svc")
+			if e.Version != was && was != 0 {
+				n--
+				f()
+			}
+			was = e.Version
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	tests := []struct {
+		name  string
+		limit float64 // CPUs of a replica, in a team with a limit
+		do    func(b *rollBed)
+	}{
+		{"a good build", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(200, b.is(rollout.Done))
+			b.until(20, func() bool { return b.Running("run-2") == 6 && b.Running("run-1") == 0 })
+		}},
+		{"the leader ends after each of three durable steps", 0, func(b *rollBed) {
+			b.start(nil)
+			whenever(b, 3, func() { crash(1)(b.sim) })
+			b.until(400, b.is(rollout.Done))
+		}},
+		{"the leader ends between a launch and its report", 0, func(b *rollBed) {
+			b.start(nil)
+			for n := 1; n <= 3; n++ {
+				b.until(100, func() bool { return b.Running("run-2") >= n })
+				crash(1)(b.sim)
+			}
+			b.until(400, b.is(rollout.Done))
+		}},
+		{"all controllers end, and an outage, in the middle of a batch", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(100, func() bool { return b.Running("run-2") >= 1 })
+			crash(3)(b.sim)
+			outage(12 * time.Second)(b.sim)
+			b.until(400, b.is(rollout.Done))
+		}},
+		{"a second one is refused", 0, func(b *rollBed) {
+			b.start(nil)
+			if got := b.start(map[string]any{"to": map[string]any{"uid": "run-3", "reel": "newer"}}); got != 409 {
+				b.t.Errorf("the second got %d", got)
+			}
+			if got := b.start(nil); got != 200 {
+				b.t.Errorf("the first once more got %d", got)
+			}
+			b.until(200, b.is(rollout.Done))
+		}},
+		{"one that supersedes it comes after the other is taken back", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(100, func() bool { return b.Running("run-2") >= 1 })
+			if got := b.start(map[string]any{"to": map[string]any{"uid": "run-3", "reel": "newer"}, "supersede": true}); got != 201 {
+				b.t.Errorf("it got %d", got)
+			}
+			b.until(300, b.is(rollout.Done))
+			b.until(20, func() bool { return b.Running("run-3") == 6 && b.Running("run-2") == 0 })
+		}},
+		{"a bad build, and a good one after it", 0, func(b *rollBed) {
+			b.Behave("new", emulate.Image{BadAfter: 4 * time.Second})
+			b.start(nil)
+			b.until(200, b.is(rollout.Undone))
+			b.until(60, func() bool { return b.Running("run-1") == 6 && b.Running("run-2") == 0 })
+			b.start(map[string]any{"to": map[string]any{"uid": "run-3", "reel": "newer"}})
+			b.until(200, b.is(rollout.Done))
+		}},
+		{"the old image fails as well when it is taken back", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(100, func() bool { return b.Running("run-2") >= 3 })
+			b.Behave("new", emulate.Image{CrashAfter: time.Second})
+			b.Behave("old", emulate.Image{CrashAfter: 500 * time.Millisecond})
+			b.until(400, b.is(rollout.Failed))
+		}},
+		{"its user cancels the service", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(100, func() bool { return b.Running("run-2") >= 3 })
+			b.user(b.hc, "POST", "/api/jobs/run-1/abort", nil, func(status int, st wire.Status) bool { return status == 200 && st.Phase == wire.JobAborted })
+			b.until(25, func() bool { return b.Running("run-1") == 0 && b.Running("run-2") == 0 })
+			b.until(20, b.is(rollout.Failed))
+		}},
+		{"the team's limit leaves no room for one extra: it waits, then pauses", 2, func(b *rollBed) {
+			// Six replicas take 12 of 14 CPUs: the next version's are larger.
+			b.start(map[string]any{"to": map[string]any{"uid": "run-2", "reel": "new", "cpus": 2.3}})
+			b.until(200, b.is(rollout.Paused))
+			if n := b.Running("run-1"); n != 6 {
+				b.t.Errorf("%d old replicas run", n)
+			}
+		}},
+		{"with one missing it needs no room", 2, func(b *rollBed) {
+			b.start(map[string]any{"to": map[string]any{"uid": "run-2", "reel": "new", "cpus": 2.3}, "most_extra": 0, "most_missing": 1})
+			b.until(400, b.is(rollout.Done))
+		}},
+		{"health by checks of workers that say nothing themselves", 0, func(b *rollBed) {
+			b.Behave("new", emulate.Image{Mute: true})
+			b.start(map[string]any{"check": map[string]any{"path": "/healthy", "every_s": 1.0}})
+			b.until(200, b.is(rollout.Done))
+		}},
+		{"the leader's checks reach nobody: paused, then on", 0, func(b *rollBed) {
+			b.Behave("new", emulate.Image{Mute: true})
+			b.start(map[string]any{"check": map[string]any{"path": "/healthy", "every_s": 1.0}, "deadline_s": 300.0})
+			b.until(100, func() bool { return b.Running("run-2") >= 1 })
+			time.Sleep(3 * time.Second)
+			b.RefuseChecks(true)
+			b.until(60, b.is(rollout.Paused))
+			if !strings.Contains(b.sv.reason, "checker") {
+				b.t.Errorf("paused because %s", b.sv.reason)
+			}
+			b.RefuseChecks(false)
+			b.until(300, b.is(rollout.Done))
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				b, closeAll := newRollBed(t, tt.limit)
+				stop, ended := make(chan struct{}), make(chan struct{})
+				go func() { // its user polls the service's first job
+					defer close(ended)
+					before := ""
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(2 * time.Second):
+						}
+						if res, err := b.hc.Get("http://" + controllers[1].Addr + "/api/jobs/run-1"); err == nil {
+							var st wire.Status
+							body := readAll(res)
+							if res.StatusCode == 404 || (res.StatusCode == 200 && wire.Unmarshal(body, &st) == nil) {
+								before = b.Polled(b.spec, res.StatusCode, st.Phase, before, strings.Contains(tt.name, "cancels"))
+							}
+						}
+					}
+				}()
+				tt.do(b)
+				close(stop)
+				<-ended
+				if broken := b.Broken(); len(broken) > 0 {
+					t.Errorf("rules broken: %s", strings.Join(broken, "\n"))
+				}
+				closeAll()
+			})
+		})
+	}
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -84,6 +84,7 @@
 	still [3]gate
 	scale int // machines, tasks and limits are that many times as many
 	cuts  map[string]func(from, to string) bool
+	tune  func(*config.Tuning)
 }
 
 // gate stops what a process sends and takes in while it stands still. A message
@@ -151,6 +152,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if s.tune != nil {
+		s.tune(tun)
+	}
 	dial := s.net.Dialer(fmt.Sprintf("n%d", i))
 	g := &s.still[i]
 	nw := Net{Listen: func(addr string) (net.Listener, error) {
@@ -507,13 +511,17 @@
 	}
 }
 
-func playDay(t *testing.T, scale int, faults []fault) {
+// newSim starts three controllers on an emulation in memory, and returns what ends
+// them all.
+func newSim(t *testing.T, scale int, edit func(*emulate.Config), tune func(*config.Tuning)) (*sim, func()) {
 	n, store := emulate.NewMemory(), emulate.NewStore()
 	store.Page(7) // small pages, so that paging is in use
-	w := emulate.New(emulate.Config{Network: n, Store: store, Types: simTypes, Most: 12 * scale, Controllers: controllers,
+	cfg := emulate.Config{Network: n, Store: store, Types: simTypes, Most: 12 * scale, Controllers: controllers,
 		Lease: 10 * time.Second, Cancel: 25 * time.Second, Report: 2 * time.Second, GangWait: 20 * time.Second,
-		Fetch: time.Second, ListLag: 4 * time.Second, Limits: map[string]float64{"red": 14 * float64(scale)}})
-	s := &sim{World: w, t: t, net: n, store: store, cuts: map[string]func(string, string) bool{}, scale: scale}
+		Fetch: time.Second, ListLag: 4 * time.Second, Limits: map[string]float64{"red": 14 * float64(scale)}}
+	edit(&cfg)
+	w := emulate.New(cfg)
+	s := &sim{World: w, t: t, net: n, store: store, cuts: map[string]func(string, string) bool{}, scale: scale, tune: tune}
 	var servers []*http.Server
 	for addr, h := range map[string]http.Handler{"state:1": store, "cloud:1": w} {
 		l, err := n.Listen(addr)
@@ -524,14 +532,32 @@
 		servers = append(servers, srv)
 		go func() { _ = srv.Serve(l) }()
 	}
+	for i := range 3 {
+		s.startNode(i)
+	}
+	return s, func() {
+		ended := make(chan struct{})
+		go func() { defer close(ended); w.Close() }()
+		for i := range 3 {
+			s.kill(i)
+		}
+		for _, srv := range servers {
+			_ = srv.Close()
+		}
+		n.Reset(func(string, string) bool { return true })
+		<-ended
+		time.Sleep(30 * time.Second)
+	}
+}
+
+func playDay(t *testing.T, scale int, faults []fault) {
+	s, closeAll := newSim(t, scale, func(*emulate.Config) {}, nil)
+	w := s.World
 	for range scale {
 		w.Boot("large", "a", false, 0)
 		w.Boot("small", "b", false, 0)
 		w.Boot("small", "c", true, 0)
 	}
-	for i := range 3 {
-		s.startNode(i)
-	}
 	id := 0
 	add := func(shape, team string, tasks int, cpus, secs float64, at, abort time.Duration, edit func(*job.Spec)) {
 		id++
@@ -580,17 +606,7 @@
 		}
 	}
 	left := s.Open()
-	ended := make(chan struct{})
-	go func() { defer close(ended); w.Close() }()
-	for i := range 3 {
-		s.kill(i)
-	}
-	for _, srv := range servers {
-		_ = srv.Close()
-	}
-	n.Reset(func(string, string) bool { return true })
-	<-ended
-	time.Sleep(30 * sec)
+	closeAll()
 	if broken := w.Broken(); len(broken) > 0 {
 		t.Errorf("rules broken: %s", strings.Join(broken, "\n"))
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -43,6 +43,8 @@
 	KindStatus = "status"
 	KindAbort  = "abort"
 	KindReport = "report"
+	// KindRollout is a request about roll-outs; its body is an Operation.
+	KindRollout = "rollout"
 )
 
 // Request is a request that reached another node than the leader.
@@ -52,6 +54,24 @@
 	Body []byte `codec:"body,omitempty"`
 }
 
+// Operation is a request about a roll-out: what to do with which service, and a
+// specification where one is needed.
+type Operation struct {
+	Verb    string `codec:"verb"`
+	Service string `codec:"service,omitempty"`
+	Spec    []byte `codec:"spec,omitempty"`
+}
+
+// Verbs of operations.
+const (
+	VerbStart  = "start"
+	VerbStatus = "status"
+	VerbList   = "list"
+	VerbPause  = "pause"
+	VerbResume = "resume"
+	VerbUndo   = "undo"
+)
+
 // Reply is an HTTP answer in short: the status, the body's value encoded, and
 // the seconds after which to come back.
 type Reply struct {
--- /dev/null
+++ b/internal/rollout/record.go
@@ -0,0 +1,189 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"vetchstream/internal/job"
+)
+
+// State is how far a roll-out is.
+type State string
+
+const (
+	// Pending: stored, and nothing has been changed.
+	Pending State = "pending"
+	// Advancing: the replicas of a batch are being changed.
+	Advancing State = "advancing"
+	// Soaking: the batch is changed and passes, and has to for a while.
+	Soaking State = "soaking"
+	// Paused: nothing is changed until an operator, or the reason's end, resumes it.
+	Paused State = "paused"
+	// Undoing: batches are taken back, the last one first.
+	Undoing State = "rolling back"
+	// Done: every replica is of the new version.
+	Done State = "done"
+	// Undone: every replica is of the old version again.
+	Undone State = "rolled back"
+	// Failed: it was given up: the service was cancelled, or its old version does not
+	// come back up either.
+	Failed State = "failed"
+)
+
+// Over reports whether a roll-out has come to its end.
+func (s State) Over() bool { return s == Done || s == Undone || s == Failed }
+
+// Batch is the replicas that change together, all in one zone.
+type Batch struct {
+	// Zone is where the new copies go; empty: wherever there is room, for replicas
+	// that had no machine when the roll-out began.
+	Zone     string  `codec:"zone"`
+	Replicas []int32 `codec:"replicas"`
+}
+
+// Failure counts how often a replica's new copy has failed, and the machines.
+type Failure struct {
+	Count int      `codec:"count"`
+	Hosts []string `codec:"hosts"`
+}
+
+// Record is the durable state of a service and of its last roll-out. All that is
+// done follows from it and from what is seen; a leader that takes over goes on
+// from it.
+type Record struct {
+	Service string `codec:"service"`
+	// Handle is the service's first job: its user's id for it. Current is the job of
+	// the version that runs, Next that of the one that is rolled out.
+	Handle  string  `codec:"handle"`
+	Current string  `codec:"current"`
+	Next    string  `codec:"next,omitempty"`
+	Spec    Spec    `codec:"spec"`
+	State   State   `codec:"state"`
+	Resume  State   `codec:"resume,omitempty"` // what a paused one was doing
+	Held    bool    `codec:"held,omitempty"`   // paused by an operator
+	Reason  string  `codec:"reason,omitempty"`
+	Batches []Batch `codec:"batches"`
+	// At is the batch that is being changed, or taken back.
+	At int `codec:"at"`
+	// Begun is when the batch began, Since when the state did, Started when the
+	// roll-out was asked for: times of day in milliseconds.
+	Begun   int64 `codec:"begun"`
+	Since   int64 `codec:"since"`
+	Started int64 `codec:"started"`
+	// Failures of new copies, by replica. They are durable, so that a change of
+	// leader does not forgive a build what it has done.
+	Failures map[int32]Failure `codec:"failures,omitempty"`
+}
+
+// Health is what is known of a copy.
+type Health uint8
+
+const (
+	// Unknown is not healthy.
+	Unknown Health = iota
+	Healthy
+	Unhealthy
+)
+
+// Copy is what the leader sees of one replica's copy of a version.
+type Copy struct {
+	// Live: it may be on a machine. Running: its worker says so.
+	Live, Running bool
+	Health        Health
+	// Lost: its machine is gone, silent or being emptied.
+	Lost   bool
+	SinceS float64 // how long it has run
+}
+
+// View is what the leader sees of a service at one moment.
+type View struct {
+	Now time.Time
+	// Old and New are the copies of the two versions, by replica.
+	Old, New []Copy
+	// Down are zones in which no machine can take work.
+	Down map[string]bool
+	// Blind: the checks fail for copies of the old version as well, and for nearly
+	// all copies: it is the checker that is cut off, not the copies.
+	Blind bool
+	// Cancelled: the user has cancelled the service.
+	Cancelled bool
+}
+
+// Plan divides a service's replicas into batches, none of them in two zones.
+// zoneOf is where each replica runs; empty: nowhere at the moment.
+func Plan(s *Spec, zoneOf []string) []Batch {
+	byZone := map[string][]int32{}
+	for i, z := range zoneOf {
+		byZone[z] = append(byZone[z], int32(i))
+	}
+	var order []string
+	for _, z := range s.Zones {
+		if byZone[z] != nil && !slices.Contains(order, z) && z != "" {
+			order = append(order, z)
+		}
+	}
+	var others []string
+	for z := range byZone {
+		if z != "" && !slices.Contains(order, z) {
+			others = append(others, z)
+		}
+	}
+	slices.Sort(others)
+	order = append(order, others...)
+	if byZone[""] != nil {
+		order = append(order, "")
+	}
+	size := s.size(len(zoneOf))
+	var out []Batch
+	for _, z := range order {
+		for c := range slices.Chunk(byZone[z], size) {
+			out = append(out, Batch{Zone: z, Replicas: slices.Clone(c)})
+		}
+	}
+	return out
+}
+
+// New makes the record of a roll-out that nothing has been done for.
+func New(s *Spec, handle, current string, zoneOf []string, now time.Time) *Record {
+	ms := now.UnixMilli()
+	return &Record{Service: s.Service, Handle: handle, Current: current, Next: s.To.ID, Spec: *s, State: Pending,
+		Batches: Plan(s, zoneOf), Begun: ms, Since: ms, Started: ms}
+}
+
+// Clone copies a record, so that a step leaves the stored one as it is.
+func (r *Record) Clone() *Record {
+	c := *r
+	c.Batches = make([]Batch, len(r.Batches))
+	for i, b := range r.Batches {
+		c.Batches[i] = Batch{b.Zone, slices.Clone(b.Replicas)}
+	}
+	c.Failures = make(map[int32]Failure, len(r.Failures))
+	for i, f := range r.Failures {
+		c.Failures[i] = Failure{f.Count, slices.Clone(f.Hosts)}
+	}
+	return &c
+}
+
+// maxHosts bounds the machines that are remembered of one replica's failures.
+const maxHosts = 4
+
+// Fail notes that a replica's new copy has failed on a machine, and reports
+// whether the record has changed.
+func (r *Record) Fail(replica int32, host string) bool {
+	if r.State.Over() || !slices.ContainsFunc(r.Batches, func(b Batch) bool { return slices.Contains(b.Replicas, replica) }) {
+		return false
+	}
+	if r.Failures == nil {
+		r.Failures = map[int32]Failure{}
+	}
+	f := r.Failures[replica]
+	f.Count++
+	if !slices.Contains(f.Hosts, host) && len(f.Hosts) < maxHosts {
+		f.Hosts = append(f.Hosts, host)
+	}
+	r.Failures[replica] = f
+	return true
+}
+
+// NextSpec is the next version's job, given the one before.
+func (r *Record) NextSpec(was *job.Spec) job.Spec { return r.Spec.Next(was) }
--- /dev/null
+++ b/internal/rollout/spec.go
@@ -0,0 +1,258 @@
+// Package rollout moves a service from one build to the next, batch by batch, and
+// back when the new one is bad. It decides and holds no connection, goroutine or
+// clock: the leader passes in what it sees and the time, stores the record that
+// comes back under its term, and carries out what the record says is wanted.
+package rollout
+
+import (
+	"bytes"
+	_ "embed"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// Target is the next version of a service: a job id of its own, since a worker
+// reads a job's description by its id, and what differs from the version before.
+type Target struct {
+	ID      string   `codec:"uid" json:"uid"`
+	Image   string   `codec:"reel" json:"reel"`
+	ImageGB *float64 `codec:"image_gb,omitempty" json:"image_gb,omitempty"`
+	CPUs    *float64 `codec:"cpus,omitempty" json:"cpus,omitempty"`
+	GPUs    *float64 `codec:"accelerators,omitempty" json:"accelerators,omitempty"`
+	MemGB   *float64 `codec:"mem_gb,omitempty" json:"mem_gb,omitempty"`
+	Types   []string `codec:"builds,omitempty" json:"builds,omitempty"`
+}
+
+// Check is a request that the leader makes to each copy's worker.
+type Check struct {
+	Path   string  `codec:"path" json:"path"`
+	EveryS float64 `codec:"every_s,omitempty" json:"every_s,omitempty"`
+}
+
+// Spec is a roll-out as an operator asks for it.
+type Spec struct {
+	Service string `codec:"service" json:"service"`
+	// From is the service's first job, named in its first roll-out.
+	From string `codec:"from,omitempty" json:"from,omitempty"`
+	To   Target `codec:"to" json:"to"`
+	// Batch is how many replicas change at a time, or BatchShare of them.
+	Batch      int     `codec:"batch,omitempty" json:"batch,omitempty"`
+	BatchShare float64 `codec:"batch_share,omitempty" json:"batch_share,omitempty"`
+	// MostMissing and MostExtra bound how many replicas there are too few or too
+	// many at a time.
+	MostMissing *int `codec:"most_missing,omitempty" json:"most_missing,omitempty"`
+	MostExtra   *int `codec:"most_extra,omitempty" json:"most_extra,omitempty"`
+	// Pass and Fail are the gate, see gate.go.
+	Pass string `codec:"pass,omitempty" json:"pass,omitempty"`
+	Fail string `codec:"fail,omitempty" json:"fail,omitempty"`
+	// ReadyS is how long a new copy has to be healthy before its old one goes, in
+	// seconds.
+	ReadyS *float64 `codec:"ready_s,omitempty" json:"ready_s,omitempty"`
+	// SoakS is how long a batch has to pass before the next, DeadlineS how long it
+	// may take until then. In seconds.
+	SoakS     *float64 `codec:"soak_s,omitempty" json:"soak_s,omitempty"`
+	DeadlineS float64  `codec:"deadline_s,omitempty" json:"deadline_s,omitempty"`
+	// Undo: roll back by itself; else it pauses.
+	Undo *bool `codec:"undo,omitempty" json:"undo,omitempty"`
+	// Zones is the order of the zones; the others follow by name.
+	Zones []string `codec:"zones,omitempty" json:"zones,omitempty"`
+	// Supersede: take the place of a roll-out that is under way.
+	Supersede bool   `codec:"supersede,omitempty" json:"supersede,omitempty"`
+	Check     *Check `codec:"check,omitempty" json:"check,omitempty"`
+}
+
+// Defaults of a spec that says nothing.
+const (
+	defaultReadyS    = 10.0
+	defaultSoakS     = 60.0
+	defaultDeadlineS = 600.0
+	defaultShare     = 0.1
+	defaultEveryS    = 5.0
+)
+
+// ErrSpec marks a specification that is wrong.
+var ErrSpec = errors.New("roll-out is malformed")
+
+//go:embed schema.json
+var schemaJSON []byte
+
+var schema = sync.OnceValues(func() (*jsonschema.Schema, error) {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaJSON))
+	if err != nil {
+		return nil, fmt.Errorf("roll-out schema: %w", err)
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource("urn:vetchstream:rollout", doc); err != nil {
+		return nil, fmt.Errorf("roll-out schema: %w", err)
+	}
+	return c.Compile("urn:vetchstream:rollout")
+})
+
+// Parse reads a specification in its encoded form and checks it against the
+// schema. An error is an ErrSpec and names the field.
+func Parse(body []byte) (*Spec, error) {
+	var doc map[string]any
+	if err := wire.Unmarshal(body, &doc); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	sch, err := schema()
+	if err != nil {
+		return nil, err
+	}
+	if err := sch.Validate(plain(doc)); err != nil {
+		var ve *jsonschema.ValidationError
+		if errors.As(err, &ve) {
+			return nil, fmt.Errorf("%w: %s", ErrSpec, place(ve))
+		}
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	// JSON has one kind of number; counts are integers, as the schema has checked.
+	for _, k := range []string{"batch", "most_missing", "most_extra"} {
+		if f, ok := doc[k].(float64); ok {
+			doc[k] = int64(f)
+		}
+	}
+	if body, err = wire.Marshal(doc); err != nil {
+		return nil, err
+	}
+	s := &Spec{}
+	if err := wire.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	if s.Batch > 0 && s.BatchShare > 0 {
+		return nil, fmt.Errorf("%w: batch: given beside batch_share", ErrSpec)
+	}
+	if s.missing() == 0 && s.extra() == 0 {
+		return nil, fmt.Errorf("%w: most_missing: 0 beside most_extra 0 lets nothing change", ErrSpec)
+	}
+	if _, err := NewGate(s.Pass, s.Fail); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrSpec, err)
+	}
+	return s, nil
+}
+
+// plain turns what the decoder makes of numbers and lists into what the schema's
+// validator knows.
+func plain(v any) any {
+	switch x := v.(type) {
+	case map[string]any:
+		for k, e := range x {
+			x[k] = plain(e)
+		}
+	case []any:
+		for i, e := range x {
+			x[i] = plain(e)
+		}
+	case uint64:
+		return float64(x)
+	case int64:
+		return float64(x)
+	}
+	return v
+}
+
+// place names the first field that is wrong, and how.
+func place(e *jsonschema.ValidationError) string {
+	for len(e.Causes) > 0 {
+		e = e.Causes[0]
+	}
+	at := strings.Join(e.InstanceLocation, ".")
+	switch k := e.ErrorKind.(type) {
+	case *kind.Required:
+		at = strings.Join(append(e.InstanceLocation, k.Missing[0]), ".")
+		return at + ": missing"
+	case *kind.AdditionalProperties:
+		at = strings.Join(append(e.InstanceLocation, k.Properties[0]), ".")
+		return at + ": unknown field"
+	}
+	msg := e.Error()
+	if i := strings.LastIndex(msg, ": "); i >= 0 {
+		msg = msg[i+2:]
+	}
+	return at + ": " + msg
+}
+
+func (s *Spec) missing() int {
+	if s.MostMissing != nil {
+		return *s.MostMissing
+	}
+	return 0
+}
+
+func (s *Spec) extra() int {
+	if s.MostExtra != nil {
+		return *s.MostExtra
+	}
+	return 1
+}
+
+func (s *Spec) ready() float64 {
+	if s.ReadyS != nil {
+		return *s.ReadyS
+	}
+	return defaultReadyS
+}
+
+func (s *Spec) soak() float64 {
+	if s.SoakS != nil {
+		return *s.SoakS
+	}
+	return defaultSoakS
+}
+
+func (s *Spec) deadline() float64 {
+	if s.DeadlineS > 0 {
+		return s.DeadlineS
+	}
+	return defaultDeadlineS
+}
+
+func (s *Spec) undo() bool { return s.Undo == nil || *s.Undo }
+
+// EveryS is how often a copy is checked, in seconds.
+func (s *Spec) EveryS() float64 {
+	if s.Check != nil && s.Check.EveryS > 0 {
+		return s.Check.EveryS
+	}
+	return defaultEveryS
+}
+
+// size is how many replicas change at a time.
+func (s *Spec) size(replicas int) int {
+	n := s.Batch
+	if n == 0 {
+		share := s.BatchShare
+		if share == 0 {
+			share = defaultShare
+		}
+		n = int(math.Ceil(share * float64(replicas)))
+	}
+	return max(1, min(n, replicas))
+}
+
+// Next is the job of the next version.
+func (s *Spec) Next(was *job.Spec) job.Spec {
+	next := *was
+	next.ID, next.Image = s.To.ID, s.To.Image
+	for _, f := range []struct {
+		to   *float64
+		from *float64
+	}{{&next.ImageGB, s.To.ImageGB}, {&next.CPUs, s.To.CPUs}, {&next.GPUs, s.To.GPUs}, {&next.MemGB, s.To.MemGB}} {
+		if f.from != nil {
+			*f.to = *f.from
+		}
+	}
+	if s.To.Types != nil {
+		next.Types = s.To.Types
+	}
+	return next
+}
--- /dev/null
+++ b/internal/rollout/step.go
@@ -0,0 +1,417 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// sample sums up the new copies of a batch.
+func (r *Record) sample(v *View, b *Batch) Sample {
+	s := Sample{Replicas: len(b.Replicas)}
+	var healthy, unhealthy, unknown int
+	hosts := map[string]bool{}
+	youngest := -1.0
+	for _, i := range b.Replicas {
+		f := r.Failures[i]
+		s.Failures = max(s.Failures, f.Count)
+		s.AllFailures += f.Count
+		for _, h := range f.Hosts {
+			hosts[h] = true
+		}
+		c := v.copyOf(v.New, i)
+		switch {
+		case c.Lost:
+			s.Lost++
+			continue
+		case !c.Running:
+			unknown++
+		case c.Health == Healthy:
+			healthy++
+		case c.Health == Unhealthy:
+			unhealthy++
+		default:
+			unknown++
+		}
+		if c.Running && (youngest < 0 || c.SinceS < youngest) {
+			youngest = c.SinceS
+		}
+	}
+	s.SinceS = max(0, youngest)
+	s.FailedHosts = len(hosts)
+	if n := float64(s.Replicas - s.Lost); n > 0 {
+		s.Healthy, s.Unhealthy, s.Unknown = float64(healthy)/n, float64(unhealthy)/n, float64(unknown)/n
+	}
+	return s
+}
+
+func (v *View) copyOf(of []Copy, i int32) Copy {
+	if int(i) >= len(of) {
+		return Copy{}
+	}
+	return of[i]
+}
+
+// to moves the record to a state.
+func (r *Record) to(s State, now time.Time, why string) {
+	r.State, r.Since, r.Reason = s, now.UnixMilli(), why
+}
+
+// begin starts work on a batch.
+func (r *Record) begin(at int, now time.Time) {
+	r.At, r.Begun = at, now.UnixMilli()
+	r.to(Advancing, now, "")
+}
+
+// pause stops where it is. What is wanted stays as it was.
+func (r *Record) pause(now time.Time, why string) {
+	r.Resume = r.State
+	r.to(Paused, now, why)
+}
+
+// undo begins to take batches back, the one that is under way first.
+func (r *Record) undo(now time.Time, why string) {
+	r.Begun = now.UnixMilli()
+	r.to(Undoing, now, why)
+}
+
+func secs(from int64, now time.Time) float64 { return float64(now.UnixMilli()-from) / 1000 }
+
+// Step takes one step, if it is time for one, and reports whether the record has
+// changed. It is the same whoever takes it, and taking it twice changes nothing
+// more: the record and the view decide alone.
+func Step(r *Record, v *View) bool {
+	if r.State.Over() {
+		return false
+	}
+	if v.Cancelled {
+		r.to(Failed, v.Now, "the service was cancelled by its user")
+		return true
+	}
+	gate, err := NewGate(r.Spec.Pass, r.Spec.Fail)
+	if err != nil { // it was checked when it came; a record of another version
+		if r.State != Paused {
+			r.pause(v.Now, err.Error())
+			return true
+		}
+		return false
+	}
+	switch r.State {
+	case Pending:
+		r.begin(0, v.Now)
+		return true
+	case Undoing:
+		return r.stepBack(v)
+	}
+	// A copy that passed at first and fails later stops the roll-out, whichever
+	// batch it was in; so does one that fails while it is paused.
+	if r.At < len(r.Batches) && !v.Blind {
+		for i := 0; i <= r.At; i++ {
+			s := r.sample(v, &r.Batches[i])
+			if !gate.Fails(s) {
+				continue
+			}
+			why := fmt.Sprintf("batch %d: %s", i+1, tell(s))
+			if r.Spec.undo() {
+				r.undo(v.Now, why)
+				return true
+			}
+			if r.State != Paused {
+				r.pause(v.Now, why)
+				r.Held = true
+				return true
+			}
+			return false
+		}
+	}
+	switch r.State {
+	case Paused:
+		return r.stepPaused(v)
+	case Advancing:
+		return r.stepForward(v, gate)
+	case Soaking:
+		return r.stepSoak(v, gate)
+	}
+	return false
+}
+
+// tell says in words what a gate has seen.
+func tell(s Sample) string {
+	return fmt.Sprintf("%d failures on %d machines, at most %d of one copy; %.0f %% healthy, %.0f %% unhealthy, %.0f %% unknown, %d lost",
+		s.AllFailures, s.FailedHosts, s.Failures, 100*s.Healthy, 100*s.Unhealthy, 100*s.Unknown, s.Lost)
+}
+
+// Reasons of a pause that ends by itself.
+const (
+	blindReason = "the checks fail for old copies as well: the checker is cut off"
+	zoneReason  = "no machine of the zone can take work: "
+	lostReason  = "machines of the batch were lost: "
+)
+
+// stepPaused resumes what was paused for a reason that has gone.
+func (r *Record) stepPaused(v *View) bool {
+	if r.Held || v.Blind || (r.At < len(r.Batches) && v.Down[r.Batches[r.At].Zone]) {
+		return false
+	}
+	switch {
+	case r.Reason == blindReason || hasPrefix(r.Reason, zoneReason):
+	case hasPrefix(r.Reason, lostReason):
+		for _, i := range r.Batches[min(r.At, len(r.Batches)-1)].Replicas {
+			if v.copyOf(v.Old, i).Lost || v.copyOf(v.New, i).Lost {
+				return false
+			}
+		}
+	default:
+		return false
+	}
+	r.resume(v.Now)
+	return true
+}
+
+func hasPrefix(s, p string) bool { return len(s) >= len(p) && s[:len(p)] == p }
+
+// resume goes on where a pause began. The batch has its full time again: it was
+// not its copies' doing.
+func (r *Record) resume(now time.Time) {
+	back := r.Resume
+	if back == Soaking || back == "" {
+		back = Advancing // it has to pass anew
+	}
+	r.Held, r.Resume, r.Begun = false, "", now.UnixMilli()
+	r.to(back, now, "")
+}
+
+func (r *Record) stepForward(v *View, gate *Gate) bool {
+	b := &r.Batches[r.At]
+	if v.Blind {
+		r.pause(v.Now, blindReason)
+		return true
+	}
+	if v.Down[b.Zone] {
+		// A batch that has not begun gives way to one elsewhere; one that has is waited
+		// for, and never made larger.
+		if !r.touched(v, b) {
+			for i := r.At + 1; i < len(r.Batches); i++ {
+				if !v.Down[r.Batches[i].Zone] {
+					r.Batches[r.At], r.Batches[i] = r.Batches[i], r.Batches[r.At]
+					r.begin(r.At, v.Now)
+					return true
+				}
+			}
+		}
+		r.pause(v.Now, zoneReason+b.Zone)
+		return true
+	}
+	s := r.sample(v, b)
+	changed := s.Lost == 0
+	for _, i := range b.Replicas {
+		changed = changed && v.copyOf(v.New, i).Running && !v.copyOf(v.Old, i).Live
+	}
+	if changed && gate.Passes(s) {
+		r.to(Soaking, v.Now, "")
+		return true
+	}
+	if secs(r.Begun, v.Now) <= r.Spec.deadline() {
+		return false
+	}
+	// Late. Only what the copies are known to have done is held against the build.
+	why := fmt.Sprintf("batch %d is not healthy after %.0f s: %s", r.At+1, r.Spec.deadline(), tell(s))
+	switch {
+	case (s.Unhealthy > 0 || s.AllFailures > 0) && r.Spec.undo():
+		r.undo(v.Now, why)
+	case s.Lost > 0:
+		r.pause(v.Now, lostReason+why)
+	default:
+		r.pause(v.Now, why)
+		r.Held = true
+	}
+	return true
+}
+
+// touched reports whether anything of a batch has been changed.
+func (r *Record) touched(v *View, b *Batch) bool {
+	return slices.ContainsFunc(b.Replicas, func(i int32) bool { return v.copyOf(v.New, i).Live })
+}
+
+func (r *Record) stepSoak(v *View, gate *Gate) bool {
+	if v.Blind {
+		r.pause(v.Now, blindReason)
+		return true
+	}
+	if s := r.sample(v, &r.Batches[r.At]); s.Lost > 0 || !gate.Passes(s) {
+		r.to(Advancing, v.Now, "") // to pass anew, within the batch's deadline
+		return true
+	}
+	if secs(r.Since, v.Now) < r.Spec.soak() {
+		return false
+	}
+	if r.At+1 < len(r.Batches) {
+		r.begin(r.At+1, v.Now)
+		return true
+	}
+	r.At = len(r.Batches)
+	r.Current, r.Next = r.Next, r.Current
+	r.to(Done, v.Now, "")
+	return true
+}
+
+// stepBack takes back one batch after the other, with or without a healthy copy.
+func (r *Record) stepBack(v *View) bool {
+	b := &r.Batches[min(r.At, len(r.Batches)-1)]
+	// An old copy counts when it has run for a while: one that crashes looks up for a
+	// moment each time.
+	up := func(c Copy) bool { return c.Running && c.SinceS >= r.Spec.ready() }
+	back := true
+	for _, i := range b.Replicas {
+		back = back && !v.copyOf(v.New, i).Live && up(v.copyOf(v.Old, i))
+	}
+	late := secs(r.Begun, v.Now) > r.Spec.deadline()
+	if !back && !late {
+		return false
+	}
+	why := r.Reason
+	if r.At > 0 {
+		// One that does not come back up in time must not keep the others on the bad
+		// version.
+		r.At--
+		r.Begun = v.Now.UnixMilli()
+		return true
+	}
+	for i, c := range v.Old {
+		if !up(c) && late {
+			r.to(Failed, v.Now, fmt.Sprintf("%s; rolled back, but the old version does not come up either (replica %d)", why, i))
+			return true
+		}
+	}
+	r.to(Undone, v.Now, why)
+	return true
+}
+
+// Want is what should run: for each replica whether its old copy should, and the
+// zone of its new one.
+type Want struct {
+	Old []bool
+	New []Place
+}
+
+// Place is where a new copy should run.
+type Place struct {
+	Wanted bool
+	Zone   string // empty: anywhere
+}
+
+// Wanted says what should run now. It follows from the record and the view alone.
+func Wanted(r *Record, v *View) Want {
+	n := max(len(v.Old), len(v.New))
+	w := Want{Old: make([]bool, n), New: make([]Place, n)}
+	for i := range w.Old {
+		w.Old[i] = true
+	}
+	state := r.State
+	if state == Paused {
+		state = r.Resume
+	}
+	switch state {
+	case Pending, Undone, Failed:
+		return w
+	case Done:
+		// The versions have changed places: what is current is wanted.
+		return w
+	}
+	for at, b := range r.Batches {
+		switch {
+		case at > r.At:
+			continue
+		case at < r.At:
+			for _, i := range b.Replicas {
+				w.Old[i], w.New[i] = false, Place{true, b.Zone}
+			}
+		case state == Undoing:
+			// The whole batch goes back at once: its new copies are bad.
+		case r.State == Paused:
+			// What is there stays, and what is missing comes back as it was.
+			for _, i := range b.Replicas {
+				if next := v.copyOf(v.New, i); next.Live {
+					w.Old[i], w.New[i] = v.copyOf(v.Old, i).Live, Place{true, b.Zone}
+				}
+			}
+		default:
+			r.change(v, &b, &w)
+		}
+	}
+	return w
+}
+
+// change says which replicas of the batch under way change now. A new copy may
+// start when there is one extra or when its old one has gone; an old copy goes
+// when its new one has been healthy for a while (a bad build can look healthy for a
+// moment), or when one may be missing.
+func (r *Record) change(v *View, b *Batch, w *Want) {
+	extra, missing := r.Spec.extra(), r.Spec.missing()
+	for _, i := range b.Replicas {
+		old, next := v.copyOf(v.Old, i), v.copyOf(v.New, i)
+		good := next.Running && !next.Lost && next.Health == Healthy && next.SinceS >= r.Spec.ready()
+		switch {
+		case next.Live && !old.Live:
+			w.Old[i], w.New[i] = false, Place{true, b.Zone}
+			if !good {
+				missing--
+			}
+		case next.Live && good:
+			w.Old[i], w.New[i] = false, Place{true, b.Zone}
+			extra--
+		case next.Live:
+			w.New[i] = Place{true, b.Zone}
+			extra--
+		case !old.Live:
+			// Neither is there: the old one has gone by itself, or for this change.
+			w.Old[i], w.New[i] = false, Place{true, b.Zone}
+			missing--
+		}
+	}
+	for _, i := range b.Replicas {
+		if w.New[i].Wanted || !w.Old[i] {
+			continue
+		}
+		switch {
+		case extra > 0:
+			w.New[i] = Place{true, b.Zone}
+			extra--
+		case missing > 0:
+			w.Old[i] = false // the new one follows when it has gone
+			missing--
+		}
+	}
+}
+
+// Pause stops a roll-out for an operator.
+func Pause(r *Record, now time.Time) bool {
+	if r.State.Over() || (r.State == Paused && r.Held) {
+		return false
+	}
+	if r.State != Paused {
+		r.pause(now, "")
+	}
+	r.Held, r.Reason = true, "paused by an operator"
+	return true
+}
+
+// Resume goes on with a paused roll-out.
+func Resume(r *Record, now time.Time) bool {
+	if r.State != Paused {
+		return false
+	}
+	r.resume(now)
+	return true
+}
+
+// Undo rolls back for an operator.
+func Undo(r *Record, now time.Time) bool {
+	if r.State.Over() || r.State == Undoing {
+		return false
+	}
+	r.Held = false
+	r.At = min(r.At, max(0, len(r.Batches)-1))
+	r.undo(now, "rolled back by an operator")
+	return true
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -97,8 +97,17 @@
 	Phase   string `codec:"phase"`
 	Cause   string `codec:"cause,omitempty"`
 	Saved   bool   `codec:"stored,omitempty"`
+	// Health is what the worker knows of a running replica: HealthGood, HealthBad, or
+	// empty from workers that do not tell.
+	Health string `codec:"health,omitempty"`
 }
 
+// Health of a replica, an addition to the protocol that older workers leave out.
+const (
+	HealthGood = "good"
+	HealthBad  = "bad"
+)
+
 // Report is a worker's message: the body of a check-in and of the answers to
 // direct commands.
 type Report struct {
