Roll-outs: gates compiled once, services that rest are not looked at; test of quotas, benchmark

Change: the gate is compiled when the record is taken in, a step shares what it does not change, and a service whose roll-out is over and carried out rests.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"testing"
 	"time"
 
@@ -12,16 +13,18 @@
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
 	"vetchstream/internal/place"
+	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
 )
 
-func bench(t *testing.T, teams ...config.Team) *reign {
+func bench(t testing.TB, teams ...config.Team) *reign {
 	t.Helper()
 	set := &config.Settings{Member: "n0"}
 	set.Facts.Workers.LeaseS = 10
 	set.Facts.Teams = teams
 	set.Facts.Zones = []string{"a", "b"}
-	c := New(Deps{Settings: set, Tuning: config.Defaults(), Log: slog.New(slog.DiscardHandler),
+	nowhere := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	c := New(Deps{Settings: set, State: state.New("state:1", nowhere, StateBudget(set, true)), Tuning: config.Defaults(), Log: slog.New(slog.DiscardHandler),
 		Entitled: func(uint64) bool { return false }, Deposed: func(uint64) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // nothing that is started in the background may run on
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -42,7 +42,10 @@
 // service is one service's record as stored, and what has come up since.
 type service struct {
 	rec     *rollout.Record
+	gate    *rollout.Gate // of its spec; nil: it cannot be read
 	version uint64
+	// rests: the roll-out is over and what it wants is done.
+	rests   bool
 	writing bool
 	// failed are failures of new copies that are not stored yet.
 	failed []failure
@@ -92,6 +95,11 @@
 
 // adopt takes in a stored record.
 func (ro *rollouts) adopt(s *service) {
+	gate, err := rollout.NewGate(s.rec.Spec.Pass, s.rec.Spec.Fail)
+	if err != nil {
+		ro.log.Error("gate cannot be read", "service", s.rec.Service, "error", err)
+	}
+	s.gate = gate
 	ro.services[s.rec.Service] = s
 	for _, id := range []string{s.rec.Handle, s.rec.Current, s.rec.Next} {
 		if id != "" {
@@ -146,12 +154,13 @@
 
 // advance stores a service's next step, or carries out the one that is stored.
 func (ro *rollouts) advance(s *service, down map[string]bool, now time.Time) {
-	if s.writing {
+	if s.writing || (s.rests && len(s.asked) == 0 && !gone(ro.book.sound(s.rec.Handle))) {
 		return
 	}
 	ro.tie(s)
 	view := ro.view(s, down, now)
-	next, changed := s.rec.Clone(), false
+	copied, changed := *s.rec, false
+	next := &copied
 	for _, f := range s.failed {
 		changed = next.Fail(f.replica, f.host) || changed
 	}
@@ -165,7 +174,7 @@
 	if next.State != rollout.Failed && ro.book.sound(next.Next) == nil && !next.State.Over() {
 		changed = rollout.Undo(next, now) || changed // its job was cancelled
 	}
-	changed = rollout.Step(next, view) || changed
+	changed = rollout.Step(next, view, s.gate) || changed
 	if changed {
 		ro.store(s, next, told)
 		return
@@ -309,6 +318,7 @@
 		ro.check(s, old, next, v.Now)
 		return
 	}
+	s.rests = v.Cancelled || next == nil || len(ro.fleet.On(next)) == 0
 	if v.Cancelled {
 		for _, j := range []*job.Job{old, next} {
 			ro.retire(j, s.rec.Handle)
--- /dev/null
+++ b/internal/control/rollouts_test.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/job"
+	"vetchstream/internal/rollout"
+	"vetchstream/internal/wire"
+)
+
+// rolling is a leader with services of which each has a roll-out under way, every
+// old copy running.
+func rolling(tb testing.TB, services, replicas int) (*reign, time.Time) {
+	tb.Helper()
+	r := bench(tb)
+	r.c.Tuning.Rollouts.Enabled = true
+	r.learn([]wire.MachineType{{Name: "small", CPUs: 64, MemGB: 1000, Zones: []string{"a", "b"}}})
+	now := r.since.Add(time.Second)
+	r.takeover.ready = true
+	var hosts []*fleet.Host
+	for i := range max(2, services*replicas/20) {
+		h := r.host(fmt.Sprintf("h%d", i))
+		r.names.describe(h, "small", []string{"a", "b"}[i%2], false)
+		r.fleet.Observe(h, &wire.Report{Host: h.Name, Addr: "10.0.0.1:1", Session: 1, Seq: 1, Token: r.term}, true, now, r.book.find)
+		h.Durable = true
+		hosts = append(hosts, h)
+	}
+	for i := range services {
+		spec := job.Spec{ID: fmt.Sprintf("run-%d", i), ShapeName: "daemon", RankName: "idle", Tasks: replicas, CPUs: 1}
+		old := r.book.add(&job.Record{Spec: spec}, 1, now)
+		zones := make([]string, replicas)
+		for t := range replicas {
+			h := hosts[(i*replicas+t)%len(hosts)]
+			s := r.fleet.Assign(h, fleet.Key{Job: old, Task: int32(t), Attempt: 1}, now)
+			s.Sent, s.Seen, s.Phase, s.Health, s.RunAt = true, true, wire.Running, wire.HealthGood, now.Add(-time.Minute)
+			zones[t] = r.names.zoneNames()[h.Zone]
+		}
+		spec.ID = fmt.Sprintf("run-%d", 10_000+i)
+		r.book.add(&job.Record{Spec: spec}, 1, now)
+		rs := &rollout.Spec{Service: fmt.Sprintf("s%d", i), To: rollout.Target{ID: spec.ID, Image: "next"}}
+		rec := rollout.New(rs, old.ID, old.ID, zones, now)
+		rec.State = rollout.Advancing
+		r.rollouts.adopt(&service{rec: rec, version: 1})
+	}
+	return r, now
+}
+
+// TestQuota: what a stored roll-out wants is what may be placed, and nothing new
+// before the machines of earlier leaders are settled.
+func TestQuota(t *testing.T) {
+	tests := []struct {
+		name    string
+		settled bool
+		stored  func(*rollout.Record)
+		old     int // old copies that may run
+		next    int // new ones
+	}{
+		{"a batch under way, one extra", true, func(*rollout.Record) {}, 10, 1},
+		{"not settled", false, func(*rollout.Record) {}, 0, 0},
+		{"taken back", true, func(r *rollout.Record) { r.State = rollout.Undone }, 10, 0},
+		{"paused before anything was changed", true, func(r *rollout.Record) { r.State, r.Resume, r.Held = rollout.Paused, rollout.Advancing, true }, 10, 0},
+		{"the second batch", true, func(r *rollout.Record) { r.At = 1 }, 9, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, now := rolling(t, 1, 10)
+			tt.stored(r.rollouts.services["s0"].rec)
+			r.takeover.ready = tt.settled
+			r.rollouts.step(now)
+			count := func(id string) (n int) {
+				j := r.book.get(id)
+				for i := range int32(j.Tasks) {
+					if j.May(i) {
+						n++
+					}
+				}
+				return n
+			}
+			if old, next := count("run-0"), count("run-10000"); old != tt.old || next != tt.next {
+				t.Errorf("%d old and %d new copies may run, want %d and %d", old, next, tt.old, tt.next)
+			}
+		})
+	}
+}
+
+// BenchmarkRollouts is a look at 200 services of 20 replicas, as it comes four
+// times a second.
+func BenchmarkRollouts(b *testing.B) {
+	r, now := rolling(b, 200, 20)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.rollouts.stepAt = time.Time{}
+		r.rollouts.step(now)
+	}
+}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -150,20 +151,6 @@
 		Batches: Plan(s, zoneOf), Begun: ms, Since: ms, Started: ms}
 }
 
-// Clone copies a record, so that a step leaves the stored one as it is.
-func (r *Record) Clone() *Record {
-	c := *r
-	c.Batches = make([]Batch, len(r.Batches))
-	for i, b := range r.Batches {
-		c.Batches[i] = Batch{b.Zone, slices.Clone(b.Replicas)}
-	}
-	c.Failures = make(map[int32]Failure, len(r.Failures))
-	for i, f := range r.Failures {
-		c.Failures[i] = Failure{f.Count, slices.Clone(f.Hosts)}
-	}
-	return &c
-}
-
 // maxHosts bounds the machines that are remembered of one replica's failures.
 const maxHosts = 4
 
@@ -173,10 +160,11 @@
 	if r.State.Over() || !slices.ContainsFunc(r.Batches, func(b Batch) bool { return slices.Contains(b.Replicas, replica) }) {
 		return false
 	}
-	if r.Failures == nil {
-		r.Failures = map[int32]Failure{}
-	}
+	failures := map[int32]Failure{}
+	maps.Copy(failures, r.Failures)
+	r.Failures = failures
 	f := r.Failures[replica]
+	f.Hosts = slices.Clone(f.Hosts)
 	f.Count++
 	if !slices.Contains(f.Hosts, host) && len(f.Hosts) < maxHosts {
 		f.Hosts = append(f.Hosts, host)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -60,6 +60,7 @@
 type bed struct {
 	*testing.T
 	rec    *Record
+	gate   *Gate
 	view   View
 	zones  []string
 	health func(i int, age float64) Health // of new copies
@@ -77,6 +78,9 @@
 	for i := range b.view.Old {
 		b.view.Old[i] = Copy{Live: true, Running: true, Health: Healthy, SinceS: 1000}
 	}
+	if b.gate, err = NewGate(s.Pass, s.Fail); err != nil {
+		t.Fatal(err)
+	}
 	b.rec = New(s, "run-1", "run-1", zones, b.view.Now)
 	return b
 }
@@ -95,7 +99,7 @@
 		}
 		b.rec = next
 		for range 5 {
-			if !Step(b.rec, &b.view) {
+			if !Step(b.rec, &b.view, b.gate) {
 				break
 			}
 		}
@@ -295,7 +299,7 @@
 	for range 300 {
 		b.view.Now = b.view.Now.Add(time.Second)
 		b.view.Old, b.view.New = make([]Copy, 2), make([]Copy, 2)
-		Step(b.rec, &b.view)
+		Step(b.rec, &b.view, b.gate)
 	}
 	if b.rec.State != Failed || !strings.Contains(b.rec.Reason, "old version") {
 		t.Errorf("%s: %s", b.rec.State, b.rec.Reason)
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -79,8 +79,11 @@
 
 // Step takes one step, if it is time for one, and reports whether the record has
 // changed. It is the same whoever takes it, and taking it twice changes nothing
-// more: the record and the view decide alone.
-func Step(r *Record, v *View) bool {
+// more: the record and the view decide alone. The gate is that of the record's
+// spec; nil: it cannot be read, which pauses. A copy of the record that shares its
+// batches and failures with another may be stepped: these are never changed in
+// place.
+func Step(r *Record, v *View, gate *Gate) bool {
 	if r.State.Over() {
 		return false
 	}
@@ -88,10 +91,10 @@
 		r.to(Failed, v.Now, "the service was cancelled by its user")
 		return true
 	}
-	gate, err := NewGate(r.Spec.Pass, r.Spec.Fail)
-	if err != nil { // it was checked when it came; a record of another version
+	if gate == nil { // it was checked when it came; a record of another version
 		if r.State != Paused {
-			r.pause(v.Now, err.Error())
+			r.pause(v.Now, "the gate cannot be read")
+			r.Held = true
 			return true
 		}
 		return false
@@ -193,6 +196,7 @@
 		if !r.touched(v, b) {
 			for i := r.At + 1; i < len(r.Batches); i++ {
 				if !v.Down[r.Batches[i].Zone] {
+					r.Batches = slices.Clone(r.Batches)
 					r.Batches[r.At], r.Batches[i] = r.Batches[i], r.Batches[r.At]
 					r.begin(r.At, v.Now)
 					return true
