Registry: stale pages that wait for their turn are spaced, so that launches need not wait for them

A possible cause: with many pages stale, a transaction of them was under way every 60 ms, and pages that launches wait for are not stored meanwhile. Change: they come 0.3 s apart.

--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -131,6 +131,9 @@
 const (
 	noteEvery  = 60 * time.Millisecond
 	staleEvery = 2 * time.Second
+	// staleStep spaces those that did not fit into one transaction: while one is under
+	// way, what launches wait for is not stored.
+	staleStep = 300 * time.Millisecond
 )
 
 // txnBytes bounds the pages of one transaction, below the protocol's 64 KiB.
@@ -355,8 +358,11 @@
 		txn.Writes = append(txn.Writes, w)
 		txn.If = append(txn.If, state.Cond{Key: p.key, Version: p.version})
 	}
-	if stale && idle && whole {
+	switch {
+	case stale && idle && whole:
 		g.staleAt = now.Add(staleEvery)
+	case stale && idle:
+		g.staleAt = now.Add(staleStep)
 	}
 	return out, txn
 }
