--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -207,7 +207,11 @@
 	scan := now.Sub(r.scanAt) >= scanEvery
 	if scan {
 		r.scanAt = now
-		r.work.handle(r.fleet.Expire(now), now)
+		ev, lost := r.fleet.Expire(now)
+		if lost > 0 {
+			r.log.Info("leases of machines have run out", "machines", lost, "tasks", len(ev))
+		}
+		r.work.handle(ev, now)
 	}
 	if !r.c.Entitled(r.term) {
 		r.admission.refuse()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -551,17 +551,20 @@
 	return ev
 }
 
-// Expire settles what is on machines whose lease has certainly ended.
-func (f *Fleet) Expire(now time.Time) []Event {
-	var ev []Event
+// Expire settles what is on machines whose lease has certainly ended, and counts
+// these machines.
+func (f *Fleet) Expire(now time.Time) (ev []Event, lost int) {
 	for _, h := range f.order {
 		if h.Lost || now.Sub(h.heard) < f.Lease {
 			continue
 		}
 		h.Lost, h.LostAt, h.Fenced = true, now, false
 		ev = append(ev, f.drop(h)...)
+		if !h.Booting && !h.Releasing {
+			lost++
+		}
 	}
-	return ev
+	return ev, lost
 }
 
 // Settle notes which machines have been met, or have lost their lease, since the
--- a/internal/node/storm_test.go
+++ b/internal/node/storm_test.go
@@ -34,6 +34,7 @@
 	image  string // of the next version
 	bad    bool
 	batch  int
+	kind   int // of builds
 	state  string
 	reason string
 	undone time.Duration
@@ -66,7 +67,8 @@
 		sv := &served{name: fmt.Sprintf("svc-%d", i), image: fmt.Sprintf("img-%d-next", i), bad: i == 0 || r.IntN(3) == 0, batch: max(1, n/2)}
 		sv.spec = &job.Spec{ID: fmt.Sprintf("run-%d", 1000+i), Team: "blue", ShapeName: "daemon", RankName: "standard", Tasks: n, CPUs: 1, MemGB: 1, Image: fmt.Sprintf("img-%d", i)}
 		if sv.bad {
-			w.Behave(sv.image, builds[r.IntN(len(builds))])
+			sv.kind = r.IntN(len(builds))
+			w.Behave(sv.image, builds[sv.kind])
 		}
 		out = append(out, sv)
 		w.Describe(sv.spec)
@@ -265,6 +267,11 @@
 				}
 				slices.Sort(undone)
 				t.Logf("bad builds ran for %v", undone)
+				for _, sv := range all {
+					if sv.undone > 0 {
+						t.Logf("UNDONE kind %d after %.0f", sv.kind, sv.undone.Seconds())
+					}
+				}
 				if p.objects != (len(broken) > 0) {
 					t.Errorf("the judge objects to %d things: %s", len(broken), strings.Join(broken, "\n"))
 				}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -222,6 +222,15 @@
 			b.crash("sick", 1)
 			b.run(300)
 		}, Done, 3, 1},
+		{"spot notices take new copies, again and again", nil, func(b *bed) {
+			for range 6 {
+				b.run(4)
+				b.view.New[0].Lost, b.view.New[1].Lost = true, true // told to go
+				b.run(1)
+				b.view.New[0], b.view.New[1] = Copy{}, Copy{}
+			}
+			b.run(300)
+		}, Done, 3, 2},
 		{"the checker is cut off: paused, and on when it is back", nil, func(b *bed) {
 			b.run(20)
 			b.view.Blind = true
