State budget: what can wait has its turn in a small budget too; tests of groups are certain to group

Need: with fewer than 64 writes a second the budget never holds two whole transactions, so records of jobs that are over were never moved and keys of no use never dropped (found when a test used 24 a second); and a test of groups failed now and then because its jobs were all stored alone. Change: idle is two transactions, or nearly all that the budget ever holds; the tests use a budget that groups for certain.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -240,7 +240,7 @@
 // submissions get what nobody else needs of the budget.
 func (ad *admission) flush(now time.Time) {
 	for len(ad.queue) > 0 && ad.flying < mostFlying {
-		if ad.c.State.Spare() < 2*ad.writer.size() && !ad.limit.AllowN(now, 1) {
+		if !ad.c.State.Idle(ad.writer.size()) && !ad.limit.AllowN(now, 1) {
 			return
 		}
 		n, bytes := 0, 0
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -73,7 +73,7 @@
 // is nothing better to do with the budget: the list of active jobs is what a
 // successor has to read.
 func (en *endings) settleFinals() {
-	if en.moving || len(en.moves) == 0 || en.c.State.Spare() < 2*en.writer.size() {
+	if en.moving || len(en.moves) == 0 || !en.c.State.Idle(en.writer.size()) {
 		return
 	}
 	n := min(len(en.moves), max(1, en.writer.size()/2))
@@ -203,7 +203,7 @@
 	}
 	// The final record moves to its own key at once, or later where many jobs end
 	// together: the phase alone takes half the writes.
-	inPlace := en.c.State.Spare() < 2*en.writer.size()
+	inPlace := !en.c.State.Idle(en.writer.size())
 	key, writes := job.FinalPrefix+j.ID, []state.Write{{Delete: job.ActivePrefix + j.ID}}
 	if inPlace {
 		key, writes = job.ActivePrefix+j.ID, nil
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -104,7 +104,7 @@
 			gs.store(g)
 		case len(g.ends) > 0:
 			gs.await(g)
-		case !gs.moving && gs.c.State.Spare() >= 2*gs.writer.size() && !now.Before(g.restAt):
+		case !gs.moving && gs.c.State.Idle(gs.writer.size()) && !now.Before(g.restAt):
 			gs.move(g)
 		}
 	}
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -232,7 +232,8 @@
 	f.Workers.LeaseS = 10
 	f.Zones = []string{"a"}
 	f.Teams = []config.Team{{Name: "red"}}
-	f.State.RPS, f.State.WriteRPS, f.State.TxnOps, f.State.ValueKB = 200, 80, 12, 16
+	// Few writes: what comes together is certain to be grouped.
+	f.State.RPS, f.State.WriteRPS, f.State.TxnOps, f.State.ValueKB = 200, 24, 12, 16
 	f.Resources.MaxSockets = 800
 	c := New(Deps{Settings: set, Tuning: config.Defaults(), State: state.New("state:1", s.dial, StateBudget(set, false)),
 		Cloud: hosts.NewCloud("cloud:1", s.dial, 1), Dial: s.dial, Log: slog.New(slog.DiscardHandler),
@@ -329,11 +330,11 @@
 				t.Errorf("one job: %v, %d records", out, s.keys("j"))
 			}
 			s.txns = 0
-			if out := st.submit(swarm(100, 300)...); count(out, 201) != 300 {
-				t.Errorf("%d of 300 accepted", count(out, 201))
+			if out := st.submit(swarm(100, 200)...); count(out, 201) != 200 {
+				t.Errorf("%d of 200 accepted", count(out, 201))
 			}
-			if s.txns > 60 {
-				t.Errorf("%d writes for 300 jobs", s.txns)
+			if s.txns > 30 {
+				t.Errorf("%d writes for 200 jobs", s.txns)
 			}
 		}},
 		{"malformed, impossible and repeated ones are answered each on its own", func(t *testing.T, s *stateService) {
@@ -352,24 +353,24 @@
 		{"an unclear commit in the middle of a group that was applied", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			s.fates = []fate{unheard}
-			st.submit(swarm(0, 20)...)
+			st.submit(swarm(0, 100)...)
 			time.Sleep(2 * time.Second)
-			if out := st.submit(swarm(0, 20)...); count(out, 200) != 20 || s.jobs() != 20 || len(s.fates) > 0 {
+			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 || len(s.fates) > 0 {
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
 		}},
 		{"an unclear commit that is applied after the second try", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			s.fates = []fate{late}
-			st.submit(swarm(0, 20)...)
+			st.submit(swarm(0, 100)...)
 			time.Sleep(5 * time.Second)
-			if out := st.submit(swarm(0, 20)...); count(out, 200) != 20 || s.jobs() != 20 || len(s.fates) > 0 {
+			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 || len(s.fates) > 0 {
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
 		}},
 		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
-			for _, b := range swarm(5, 3) {
+			for _, b := range swarm(15, 3) {
 				if p := st.Admit(context.Background(), b); p.Status != 201 {
 					t.Fatalf("admitted: %d", p.Status)
 				}
@@ -382,26 +383,26 @@
 			st := sit(t, s, 1)
 			s.fates = []fate{late} // the leader's comes after the other node's answer
 			var wg sync.WaitGroup
-			wg.Go(func() { st.submit(swarm(0, 10)...) })
-			for _, b := range swarm(0, 5) {
+			wg.Go(func() { st.submit(swarm(0, 40)...) })
+			for _, b := range swarm(0, 20) {
 				wg.Go(func() { st.Admit(context.Background(), b) })
 			}
 			wg.Wait()
 			time.Sleep(3 * time.Second)
-			for _, b := range swarm(5, 5) { // as it would be if the group had come between its look and its commit
+			for _, b := range swarm(20, 20) { // as it would be if the group had come between its look and its commit
 				_, spec, _ := submission(b)
 				if key := job.ActivePrefix + spec.ID; s.absent(key) {
 					s.put(key, &job.Record{Spec: *spec})
 				}
 			}
 			time.Sleep(3 * time.Second)
-			for i := range 10 {
+			for i := range 40 {
 				if p := st.ask(peer.KindAbort, fmt.Sprintf("run-%d", i), nil); p.Status != 200 {
 					t.Errorf("cancel: %d", p.Status)
 				}
 			}
 			time.Sleep(time.Minute)
-			if s.keys("jg") != 0 || s.keys("f") != 10 {
+			if s.keys("jg") != 0 || s.keys("f") != 40 {
 				t.Errorf("%d records of active jobs and groups, %d final ones", s.keys("jg"), s.keys("f"))
 			}
 		}},
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -391,7 +391,7 @@
 	if most < 1 {
 		return
 	}
-	out, txn := g.take(now, most, g.c.State.Spare() >= 2*g.writer.size())
+	out, txn := g.take(now, most, g.c.State.Idle(g.writer.size()))
 	if len(out) == 0 {
 		return
 	}
--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -53,7 +53,7 @@
 // tidy drops results of jobs that are over. It comes after the final record and
 // apart from it, so that ending a job takes a small transaction.
 func (rs *results) tidy() {
-	if rs.dropping || len(rs.orphans) == 0 || rs.c.State.Spare() < 2*rs.writer.size() {
+	if rs.dropping || len(rs.orphans) == 0 || !rs.c.State.Idle(rs.writer.size()) {
 		return
 	}
 	keys := rs.orphans[:min(len(rs.orphans), rs.writer.size())]
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -355,6 +355,16 @@
 // can wait looks at it, so that users' requests find room.
 func (c *Client) Spare() int { return int(c.writes.Tokens()) }
 
+// Idle reports whether nobody else needs the budget of writes at the moment: there
+// is room for two transactions of that many, or for nearly all that the budget
+// ever holds. A service of few writes a second would have nothing tidied else.
+func (c *Client) Idle(writes int) bool { return c.writes.Tokens() >= c.idleAt(writes) }
+
+// idleAt is how many writes the budget must have left to be idle.
+func (c *Client) idleAt(writes int) float64 {
+	return min(2*float64(writes), 0.95*float64(c.writes.Burst()))
+}
+
 // Grant opens a lease. Leases are never held up by the budget.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
 	var out struct {
