--- a/internal/node/storm_test.go
+++ b/internal/node/storm_test.go
@@ -23,6 +23,7 @@
 // storm is a season of roll-outs: services, a third of whose builds are bad.
 type storm struct {
 	services int
+	replicas int // of a service, at most
 	faults   bool
 	open     bool // gates are switched off: the judge must object
 }
@@ -52,18 +53,19 @@
 // the judge objects to.
 func (st storm) play(t *testing.T, seed uint64) (out []*served, broken []string) {
 	r := rand.New(rand.NewPCG(seed, 14))
+	zones := []string{"a", "b", "c", "d"}
 	s, closeAll := newSim(t, 1, func(c *emulate.Config) {
-		c.Most, c.Limits = 40+3*st.services, nil
-		c.Types = []wire.MachineType{{Name: "small", CPUs: 8, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: []string{"a", "b", "c"}}}
+		c.Most, c.Limits = 40+st.services*st.replicas/3, nil
+		c.Types = []wire.MachineType{{Name: "small", CPUs: 8, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: zones}}
 	}, func(tun *config.Tuning) { tun.Rollouts.Enabled = true })
 	w := s.World
 	w.Keep()
-	for i := range 9 + st.services {
-		w.Boot("small", []string{"a", "b", "c"}[i%3], false, 0)
+	for i := range 8 + st.services*st.replicas/6 {
+		w.Boot("small", zones[i%len(zones)], false, 0)
 	}
 	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
 	for i := range st.services {
-		n := 3 + r.IntN(4)
+		n := 3 + r.IntN(st.replicas-2)
 		sv := &served{name: fmt.Sprintf("svc-%d", i), image: fmt.Sprintf("img-%d-next", i), bad: i == 0 || r.IntN(3) == 0, batch: max(1, n/2)}
 		sv.spec = &job.Spec{ID: fmt.Sprintf("run-%d", 1000+i), Team: "blue", ShapeName: "daemon", RankName: "standard", Tasks: n, CPUs: 1, MemGB: 1, Image: fmt.Sprintf("img-%d", i)}
 		if sv.bad {
@@ -109,7 +111,7 @@
 					return
 				default:
 				}
-				switch zone := []string{"a", "b", "c"}[r.IntN(3)]; r.IntN(4) {
+				switch zone := zones[r.IntN(len(zones))]; r.IntN(4) {
 				case 0:
 					crash(1 + r.IntN(3))(s)
 				case 1:
@@ -234,8 +236,8 @@
 
 // TestStorm: roll-outs through crashes, outages, cut zones and dying machines. No
 // more than one batch ever runs a bad build, and each service ends on a good one.
-// With the gates switched off the judge must object. STORM_SEEDS and
-// STORM_SERVICES play more of it than continuous integration has time for.
+// With the gates switched off the judge must object. STORM_SEEDS,
+// STORM_SERVICES and STORM_REPLICAS play more of it than continuous integration has time for.
 func TestStorm(t *testing.T) {
 	number := func(name string, otherwise int) int {
 		if n, err := strconv.Atoi(os.Getenv(name)); err == nil && n > 0 {
@@ -243,16 +245,16 @@
 		}
 		return otherwise
 	}
-	services := number("STORM_SERVICES", 6)
+	services, replicas := number("STORM_SERVICES", 6), number("STORM_REPLICAS", 6)
 	type play struct {
 		name string
 		storm
 		seed    uint64
 		objects bool
 	}
-	plays := []play{{"gates switched off", storm{services: 6, open: true}, 1, true}, {"no faults", storm{services: services}, 2, false}}
+	plays := []play{{"gates switched off", storm{services: 6, replicas: 6, open: true}, 1, true}, {"no faults", storm{services: services, replicas: replicas}, 2, false}}
 	for seed := range number("STORM_SEEDS", 2) {
-		plays = append(plays, play{fmt.Sprintf("storm %d", seed), storm{services: services, faults: true}, uint64(100 + seed), false})
+		plays = append(plays, play{fmt.Sprintf("storm %d", seed), storm{services: services, replicas: replicas, faults: true}, uint64(100 + seed), false})
 	}
 	for _, p := range plays {
 		t.Run(p.name, func(t *testing.T) {
