--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -87,6 +87,21 @@
 	s.kv[key] = state.Entry{Key: key, Value: w.Value, Version: s.rev}
 }
 
+// will sets what becomes of the next transactions that write keys whose first
+// letter is among doom, and starts to count anew.
+func (s *stateService) will(doom string, fates ...fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doom, s.fates, s.txns = doom, fates, 0
+}
+
+// seen are the transactions that wrote jobs since, and the fates that are left.
+func (s *stateService) seen() (txns, left int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.txns, len(s.fates)
+}
+
 func (s *stateService) absent(key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -329,12 +344,12 @@
 			if out := st.submit(swarm(0, 1)...); out[0] != 201 || s.keys("j") != 1 {
 				t.Errorf("one job: %v, %d records", out, s.keys("j"))
 			}
-			s.txns = 0
+			s.will("g")
 			if out := st.submit(swarm(100, 200)...); count(out, 201) != 200 {
 				t.Errorf("%d of 200 accepted", count(out, 201))
 			}
-			if s.txns > 30 {
-				t.Errorf("%d writes for 200 jobs", s.txns)
+			if txns, _ := s.seen(); txns > 30 {
+				t.Errorf("%d writes for 200 jobs", txns)
 			}
 		}},
 		{"malformed, impossible and repeated ones are answered each on its own", func(t *testing.T, s *stateService) {
@@ -352,21 +367,27 @@
 		}},
 		{"an unclear commit in the middle of a group that was applied", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
-			s.fates = []fate{unheard}
+			s.will("g", unheard)
 			st.submit(swarm(0, 100)...)
 			time.Sleep(2 * time.Second)
-			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 || len(s.fates) > 0 {
+			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 {
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
+			if _, left := s.seen(); left > 0 {
+				t.Error("no group was stored")
+			}
 		}},
 		{"an unclear commit that is applied after the second try", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
-			s.fates = []fate{late}
+			s.will("g", late)
 			st.submit(swarm(0, 100)...)
 			time.Sleep(5 * time.Second)
-			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 || len(s.fates) > 0 {
+			if out := st.submit(swarm(0, 100)...); count(out, 200) != 100 || s.jobs() != 100 {
 				t.Errorf("after it: %v, %d jobs", out, s.jobs())
 			}
+			if _, left := s.seen(); left > 0 {
+				t.Error("no group was stored")
+			}
 		}},
 		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
@@ -381,7 +402,7 @@
 		}},
 		{"the same group admitted by two nodes is one job each, done once", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
-			s.fates = []fate{late} // the leader's comes after the other node's answer
+			s.will("g", late) // the leader's comes after the other node's answer
 			var wg sync.WaitGroup
 			wg.Go(func() { st.submit(swarm(0, 40)...) })
 			for _, b := range swarm(0, 20) {
@@ -410,8 +431,7 @@
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 100)...)
 			before := s.keys("j")
-			s.fates = []fate{unheard}
-			s.txns = 0
+			s.will("g", unheard)
 			var wg sync.WaitGroup
 			for i := range 100 {
 				wg.Go(func() {
@@ -421,17 +441,16 @@
 				})
 			}
 			wg.Wait()
-			if len(s.fates) > 0 || s.txns-before > (100-before)/2 {
-				t.Errorf("%d writes for 100 ends, %d of them of jobs alone", s.txns, before)
+			if txns, left := s.seen(); left > 0 || txns-before > (100-before)/2 {
+				t.Errorf("%d writes for 100 ends, %d of them of jobs alone", txns, before)
 			}
 		}},
 		{"what another node reads as over the leader does not call active, before it knows", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 30)...)
-			s.doom = "jgf"
 			for i := range 30 {
 				id := fmt.Sprintf("run-%d", i)
-				s.fates = []fate{unheard}
+				s.will("jgf", unheard)
 				go st.ask(peer.KindAbort, id, nil)
 				time.Sleep(100 * time.Millisecond)
 				var told wire.Status
@@ -447,7 +466,7 @@
 			}
 		}},
 		{"a state service that takes less at a time", func(t *testing.T, s *stateService) {
-			s.most = 3
+			s.most = 3 // before anybody asks
 			st := sit(t, s, 1)
 			st.submit(swarm(0, 40)...)
 			time.Sleep(5 * time.Second)
