Roll-outs: a copy that stays unhealthy fails its batch; a batch gives way only before it begins

And in one storm of ten a bad build ran in two zones: a batch whose new copy was on a machine that died counted as not begun and gave way to one elsewhere. Change: half a minute of ill health fails a batch; which batch is next is chosen when it begins.

--- a/internal/control/checks.go
+++ b/internal/control/checks.go
@@ -96,6 +96,7 @@
 				ro.failed(sl.Job, sl.Task, sl.Host.Name)
 			}
 			sl.Checked = said
+			sl.Judge(time.Now())
 		})
 	}()
 }
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -284,6 +284,9 @@
 			if !s.RunAt.IsZero() {
 				c.SinceS = now.Sub(s.RunAt).Seconds()
 			}
+			if !s.BadAt.IsZero() {
+				c.BadS = now.Sub(s.BadAt).Seconds()
+			}
 		}
 	}
 	return out
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 	// Health is the worker's word on a running replica, Checked what the last check
 	// of it said (the same words; empty: nothing).
 	Health, Checked string
+	// BadAt is since when either has said that it is bad; zero: neither does.
+	BadAt time.Time
 	// Sent: the launch has left, or may have. Before that the slot only holds
 	// its room.
 	Sent bool
@@ -55,6 +57,16 @@
 	shown uint64
 }
 
+// Judge notes since when the slot has been bad, after a word on its health.
+func (s *Slot) Judge(now time.Time) {
+	switch bad := s.Health == wire.HealthBad || s.Checked == wire.HealthBad; {
+	case !bad:
+		s.BadAt = time.Time{}
+	case s.BadAt.IsZero():
+		s.BadAt = now
+	}
+}
+
 // On reports whether the task may take room on its machine.
 func (s *Slot) On() bool { return s.Phase != wire.Exited }
 
@@ -459,6 +471,7 @@
 			r.Events = append(r.Events, Event{Sickened, s})
 		}
 		s.Health = t.Health
+		s.Judge(now)
 		switch {
 		case t.Phase == wire.Exited:
 			j.AddLive(task, -1)
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -25,6 +25,9 @@
 	Failures    int `expr:"failures"`
 	AllFailures int `expr:"all_failures"`
 	FailedHosts int `expr:"failed_hosts"`
+	// BadS is how long a copy has been unhealthy without a break, at the most, in
+	// seconds.
+	BadS float64 `expr:"bad_s"`
 	// SinceS is how long the youngest copy has run, in seconds.
 	SinceS float64 `expr:"since_s"`
 }
@@ -32,10 +35,11 @@
 // The gate of a spec that says nothing: a batch passes when every copy is known to
 // be healthy. It fails when a copy has failed three times, or copies on two
 // machines three times in all, since one machine that fails everything is not the
-// build's fault; and when every copy has turned unhealthy.
+// build's fault; when every copy has turned unhealthy; and when one has been
+// unhealthy for half a minute.
 const (
 	DefaultPass = "healthy == 1.0"
-	DefaultFail = "failures >= 3 || (all_failures >= 3 && failed_hosts >= 2) || (unhealthy == 1.0 && all_failures >= 2)"
+	DefaultFail = "failures >= 3 || (all_failures >= 3 && failed_hosts >= 2) || (unhealthy == 1.0 && all_failures >= 2) || bad_s >= 30"
 )
 
 // maxNodes bounds an expression: it is an operator's text and runs in the leader.
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -94,6 +94,7 @@
 	// Lost: its machine is gone, silent or being emptied.
 	Lost   bool
 	SinceS float64 // how long it has run
+	BadS   float64 // how long it has been unhealthy without a break
 }
 
 // View is what the leader sees of a service at one moment.
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -30,6 +30,7 @@
 			healthy++
 		case c.Health == Unhealthy:
 			unhealthy++
+			s.BadS = max(s.BadS, c.BadS)
 		default:
 			unknown++
 		}
@@ -57,10 +58,23 @@
 	r.State, r.Since, r.Reason = s, now.UnixMilli(), why
 }
 
-// begin starts work on a batch.
-func (r *Record) begin(at int, now time.Time) {
-	r.At, r.Begun = at, now.UnixMilli()
-	r.to(Advancing, now, "")
+// begin starts work on a batch. One whose zone is down gives way to one elsewhere,
+// now and not later: once it has begun, its new version may have run there.
+func (r *Record) begin(at int, v *View) {
+	r.At, r.Begun = at, v.Now.UnixMilli()
+	for i := at; i < len(r.Batches); i++ {
+		if v.Down[r.Batches[i].Zone] {
+			continue
+		}
+		if i != at {
+			r.Batches = slices.Clone(r.Batches)
+			r.Batches[at], r.Batches[i] = r.Batches[i], r.Batches[at]
+		}
+		r.to(Advancing, v.Now, "")
+		return
+	}
+	r.State = Advancing
+	r.pause(v.Now, zoneReason+r.Batches[at].Zone)
 }
 
 // pause stops where it is. What is wanted stays as it was.
@@ -101,7 +115,7 @@
 	}
 	switch r.State {
 	case Pending:
-		r.begin(0, v.Now)
+		r.begin(0, v)
 		return true
 	case Undoing:
 		return r.stepBack(v)
@@ -191,18 +205,7 @@
 		return true
 	}
 	if v.Down[b.Zone] {
-		// A batch that has not begun gives way to one elsewhere; one that has is waited
-		// for, and never made larger.
-		if !r.touched(v, b) {
-			for i := r.At + 1; i < len(r.Batches); i++ {
-				if !v.Down[r.Batches[i].Zone] {
-					r.Batches = slices.Clone(r.Batches)
-					r.Batches[r.At], r.Batches[i] = r.Batches[i], r.Batches[r.At]
-					r.begin(r.At, v.Now)
-					return true
-				}
-			}
-		}
+		// It has begun: it is waited for, and never made larger.
 		r.pause(v.Now, zoneReason+b.Zone)
 		return true
 	}
@@ -232,11 +235,6 @@
 	return true
 }
 
-// touched reports whether anything of a batch has been changed.
-func (r *Record) touched(v *View, b *Batch) bool {
-	return slices.ContainsFunc(b.Replicas, func(i int32) bool { return v.copyOf(v.New, i).Live })
-}
-
 func (r *Record) stepSoak(v *View, gate *Gate) bool {
 	if v.Blind {
 		r.pause(v.Now, blindReason)
@@ -250,7 +248,7 @@
 		return false
 	}
 	if r.At+1 < len(r.Batches) {
-		r.begin(r.At+1, v.Now)
+		r.begin(r.At+1, v)
 		return true
 	}
 	r.At = len(r.Batches)
