Rentals: a gang that has to be in one zone gathers in one; health asks whether the others have users

And a leader that is behind must not send its users to siblings that the load balancer does not use yet after a restart, or nobody would serve them.

Change: for such a gang the room is counted zone by zone, machines are rented where the fewest tasks are missing, and idle ones of that zone wait for the others, for four boots at the most. A node tells in its pings whether users have come to it within 3 s; the leader sends its users away only while one does.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -54,6 +54,9 @@
 // kept reports whether room is being kept on a machine.
 func (pl *planner) kept(h *fleet.Host) bool { return pl.keeps[h].job != nil }
 
+// keeper is the job for which room is being kept on a machine; nil: none.
+func (pl *planner) keeper(h *fleet.Host) *job.Job { return pl.keeps[h].job }
+
 // gone forgets a machine that has been returned.
 func (pl *planner) gone(h *fleet.Host) { delete(pl.keeps, h) }
 
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -175,7 +175,9 @@
 			mc.release(h, "it is being taken back and is empty")
 		case mc.planner.kept(h):
 		case now.Sub(h.IdleFrom) > time.Duration(t.IdleBoots*float64(mc.boot(h))):
-			mc.release(h, "it is idle")
+			if !mc.awaited(h, now) {
+				mc.release(h, "it is idle")
+			}
 		}
 	}
 }
@@ -263,11 +265,62 @@
 			coming(o)
 		}
 	}
+	mc.gather()
 	for o, n := range hosts.Rentals(shop, mc.wants) {
 		mc.hire(o, min(n, 50))
 	}
 }
 
+// gathered is for how many gangs that wait the room is looked at, zone by zone.
+const gathered = 20
+
+// gather finds out how much room there is for gangs that have to be in one zone.
+func (mc *machines) gather() {
+	n := 0
+	for i := range mc.wants {
+		w := &mc.wants[i]
+		d := w.Demand
+		if !d.OneZone || d.Zone >= 0 || slices.Max(d.InZone) > 0 || n == gathered {
+			continue
+		}
+		n++
+		j := mc.book.at(d.ID)
+		w.Room = make([]int, len(mc.names.zoneNames()))
+		for _, h := range mc.fleet.All() {
+			t := mc.names.typeOf(h)
+			if !h.Usable() || t == nil || (d.TypeOK != nil && !d.TypeOK[h.Type]) || (h.Spot && !d.Spot) {
+				continue
+			}
+			if k := mc.planner.keeper(h); k != nil && k != j {
+				continue
+			}
+			w.Room[h.Zone] += place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB}.Times(d.Need)
+		}
+	}
+}
+
+// awaitedBoots is for how many boot times an idle machine is kept for a gang that
+// gathers in its zone: one machine of several can come late.
+const awaitedBoots = 4
+
+// awaited reports whether an idle machine is a part of the room that a gang
+// gathers.
+func (mc *machines) awaited(h *fleet.Host, now time.Time) bool {
+	t := mc.names.typeOf(h)
+	if t == nil || now.Sub(h.IdleFrom) > awaitedBoots*mc.boot(h) {
+		return false
+	}
+	for i := range mc.wants {
+		w := &mc.wants[i]
+		d := w.Demand
+		if w.Room != nil && w.Chosen == h.Zone && (d.TypeOK == nil || d.TypeOK[h.Type]) && (d.Spot || !h.Spot) &&
+			(place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB}).Fits(d.Need) {
+			return true
+		}
+	}
+	return false
+}
+
 func (mc *machines) hire(o hosts.Offer, n int) {
 	mc.hires++
 	req := wire.Hire{Request: fmt.Sprintf("r-%d-%d", mc.term, mc.hires), Type: mc.names.list()[o.Type].Name, Zone: mc.names.zoneNames()[o.Zone], Spot: o.Spot, Count: n}
--- a/internal/hosts/plan.go
+++ b/internal/hosts/plan.go
@@ -51,6 +51,40 @@
 	Image  float64 // GB
 	Waited float64 // seconds
 	Urgent bool    // waiting costs an aim: rent without regard to the fill
+	// Room is how many of the tasks fit now on machines that are up, by zone, for a
+	// gang that has to be in one; nil: not known.
+	Room []int
+	// Chosen is the zone that Rentals has chosen for such a gang; -1: none.
+	Chosen int
+}
+
+// gather chooses the zone of a gang that has to be in one: where the fewest tasks
+// are without room, counting what is up and what comes. Renting wherever it is
+// cheapest would bring one machine here and one there, each idle and returned
+// before the next comes, and the gang would wait for ever.
+func (s *Shop) gather(w *Want, coming []Coming) (zone int) {
+	zone = -1
+	best, _, any := s.cheapest(w.Demand, w.Count, *w)
+	least := 0
+	for z, fit := range w.Room {
+		d := *w.Demand
+		d.Zone = z
+		for i := range coming {
+			if allowed(&d, coming[i].Offer) {
+				fit += coming[i].Free.Times(d.Need)
+			}
+		}
+		left := max(0, w.Count-fit)
+		if left > 0 {
+			if _, _, ok := s.cheapest(&d, left, *w); !ok {
+				continue
+			}
+		}
+		if zone < 0 || left < least || (left == least && any && z == best.Zone) {
+			zone, least = z, left
+		}
+	}
+	return zone
 }
 
 // Coming is a machine that was rented and is not up yet.
@@ -82,9 +116,21 @@
 func Rentals(s Shop, wants []Want) map[Offer]int {
 	out := map[Offer]int{}
 	coming := append([]Coming(nil), s.Coming...)
-	for _, w := range wants {
+	for wi := range wants {
+		w := &wants[wi]
 		d := w.Demand
 		left := w.Count
+		w.Chosen = -1
+		if w.Room != nil {
+			zone := s.gather(w, coming)
+			if zone < 0 {
+				continue
+			}
+			here := *d
+			here.Zone, w.Chosen = zone, zone
+			d = &here
+			left -= min(left, w.Room[zone])
+		}
 		for i := range coming {
 			c := &coming[i]
 			if left == 0 {
@@ -98,7 +144,7 @@
 			left -= n
 		}
 		for left > 0 {
-			o, slots, ok := s.cheapest(d, left, w)
+			o, slots, ok := s.cheapest(d, left, *w)
 			if !ok {
 				break
 			}
--- a/internal/hosts/plan_test.go
+++ b/internal/hosts/plan_test.go
@@ -42,6 +42,18 @@
 		{"only the allowed zone", []Want{want(1, 4, func(w *Want) { w.Demand.Zone = 1 })}, nil, map[Offer]int{{0, 1, true}: 1}},
 		{"a job in one zone stays there", []Want{want(1, 4, func(w *Want) { w.Demand.OneZone, w.Demand.InZone = true, []int{0, 2} })}, nil, map[Offer]int{{0, 1, true}: 1}},
 		{"equal offers are spread over zones", []Want{want(1, 4, nil)}, func(s *Shop) { s.InZone = []int{3, 1} }, map[Offer]int{{0, 1, true}: 1}},
+		{"a gang in one zone gathers where most of its room is", []Want{want(3, 3, func(w *Want) { w.Urgent, w.Demand.OneZone, w.Room = true, true, []int{0, 2} })}, nil, map[Offer]int{{0, 1, true}: 1}},
+		{"and counts what comes there alone", []Want{want(3, 3, func(w *Want) { w.Urgent, w.Demand.OneZone, w.Room = true, true, []int{0, 1} })}, func(s *Shop) {
+			s.Coming = []Coming{{smallSpot, place.Amount{CPUs: 4, MemGB: 16}}, {Offer{0, 1, true}, place.Amount{CPUs: 4, MemGB: 16}}}
+		}, map[Offer]int{{0, 1, true}: 1}},
+		{"a gang that has room in one zone rents nothing", []Want{want(3, 2, func(w *Want) { w.Urgent, w.Demand.OneZone, w.Room = true, true, []int{0, 2} })}, nil, map[Offer]int{}},
+		{"a zone that refuses is not gathered in", []Want{want(3, 2, func(w *Want) { w.Urgent, w.Demand.OneZone, w.Room = true, true, []int{0, 1} })}, func(s *Shop) {
+			for ty := range 2 {
+				for _, spot := range []bool{true, false} {
+					s.Backoff.Refused(Offer{ty, 1, spot}, now)
+				}
+			}
+		}, map[Offer]int{smallSpot: 2}},
 		{"what fits nowhere rents nothing", []Want{want(99, 1, nil)}, nil, map[Offer]int{}},
 	}
 	for _, tt := range tests {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	lag     lag
 
 	mu      sync.Mutex
+	served  time.Time // when a user last came here
 	useless time.Time // since when users could not be served here; zero: they can
 }
 
@@ -130,7 +131,10 @@
 // Hello implements peer.Handler.
 func (n *Node) Hello() peer.Hello {
 	v := n.elector.View()
-	return peer.Hello{Member: n.set.Member, Leader: v.Leader, Term: v.Term}
+	n.mu.Lock()
+	serves := time.Since(n.served) < servesTime
+	n.mu.Unlock()
+	return peer.Hello{Member: n.set.Member, Leader: v.Leader, Term: v.Term, Serves: serves}
 }
 
 // Local implements peer.Handler: only a leader answers for others.
@@ -141,8 +145,15 @@
 	return control.Later("not the leader")
 }
 
+// servesTime is for how long a node counts as one that users are sent to after the
+// last of them came.
+const servesTime = 3 * time.Second
+
 // Answer implements api.Backend.
 func (n *Node) Answer(ctx context.Context, q *peer.Request) *peer.Reply {
+	n.mu.Lock()
+	n.served = time.Now()
+	n.mu.Unlock()
 	if p := n.ctl.Answer(ctx, q); p != nil {
 		return p
 	}
@@ -232,9 +243,10 @@
 
 // Healthy implements api.Backend. A leader that is short of processor sends its
 // users to the other nodes, which have little to do: they can admit and answer
-// without it.
+// without it. Not before the load balancer sends users to one of them: after a
+// restart it waits for up to a minute.
 func (n *Node) Healthy() bool {
-	if n.ctl.Leading() && n.lag.Behind() && n.mesh.AnyReached() {
+	if n.ctl.Leading() && n.lag.Behind() && n.mesh.AnyServes() {
 		return false
 	}
 	v := n.elector.View()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -35,6 +35,8 @@
 	Member string `codec:"member"`
 	Leader string `codec:"leader"`
 	Term   uint64 `codec:"term"`
+	// Serves: users have come to the node lately, so the load balancer sends them.
+	Serves bool `codec:"serves,omitempty"`
 }
 
 // Kinds of forwarded requests.
@@ -129,13 +131,14 @@
 type Mesh struct {
 	conns map[string]*grpc.ClientConn
 
-	mu    sync.Mutex
-	heard map[string]time.Time
+	mu     sync.Mutex
+	heard  map[string]time.Time
+	serves map[string]bool // by the last answer
 }
 
 // Dial prepares the connections; they are opened on first use.
 func Dial(siblings []config.Sibling, dial state.DialFunc) (*Mesh, error) {
-	m := &Mesh{conns: map[string]*grpc.ClientConn{}, heard: map[string]time.Time{}}
+	m := &Mesh{conns: map[string]*grpc.ClientConn{}, heard: map[string]time.Time{}, serves: map[string]bool{}}
 	for _, s := range siblings {
 		c, err := grpc.NewClient("passthrough:///"+s.Address,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -171,10 +174,13 @@
 	return ok && time.Since(t) < 2500*time.Millisecond
 }
 
-// AnyReached reports whether any member answered a ping lately.
-func (m *Mesh) AnyReached() bool {
+// AnyServes reports whether any member that answered a ping lately has users.
+func (m *Mesh) AnyServes() bool {
 	for name := range m.conns {
-		if m.Reached(name) {
+		m.mu.Lock()
+		serves := m.serves[name]
+		m.mu.Unlock()
+		if serves && m.Reached(name) {
 			return true
 		}
 	}
@@ -214,7 +220,7 @@
 				out := &Hello{}
 				if err := c.Invoke(pctx, "/vetchstream.Peer/Ping", &none{}, out); err == nil {
 					m.mu.Lock()
-					m.heard[name] = time.Now()
+					m.heard[name], m.serves[name] = time.Now(), out.Serves
 					m.mu.Unlock()
 					told(*out)
 				}
