--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// stepEvery spaces the looks at all roll-outs.
+// rolloutEvery spaces the looks at all roll-outs.
 const rolloutEvery = 250 * time.Millisecond
 
 // step looks at each service once.
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -14,7 +14,7 @@
 	tests := []struct{ text, want string }{
 		{`[]`, ""},
 		{`[{"at_s":1,"for_s":2,"kind":"state_outage"},{"kind":"machines_die","machines":3}]`, ""},
-		{`[{"kind":"image_crashes","image":"i","after_s":5,"for_s":60}]`, ""},
+		{`[{"kind":"image_crashes","image":"i","after_s":5,"for_s":60},{"kind":"image_unhealthy","image":"i","after_s":5,"for_s":60}]`, ""},
 		{`{}`, "cannot unmarshal"},
 		{`[{"kind":"state_outage","how":"badly"}]`, "unknown field"},
 		{`[{"kind":"state_outage"},{"kind":"flood"}]`, "troubles[1].kind"},
--- a/internal/emulate/trouble.go
+++ b/internal/emulate/trouble.go
@@ -18,7 +18,8 @@
 	Kind string `json:"kind"`
 	// Machines is how many it hits.
 	Machines int `json:"machines"`
-	// Image is the image whose tasks crash, AfterS seconds after they start.
+	// Image is the image whose tasks crash, or whose replicas turn unhealthy, AfterS
+	// seconds after they start.
 	Image  string  `json:"image"`
 	AfterS float64 `json:"after_s"`
 	// DelayMs is what an answer takes longer, in milliseconds.
@@ -52,6 +53,11 @@
 	"machines_sick": {machines: true, do: func(cl *Cluster, t Trouble, r *rand.Rand, _ func()) {
 		cl.World.Sicken(cl.World.Any(r, t.Machines))
 	}},
+	"image_unhealthy": {image: true, do: func(cl *Cluster, t Trouble, _ *rand.Rand, wait func()) {
+		cl.World.Behave(t.Image, Image{BadAfter: time.Duration(max(t.AfterS, 0.001) * float64(time.Second))})
+		wait()
+		cl.World.Behave(t.Image, Image{})
+	}},
 	"image_crashes": {image: true, do: func(cl *Cluster, t Trouble, _ *rand.Rand, wait func()) {
 		cl.World.Behave(t.Image, Image{CrashAfter: time.Duration(max(t.AfterS, 0.001) * float64(time.Second))})
 		wait()
