Read over: roll-out status asks for what it tells, standard prefix test, one file reader

Need: a reading of the change found that each status in a list of roll-outs looked at all machines for zones that are down, which no status tells; a hand-written prefix test; a method nobody calls; submit and rollout start reading a file each. Change: the status takes the copies alone, strings.HasPrefix, encodeFile for both commands, one case for all states that want what is current. Behaviour stays.

--- a/cmd/vetchstream/client.go
+++ b/cmd/vetchstream/client.go
@@ -47,11 +47,7 @@
 	submit := &cobra.Command{
 		Use: "submit FILE", Short: "Submit a job described in a JSON file (- for standard input)", Args: one,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			doc, err := readJSON(args[0])
-			if err != nil {
-				return err
-			}
-			body, err := wire.Marshal(doc)
+			body, err := encodeFile(args[0])
 			if err != nil {
 				return err
 			}
@@ -109,7 +105,9 @@
 	return usageError{fmt.Errorf("--output %q is neither table nor json", c.output)}
 }
 
-func readJSON(path string) (map[string]any, error) {
+// encodeFile reads a JSON document (- for standard input) and encodes it as a
+// request's body.
+func encodeFile(path string) ([]byte, error) {
 	in := io.Reader(os.Stdin)
 	if path != "-" {
 		f, err := os.Open(path)
@@ -129,7 +127,7 @@
 			doc[k] = uint64(f)
 		}
 	}
-	return doc, nil
+	return wire.Marshal(doc)
 }
 
 // tries and callTime bound a client command.
--- a/cmd/vetchstream/rollout.go
+++ b/cmd/vetchstream/rollout.go
@@ -12,7 +12,6 @@
 	"github.com/spf13/cobra"
 
 	"vetchstream/internal/rollout"
-	"vetchstream/internal/wire"
 )
 
 // rolloutCommands are the operators' commands for roll-outs.
@@ -27,11 +26,7 @@
 	start := &cobra.Command{
 		Use: "start FILE", Short: "Start a roll-out described in a JSON file (- for standard input)", Args: one,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			doc, err := readJSON(args[0])
-			if err != nil {
-				return err
-			}
-			body, err := wire.Marshal(doc)
+			body, err := encodeFile(args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -157,7 +157,7 @@
 // move takes entries that are over out of a group, each to its own final key, in
 // one transaction: a crash at any step leaves an entry in one of the two places.
 func (gs *groups) move(g *group) {
-	var txn []state.Cond
+	var conds []state.Cond
 	var writes []state.Write
 	var left []job.Record
 	for i := range g.jobs {
@@ -174,7 +174,7 @@
 		}
 		// Another node that reached no leader may have admitted the job once more, by
 		// itself. That record has to go first, or it would be a new job afterwards.
-		txn = append(txn, state.Cond{Key: job.ActivePrefix + rec.Spec.ID})
+		conds = append(conds, state.Cond{Key: job.ActivePrefix + rec.Spec.ID})
 		writes = append(writes, put)
 	}
 	if len(writes) == 0 {
@@ -192,7 +192,7 @@
 		writes = append(writes, put)
 	}
 	gs.moving = true
-	gs.commit(g, txn, writes, func() {
+	gs.commit(g, conds, writes, func() {
 		for i := range g.jobs {
 			delete(gs.byJob, g.jobs[i].Spec.ID)
 		}
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -410,7 +410,7 @@
 // status is what an operator is shown.
 func (ro *rollouts) status(s *service) rollout.Status {
 	now := time.Now()
-	return rollout.Tell(s.rec, ro.view(s, ro.down(now), now))
+	return rollout.Tell(s.rec, &rollout.View{Now: now, Old: ro.copies(ro.book.sound(s.rec.Current), now), New: ro.copies(ro.book.sound(s.rec.Next), now)})
 }
 
 // start stores a new roll-out together with the job of its next version.
@@ -456,7 +456,7 @@
 	case current == "":
 		refuse(http.StatusBadRequest, "from: missing in a service's first roll-out")
 		return
-	case was == nil || gone(was):
+	case gone(was):
 		refuse(http.StatusNotFound, "from: no such service is running")
 		return
 	case was.Shape != job.Service:
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"vetchstream/internal/job"
 )
 
 // State is how far a roll-out is.
@@ -173,6 +171,3 @@
 	r.Failures[replica] = f
 	return true
 }
-
-// NextSpec is the next version's job, given the one before.
-func (r *Record) NextSpec(was *job.Spec) job.Spec { return r.Spec.Next(was) }
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -32,13 +32,13 @@
 	Failures  int    `codec:"failures" json:"failures"`
 }
 
-// Tell sums up a roll-out as it is seen.
+// Tell sums up a roll-out as it is seen. Of the view it needs the time and the
+// copies alone.
 func Tell(r *Record, v *View) Status {
 	round := func(s float64) float64 { return math.Round(10*s) / 10 }
-	end := v.Now
 	s := Status{Service: r.Service, Handle: r.Handle, Current: r.Current, Next: r.Next, State: string(r.State), Reason: r.Reason,
 		Batch: min(r.At+1, len(r.Batches)), SinceS: round(secs(r.Since, v.Now))}
-	s.TookS = round(secs(r.Started, end))
+	s.TookS = round(secs(r.Started, v.Now))
 	of := v.New
 	if r.State.Over() {
 		s.TookS = round(float64(r.Since-r.Started) / 1000)
--- a/internal/rollout/step.go
+++ b/internal/rollout/step.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -171,8 +172,8 @@
 		return false
 	}
 	switch {
-	case r.Reason == blindReason || hasPrefix(r.Reason, zoneReason):
-	case hasPrefix(r.Reason, lostReason):
+	case r.Reason == blindReason || strings.HasPrefix(r.Reason, zoneReason):
+	case strings.HasPrefix(r.Reason, lostReason):
 		for _, i := range r.Batches[min(r.At, len(r.Batches)-1)].Replicas {
 			if v.copyOf(v.Old, i).Lost || v.copyOf(v.New, i).Lost {
 				return false
@@ -185,8 +186,6 @@
 	return true
 }
 
-func hasPrefix(s, p string) bool { return len(s) >= len(p) && s[:len(p)] == p }
-
 // resume goes on where a pause began. The batch has its full time again: it was
 // not its copies' doing.
 func (r *Record) resume(now time.Time) {
@@ -314,11 +313,8 @@
 		state = r.Resume
 	}
 	switch state {
-	case Pending, Undone, Failed:
-		return w
-	case Done:
-		// The versions have changed places: what is current is wanted.
-		return w
+	case Pending, Undone, Failed, Done:
+		return w // what is current: when it is done, the versions have changed places
 	}
 	for at, b := range r.Batches {
 		switch {
