Ledger: a direct launch that was lost is sent once more; a job hung for ever on it

Change: a direct launch that 4 s have not settled is sent once more in an answer to a report. Two copies start an attempt once as long as its exit is not cleared, so it is not cleared in this reign; a successor's higher token stops late copies. Jobs that are cancelled get no second copy. Keeps points 8, 11 and 15 of docs/safety.md.

Ruled out: settling it by a later report (a held-back command may arrive minutes late and would run the task twice), halting it (a halt of a task that is not there does nothing).

Two ledger cases, seen to fail without the change.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -41,8 +41,11 @@
 	Direct bool
 	// viaSeq is the report whose answer carried the launch.
 	viaSeq uint64
-	At     time.Time
-	RunAt  time.Time
+	// again is when a direct launch without a clear answer was last sent once more.
+	// A copy of such a launch may still arrive: the exit is not cleared while it can.
+	again time.Time
+	At    time.Time
+	RunAt time.Time
 	// Adopted: met in a report, so its begin is not known.
 	Adopted bool
 	// Stopping: the placement has to go; Grace is the time to save, Halted when
@@ -502,6 +505,18 @@
 // haltEvery is how often a halt is repeated while its task is still there.
 const haltEvery = 1500 * time.Millisecond
 
+// doubtTime is how old a direct launch must be, that nothing has settled, before
+// it is sent once more. A direct command ends sooner.
+const doubtTime = 4 * time.Second
+
+// doubtful reports whether a direct launch was perhaps lost: no report has shown
+// it, and its call is over. Without a second copy it would hold its room, and its
+// task, for as long as the worker goes on reporting.
+func (s *Slot) doubtful(now time.Time) bool {
+	return s.Sent && s.Direct && !s.Seen && s.On() && !s.Host.Calling && now.Sub(s.At) >= doubtTime &&
+		now.Sub(s.again) >= doubtTime && s.Job.Closing+s.Job.Phase == ""
+}
+
 func grace(g float64) *float64 { return &g }
 
 // Compose makes the orders for a machine and marks the launches as sent. seq is
@@ -528,10 +543,19 @@
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
 			sent = append(sent, s)
 			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
+		case seq != 0 && launches && h.Fenced && s.doubtful(now):
+			// The worker has it once, whichever copy comes first, as long as its exit is
+			// not cleared. One that has to go is launched to be stopped: an exit settles it.
+			s.again = now
+			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
+			if s.Stopping {
+				s.Halted = now
+				orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
+			}
 		case s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)):
 			s.Halted = now
 			orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
-		case seq != 0 && !s.On() && s.Settled:
+		case seq != 0 && !s.On() && s.Settled && s.again.IsZero():
 			orders = append(orders, wire.Order{Op: wire.Clear, Task: name(), Attempt: s.Attempt})
 		}
 	}
@@ -556,7 +580,7 @@
 func (f *Fleet) Unsent(slots []*Slot) []Event {
 	var ev []Event
 	for _, s := range slots {
-		if s.Host.Slots[s.Key] == s && s.Direct && !s.Seen {
+		if s.Host.Slots[s.Key] == s && s.Direct && !s.Seen && s.again.IsZero() {
 			ev = append(ev, f.remove(s.Host, s, Never)...)
 			s.Host.Recount()
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -128,6 +128,40 @@
 			b.msg(true, 1, 3, term, run)
 			b.live(1, "once it is seen")
 		}},
+		{"8: a direct launch that was lost is sent once more, and its exit is not cleared", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			b.msg(true, 1, 2, term, nil)
+			b.orders(b.compose(2, true), "")
+			b.now = b.now.Add(doubtTime)
+			b.msg(true, 1, 3, term, nil)
+			b.orders(b.compose(3, true), "launch 1;")
+			b.msg(true, 1, 4, term, nil)
+			b.orders(b.compose(4, true), "")
+			b.live(1, "the second copy may be lost too")
+			b.msg(true, 1, 5, term, map[uint64]string{1: wire.Exited})
+			b.live(0, "once its exit is seen")
+			for s := range b.f.On(b.j) {
+				s.Settled = true
+			}
+			b.orders(b.compose(5, true), "")
+			b.msg(true, 2, 1, term, nil)
+			b.orders(b.compose(1, true), "")
+		}},
+		{"8, 15: one that has to go is launched to be stopped, one of a cancelled job is not", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			for s := range b.f.On(b.j) {
+				b.f.Stop(s, 0)
+			}
+			b.now = b.now.Add(doubtTime)
+			b.orders(b.compose(1, true), "launch 1;halt 1;")
+			b.now = b.now.Add(doubtTime)
+			b.j.Closing = wire.JobAborted
+			b.orders(b.compose(1, true), "halt 1;")
+		}},
 		{"8: an unanswered direct launch outlives reports without it", func(b *bed) {
 			b.msg(true, 1, 1, term, nil)
 			b.assign(1)
