--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -215,6 +215,27 @@
 	CountOn map[string]int `json:"count_on"`
 }
 
+// Shares holds the operators' settings for sharing the machines among the
+// controllers.
+type Shares struct {
+	Enabled bool `json:"enabled"`
+	// Least is the number of machines below which the leader deals with all.
+	Least int `json:"least"`
+	// GrantMs is how long a holder may answer without hearing from the leader, in
+	// milliseconds; never beyond the leader's own entitlement.
+	GrantMs int `json:"grant_ms"`
+	// JoinS is how long a controller must be there before it gets machines, in seconds;
+	// RestS how long one that has left gets none. It doubles with each time that it
+	// leaves, up to RestMostS.
+	JoinS     float64 `json:"join_s"`
+	RestS     float64 `json:"rest_s"`
+	RestMostS float64 `json:"rest_most_s"`
+	// PerS is how many machines change their holder a second; 0: from core_share.
+	PerS float64 `json:"per_s"`
+	// Own is the leader's part beside 1 for each of the others.
+	Own float64 `json:"own"`
+}
+
 // Tuning holds the operators' own settings.
 type Tuning struct {
 	// LeaderLeaseMs is the length of the leader's lease in the state service.
@@ -229,6 +250,8 @@
 	} `json:"rollouts"`
 	// Calendar switches reservations and maintenance windows on.
 	Calendar Calendar `json:"calendar"`
+	// Shares switches the sharing of the machines on.
+	Shares Shares `json:"shares"`
 	// MetricsListen is the address of the metrics page; empty: there is none.
 	MetricsListen string `json:"metrics_listen"`
 	Weights       struct {
@@ -267,6 +290,7 @@
 	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
 	t.Rollouts.Most, t.Rollouts.Checks = 1000, 16
 	t.Calendar = Calendar{Hold: true, Drain: true, Backfill: true, HoldS: 900, Days: 100, Most: 2000, PerTeam: 500, Windows: 100, Occurrences: 400}
+	t.Shares = Shares{Least: 200, GrantMs: 2000, JoinS: 3, RestS: 5, RestMostS: 120, Own: 0.6}
 	h := &t.Hosts
 	h.IdleBoots, h.GiveUpBoots, h.MinFill, h.PatienceS, h.SickErrors = 1, 4, 0.5, 15, 3
 	return t
--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"vetchstream/internal/fleet"
@@ -18,6 +19,7 @@
 	*core
 	work     *work
 	takeover *takeover
+	shares   *shares
 
 	calls int // under way
 	most  int
@@ -43,7 +45,11 @@
 
 // reachable reports whether a direct command may be sent now.
 func (cm *commands) reachable(h *fleet.Host, now time.Time) bool {
-	return cm.calls < cm.most && !h.Calling && !h.Lost && h.Addr != "" && h.Durable && !now.Before(h.NextCall)
+	if h.Calling || h.Lost || h.Addr == "" || !h.Durable || now.Before(h.NextCall) {
+		return false
+	}
+	relayed, may := cm.shares.takes(h)
+	return may && (relayed || cm.calls < cm.most)
 }
 
 // call sends a direct command: it fences a worker after a takeover, and brings
@@ -59,53 +65,72 @@
 		return
 	}
 	h.Calling = true
+	if relayed, _ := cm.shares.takes(h); relayed {
+		cm.shares.relay(h, body, sent, now)
+		return
+	}
 	cm.calls++
 	addr := h.Addr
 	go func() {
-		status, rep, reached, err := cm.do(addr, body)
-		cm.post(func() { cm.called(h, status, rep, reached, err, sent) })
+		status, b, reached, err := Direct(cm.ctx, cm.c.direct, addr, body, func() bool { return cm.c.Entitled(cm.term) })
+		cm.post(func() {
+			cm.calls--
+			cm.ended(h, status, b, reached, err, sent)
+		})
 	}()
 }
 
-// do runs a direct command; reached tells whether anything can have been sent.
-func (cm *commands) do(addr string, body []byte) (status int, rep *wire.Report, reached bool, err error) {
-	ctx, cancel := context.WithTimeout(cm.ctx, 2500*time.Millisecond)
+// errNotEntitled: the sender may not act for the leader any more.
+var errNotEntitled = errors.New("not entitled")
+
+// directTime bounds a direct command.
+const directTime = 2500 * time.Millisecond
+
+// Direct sends a direct command and returns the worker's answer; reached tells
+// whether anything can have been sent. Whether the sender may is asked as late as
+// possible.
+func Direct(ctx context.Context, hc *http.Client, addr string, body []byte, may func() bool) (status int, answer []byte, reached bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, directTime)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached = true }})
+	var got atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { got.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/do", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, false, err
 	}
 	req.GetBody = nil
 	req.Header.Set("Content-Type", wire.ContentType)
-	if !cm.c.Entitled(cm.term) {
-		return 0, nil, false, errors.New("not entitled")
+	if !may() {
+		return 0, nil, false, errNotEntitled
 	}
-	res, err := cm.c.direct.Do(req)
+	res, err := hc.Do(req)
 	if err != nil {
-		return 0, nil, reached, err
+		return 0, nil, got.Load(), err
 	}
 	defer res.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(res.Body, 4*wire.MaxBody))
 	if err != nil {
 		return 0, nil, true, err
 	}
-	rep = &wire.Report{}
-	if err := wire.Unmarshal(b, rep); err != nil || rep.Session == 0 {
-		return res.StatusCode, nil, true, err
-	}
-	return res.StatusCode, rep, true, nil
+	return res.StatusCode, b, true, nil
 }
 
 const maxCallPause = 4 * time.Second
 
-func (cm *commands) called(h *fleet.Host, status int, rep *wire.Report, reached bool, err error, sent []*fleet.Slot) {
+// ended takes in what became of a direct command, whoever sent it.
+func (cm *commands) ended(h *fleet.Host, status int, answer []byte, reached bool, err error, sent []*fleet.Slot) {
 	now := time.Now()
 	h.Calling = false
-	cm.calls--
 	if cm.fleet.Hosts[h.Name] != h {
 		return
 	}
+	var rep *wire.Report
+	if len(answer) > 0 {
+		rep = &wire.Report{}
+		if err := wire.Unmarshal(answer, rep); err != nil || rep.Session == 0 {
+			rep = nil
+		}
+	}
 	if !reached || (status != http.StatusOK && rep != nil) || status == http.StatusBadRequest {
 		// Nothing was executed, and nothing will be.
 		cm.work.handle(cm.fleet.Unsent(sent), now)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,6 +33,8 @@
 	Meter    *meter.Meter // nil: off
 	// Entitled tells whether this node may act for the term right now.
 	Entitled func(term uint64) bool
+	// Left is for how long that is so without another renewal.
+	Left func(term uint64) time.Duration
 	// Deposed is told of a later term that a worker has seen.
 	Deposed func(term uint64)
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -93,6 +93,7 @@
 	agenda    *agenda
 	holds     *holds
 	drains    *drains
+	shares    *shares
 
 	scanAt time.Time
 }
@@ -108,7 +109,7 @@
 	}
 	ends := share(endingShare)
 	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
-		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), agenda: newAgenda(co), holds: newHolds(co), drains: newDrains(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
+		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), agenda: newAgenda(co), shares: newShares(co), holds: newHolds(co), drains: newDrains(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
 		machines: newMachines(co), takeover: &takeover{core: co}, commands: &commands{core: co, most: DirectCalls(f.Resources.MaxSockets)},
 		planner: newPlanner(co), work: &work{core: co}, writer: &writer{core: co, batch: f.State.TxnOps}}
 	r.wire()
@@ -132,6 +133,8 @@
 	r.work.names, r.work.book, r.work.registry, r.work.machines = r.names, r.book, r.registry, r.machines
 	r.work.endings, r.work.results = r.endings, r.results
 	r.writer.registry = r.registry
+	r.shares.names, r.shares.machines, r.shares.takeover, r.shares.work, r.shares.commands = r.names, r.machines, r.takeover, r.work, r.commands
+	r.commands.shares, r.machines.shares, r.takeover.shares = r.shares, r.shares, r.shares
 	r.rollouts.names, r.rollouts.book, r.rollouts.endings, r.rollouts.work, r.rollouts.takeover = r.names, r.book, r.endings, r.work, r.takeover
 	r.rollouts.groups, r.work.rollouts, r.takeover.rollouts = r.groups, r.rollouts, r.rollouts
 	r.agenda.names, r.agenda.book, r.agenda.takeover, r.agenda.holds, r.agenda.drains = r.names, r.book, r.takeover, r.holds, r.drains
@@ -196,6 +199,9 @@
 		back(Later("machine was returned"))
 		return
 	}
+	if !r.shares.route(m, func() { r.report(m, back) }, back) {
+		return
+	}
 	h := r.fleet.Hosts[m.Host]
 	if h == nil {
 		r.log.Info("adopting a machine that nobody expected", "host", m.Host, "type", m.Type, "zone", m.Zone)
@@ -211,6 +217,7 @@
 	r.takeover.launched(len(sent), now)
 	r.work.handle(ev, now)
 	back(reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders}))
+	r.shares.served(h, now)
 }
 
 // scanEvery spaces the looks at every machine and every job: in a large fleet one
@@ -241,6 +248,7 @@
 	r.planner.place(now)
 	r.registry.register(now)
 	r.commands.urgent(now)
+	r.shares.step(now, scan)
 	if !scan {
 		return
 	}
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -27,6 +27,7 @@
 	writer   *writer
 	holds    *holds
 	drains   *drains
+	shares   *shares
 
 	wants     []hosts.Want // what the last plan found no room for
 	removed   map[string]bool
@@ -240,6 +241,7 @@
 	mc.removed[h.Name] = true
 	mc.planner.gone(h)
 	mc.holds.forget(h)
+	mc.shares.gone(h)
 	delete(mc.noticed, h)
 	if mc.registry.leave(h) {
 		mc.fleet.Free(h.Idx)
--- /dev/null
+++ b/internal/control/shares.go
@@ -0,0 +1,367 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
+	"vetchstream/internal/meter"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/share"
+	"vetchstream/internal/wire"
+)
+
+// shares gives the machines out among the controllers and is the leader's end of
+// what it says to the holders. Who has which machine is decided by package share;
+// what may be on it stays in the one ledger.
+type shares struct {
+	*core
+	names    *names
+	machines *machines
+	takeover *takeover
+	work     *work
+	commands *commands
+
+	allot   *share.Allotter // nil: off
+	holders map[string]*fleet.Holder
+	boxes   map[string]*box
+	relayed map[uint64]*relay
+	calls   uint64
+	waiting map[string][]func() // reports of machines whose holder is changing
+	told    map[moveKind]*moved
+	toldAt  time.Time
+}
+
+// box is what waits for a member's next reply.
+type box struct {
+	back    func(*share.Reply) // answers the request under way; nil: there is none
+	since   time.Time
+	most    int // direct commands that it can have under way
+	under   int // those that it has
+	calls   []share.Call
+	settled []share.Settled
+}
+
+// relay is a direct command that a holder sends.
+type relay struct {
+	host   *fleet.Host
+	member string
+	sent   []*fleet.Slot
+	at     time.Time
+}
+
+// errNoWord is the end of a command of which the holder has told nothing.
+var errNoWord = errors.New("the holder has told nothing of it")
+
+type moveKind struct{ from, why string }
+
+type moved struct {
+	machines int
+	longest  time.Duration
+}
+
+// holdTime is how long a holder's request waits for something to say: requests
+// that come as often as they can would take the processor of both sides.
+const holdTime = 200 * time.Millisecond
+
+// relayTime is how long a holder may take with a direct command. After that what
+// the command launched is in doubt, and the ledger sends it once more.
+const relayTime = 3500 * time.Millisecond
+
+func newShares(co *core) *shares {
+	return &shares{core: co, holders: map[string]*fleet.Holder{}, boxes: map[string]*box{}, relayed: map[uint64]*relay{},
+		waiting: map[string][]func(){}, told: map[moveKind]*moved{}}
+}
+
+// Room is how many machines a controller can deal with: a connection each, beside
+// those that it needs itself, and a sixth for users.
+func Room(maxSockets int) int { return max(0, (maxSockets-2*DirectCalls(maxSockets)-40)*5/6) }
+
+// begin starts with what the registry names; the leader deals with all of it.
+func (sh *shares) begin(now time.Time) {
+	t, f := sh.c.Tuning.Shares, &sh.c.Settings.Facts
+	if !t.Enabled || len(sh.c.Settings.Siblings) == 0 {
+		return
+	}
+	perS := t.PerS
+	if perS == 0 {
+		perS = share.PerSecond(f.Resources.CoreShare)
+	}
+	sh.allot = share.NewAllotter(sh.term, sh.c.Settings.Member, sh.c.Settings.Site, share.Settings{
+		Grant: time.Duration(t.GrantMs) * time.Millisecond, Join: config.Seconds(t.JoinS), Rest: config.Seconds(t.RestS),
+		RestMost: config.Seconds(t.RestMostS), Least: t.Least, PerS: perS, Own: t.Own, Room: Room(f.Resources.MaxSockets)}, now)
+	for _, h := range sh.fleet.All() {
+		zone := ""
+		if h.Zone >= 0 {
+			zone = sh.names.zoneNames()[h.Zone]
+		}
+		sh.allot.Known(h.Name, zone)
+	}
+}
+
+// route says whether the leader answers a report that has come to it. If not, the
+// worker is sent to the holder, or the report waits until there is none.
+func (sh *shares) route(m *wire.Report, again func(), back func(*peer.Reply)) bool {
+	if sh.allot == nil {
+		return true
+	}
+	r, member := sh.allot.Report(m.Host, m.Zone, time.Now())
+	switch r {
+	case share.Send:
+		back(reply(http.StatusMisdirectedRequest, wire.Redirect{ReportTo: member}))
+		return false
+	case share.Wait:
+		// One report of a worker is under way at a time, so this is bounded.
+		if len(sh.waiting[m.Host]) < 2 {
+			sh.waiting[m.Host] = append(sh.waiting[m.Host], again)
+		} else {
+			back(Later("the machine is changing its controller"))
+		}
+		return false
+	}
+	return true
+}
+
+// served notes that the leader has answered a machine.
+func (sh *shares) served(h *fleet.Host, now time.Time) {
+	if sh.allot == nil || !h.Durable || !h.Fenced || h.Releasing {
+		return
+	}
+	sh.allot.Served(h.Name, now)
+	sh.bind(h)
+}
+
+// bind ties the ledger's machine to its holder.
+func (sh *shares) bind(h *fleet.Host) {
+	if member, _ := sh.allot.Holder(h.Name); member != "" && h.Holder() == nil {
+		by := sh.holders[member]
+		if by == nil {
+			by = &fleet.Holder{Name: member}
+			sh.holders[member] = by
+		}
+		h.Hold(by)
+	}
+}
+
+// gone forgets a machine that was returned.
+func (sh *shares) gone(h *fleet.Host) {
+	if sh.allot == nil {
+		return
+	}
+	h.Unhold(time.Time{})
+	sh.allot.Gone(h.Name, time.Now())
+}
+
+// sync takes in a holder's request. It is answered once there is something to say,
+// and after holdTime in any case.
+func (sh *shares) sync(r *share.Request, back func(*share.Reply)) {
+	now := time.Now()
+	if sh.allot == nil {
+		back(&share.Reply{})
+		return
+	}
+	freed, ok := sh.allot.Sync(r, now)
+	if !ok {
+		sh.free(freed, now)
+		back(&share.Reply{})
+		return
+	}
+	b := sh.boxes[r.Member]
+	if b == nil {
+		b = &box{}
+		sh.boxes[r.Member] = b
+	}
+	if b.back != nil {
+		b.back(&share.Reply{}) // its caller has given up
+	}
+	b.back, b.since, b.most = back, now, r.Calls
+	if by := sh.holders[r.Member]; by != nil {
+		by.Told = sh.allot.Told(r.Member)
+	}
+	if r.Term == sh.term {
+		for i := range r.Entries {
+			sh.entry(b, &r.Entries[i], now)
+		}
+		for i := range r.Done {
+			sh.done(&r.Done[i])
+		}
+	} else {
+		for _, name := range r.Have {
+			if h := sh.fleet.Hosts[name]; h != nil {
+				sh.bind(h)
+			}
+		}
+	}
+	sh.free(freed, now)
+}
+
+// entry takes in what a machine has reported to its holder.
+func (sh *shares) entry(b *box, e *share.Entry, now time.Time) {
+	h := sh.fleet.Hosts[e.Host]
+	if h == nil || sh.machines.gone(e.Host) {
+		return
+	}
+	sh.allot.Heard(e.Host)
+	if len(e.Report) == 0 {
+		sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
+	} else {
+		m := &wire.Report{}
+		if err := wire.Unmarshal(e.Report, m); err != nil || m.Host != e.Host {
+			return // it was read once by the holder
+		}
+		if _, ok := sh.work.observe(h, m, true, now); !ok {
+			return
+		}
+		sh.changed()
+	}
+	if clears := h.Clears(maxOrders); clears != nil {
+		b.settled = append(b.settled, share.Settled{Host: e.Host, Clears: clears})
+	}
+}
+
+// free takes machines back from their holders.
+func (sh *shares) free(freed []share.Freed, now time.Time) {
+	for _, f := range freed {
+		if h := sh.fleet.Hosts[f.Name]; h != nil {
+			h.Unhold(f.Until)
+		}
+		k := moveKind{f.From, f.Why}
+		m := sh.told[k]
+		if m == nil {
+			m = &moved{}
+			sh.told[k] = m
+		}
+		m.machines++
+		m.longest = max(m.longest, now.Sub(f.Since))
+		sh.c.Meter.Add(meter.ShareMoves, f.Why, 1)
+		again := sh.waiting[f.Name]
+		delete(sh.waiting, f.Name)
+		for _, do := range again {
+			do()
+		}
+	}
+}
+
+// takes reports whether a direct command to a machine goes through its holder, and
+// whether it may go now.
+func (sh *shares) takes(h *fleet.Host) (relayed, now bool) {
+	if sh.allot == nil || h.Holder() == nil {
+		return false, true
+	}
+	member, asked := sh.allot.Holder(h.Name)
+	b := sh.boxes[member]
+	if !asked || b == nil || (b.back == nil && time.Since(b.since) > 3*holdTime) {
+		return false, true // it is not there: the command must not wait for its end
+	}
+	return true, b.under < b.most
+}
+
+// relay hands a direct command to the machine's holder.
+func (sh *shares) relay(h *fleet.Host, body []byte, sent []*fleet.Slot, now time.Time) {
+	member, _ := sh.allot.Holder(h.Name)
+	b := sh.boxes[member]
+	sh.calls++
+	b.under++
+	b.calls = append(b.calls, share.Call{ID: sh.calls, Addr: h.Addr, Body: body})
+	sh.relayed[sh.calls] = &relay{host: h, member: member, sent: sent, at: now}
+}
+
+// done takes in what became of a command.
+func (sh *shares) done(d *share.Done) {
+	r := sh.relayed[d.ID]
+	if r == nil {
+		return // given up, or told twice
+	}
+	delete(sh.relayed, d.ID)
+	sh.boxes[r.member].under--
+	sh.commands.ended(r.host, d.Status, d.Report, d.Reached, nil, r.sent)
+}
+
+// step does what time brings, and answers the requests that have something to be
+// told or have waited for long enough.
+func (sh *shares) step(now time.Time, scan bool) {
+	if sh.allot == nil {
+		return
+	}
+	if scan {
+		sh.free(sh.allot.Step(now), now)
+		for id, r := range sh.relayed {
+			if now.Sub(r.at) > relayTime {
+				delete(sh.relayed, id)
+				sh.boxes[r.member].under--
+				sh.commands.ended(r.host, 0, nil, true, errNoWord, r.sent)
+			}
+		}
+		sh.tell(now)
+	}
+	for member, b := range sh.boxes {
+		if b.back == nil {
+			continue
+		}
+		if len(b.calls) == 0 && len(b.settled) == 0 && !sh.allot.Due(member) && now.Sub(b.since) < holdTime {
+			continue
+		}
+		r := sh.allot.Reply(member, now)
+		r.Calls, r.Settled = b.calls, b.settled
+		back := b.back
+		b.back, b.calls, b.settled, b.since = nil, nil, nil, now
+		back(r)
+	}
+}
+
+// tell logs the moves of the last second, a line for each kind.
+func (sh *shares) tell(now time.Time) {
+	if now.Sub(sh.toldAt) < time.Second || len(sh.told) == 0 {
+		return
+	}
+	sh.toldAt = now
+	held := sh.allot.Held()
+	for k, m := range sh.told {
+		sh.log.Info("machines changed their controller", "machines", m.machines, "from", k.from, "why", k.why,
+			"took", m.longest.Round(time.Millisecond), "held", held)
+	}
+	clear(sh.told)
+	for member, n := range held {
+		sh.c.Meter.SetFor(meter.ShareHeld, member, n)
+	}
+}
+
+// Sync answers a holder's request as leader.
+func (c *Controller) Sync(ctx context.Context, q *share.Request) *share.Reply {
+	r := c.current()
+	if r == nil || !c.Entitled(r.term) || !r.takeover.loaded() {
+		return &share.Reply{}
+	}
+	ch := make(chan *share.Reply, 1)
+	back := func(p *share.Reply) {
+		select {
+		case ch <- p:
+		default:
+		}
+	}
+	select {
+	case r.inbox <- func() { r.shares.sync(q, back) }:
+	case <-r.ctx.Done():
+		return &share.Reply{}
+	case <-ctx.Done():
+		return &share.Reply{}
+	}
+	select {
+	case p := <-ch:
+		// The grant ends no later than what entitles this node, and the holder counts it
+		// from before it asked.
+		left := c.Left(r.term).Milliseconds()
+		if left <= 0 {
+			return &share.Reply{}
+		}
+		p.ForMs = min(p.ForMs, left)
+		return p
+	case <-r.ctx.Done():
+		return &share.Reply{}
+	case <-ctx.Done():
+		return &share.Reply{}
+	}
+}
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -33,6 +33,7 @@
 	agenda    *agenda
 	holds     *holds
 	drains    *drains
+	shares    *shares
 
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
@@ -253,6 +254,7 @@
 			tk.pause(200 * time.Millisecond)
 			continue
 		}
+		tk.shares.begin(time.Now())
 		tk.read.Store(true)
 		tk.phases.load, tk.phases.machines, tk.phases.jobs = time.Now(), len(tk.fleet.Hosts), len(tk.book.all())
 		for _, j := range tk.book.all() {
--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,10 +18,12 @@
 	done    map[string]map[int32]bool
 	broken  []string
 	starts  int
+	lapsed  int            // tasks that ran when the lease of their machine ended
+	answers map[string]int // answered reports, by controller
 }
 
 func newJudge() judge {
-	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}}
+	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}, answers: map[string]int{}}
 }
 
 // maxBroken bounds the list of broken rules: one fault can break thousands.
@@ -54,6 +57,20 @@
 	return w.judge.starts
 }
 
+// Lapsed counts the tasks that ran when the lease of their machine ended.
+func (w *World) Lapsed() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judge.lapsed
+}
+
+// Answers counts the reports that each controller has answered.
+func (w *World) Answers() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.judge.answers)
+}
+
 // Open lists the jobs whose users have not been told that they are over, with
 // what they were told.
 func (w *World) Open() map[string]string {
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -328,6 +328,7 @@
 			k.token, k.change = a.Token, true
 		}
 		k.leased = sent
+		w.judge.answers[w.cfg.Controllers[node].Member]++
 		k.obey(a.Orders)
 		return
 	}
@@ -351,6 +352,7 @@
 func (k *Worker) lose(now time.Time) {
 	for _, t := range k.tasks {
 		if t.phase == wire.Running || t.phase == wire.Saving {
+			k.w.judge.lapsed++
 			k.w.record(Event{At: now, Task: t.name, Image: t.spec.Image, Host: k.name, Zone: k.zone, Cause: Lost})
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -118,9 +118,11 @@
 	seq     uint64
 	// Fenced: the worker has sent a message with our own term.
 	Fenced bool
-	// heard is the last moment from which an answer of ours, or of an earlier
-	// leader, may have renewed the worker's lease.
+	// heard is the last moment from which an answer of ours, of a holder of ours or of
+	// an earlier leader, may have renewed the worker's lease.
 	heard time.Time
+	// holder is the controller that answers the machine's reports; nil: the leader.
+	holder *Holder
 	// Lost: the lease has run out without a message; nothing is on the machine.
 	Lost     bool
 	LostAt   time.Time
@@ -154,6 +156,53 @@
 	awake    bool
 }
 
+// Holder is a controller that answers the reports of machines in the leader's
+// place (package share).
+type Holder struct {
+	Name string
+	// Told is up to when all that it has answered is known. A machine that it deals
+	// with can only be judged as of then: a later answer may have renewed its lease.
+	Told time.Time
+}
+
+// Holder is who answers the machine's reports; nil: the leader.
+func (h *Host) Holder() *Holder { return h.holder }
+
+// Hold notes that a holder may answer the machine's reports from now on.
+func (h *Host) Hold(by *Holder) { h.holder = by }
+
+// Unhold notes that the holder does not any more; it may have until the moment
+// given.
+func (h *Host) Unhold(until time.Time) {
+	if h.holder == nil {
+		return
+	}
+	h.holder = nil
+	if !h.Lost && until.After(h.heard) {
+		h.heard = until
+	}
+}
+
+// asOf is the time up to which all answers to the machine's reports are known.
+func (h *Host) asOf(now time.Time) time.Time {
+	if h.holder != nil && h.holder.Told.Before(now) {
+		return h.holder.Told
+	}
+	return now
+}
+
+// Renew takes in that the holder has answered a report which said the same as the
+// one before.
+func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) {
+	if session != h.Session || h.Lost {
+		return
+	}
+	if at.After(h.heard) {
+		h.heard = at
+	}
+	h.seq = max(h.seq, seq)
+}
+
 // Past is a job that an earlier leader may have launched on a machine. The team
 // is kept for a job that is over, and is -1 where it is not known.
 type Past struct {
@@ -285,7 +334,7 @@
 func (f *Fleet) Awake() []*Host {
 	f.awake = slices.DeleteFunc(f.awake, func(h *Host) bool {
 		for _, s := range h.Slots {
-			if !s.Sent || (s.Stopping && s.On()) {
+			if !s.Sent || (s.Stopping && s.On()) || (h.holder != nil && s.Direct && !s.Seen) {
 				return false
 			}
 		}
@@ -543,7 +592,7 @@
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
 			sent = append(sent, s)
 			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
-		case seq != 0 && launches && h.Fenced && s.doubtful(now):
+		case (seq != 0 || h.holder != nil) && launches && h.Fenced && s.doubtful(now):
 			// The worker has it once, whichever copy comes first, as long as its exit is
 			// not cleared. One that has to go is launched to be stopped: an exit settles it.
 			s.again = now
@@ -563,12 +612,29 @@
 	return orders, sent, ev
 }
 
+// Clears are the exits that the worker may forget, for the next answer of the
+// holder.
+func (h *Host) Clears(limit int) (orders []wire.Order) {
+	if h.Exits == 0 {
+		return nil
+	}
+	for _, s := range h.Slots {
+		if !s.On() && s.Settled && s.again.IsZero() && len(orders) < limit {
+			orders = append(orders, wire.Order{Op: wire.Clear, Task: job.TaskName(s.Job.ID, s.Task), Attempt: s.Attempt})
+		}
+	}
+	return orders
+}
+
 // Urgent reports whether something waits that is worth a direct command.
 func (h *Host) Urgent(now time.Time) bool {
 	for _, s := range h.Slots {
 		if !s.Sent && h.Usable() && s.Job.Noted.Has(h.Idx) {
 			return true
 		}
+		if h.holder != nil && s.doubtful(now) {
+			return true // its reports are answered without us
+		}
 		if s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)) {
 			return true
 		}
@@ -592,7 +658,7 @@
 // these machines.
 func (f *Fleet) Expire(now time.Time) (ev []Event, lost int) {
 	for _, h := range f.order {
-		if h.Lost || now.Sub(h.heard) < f.Lease {
+		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease {
 			continue
 		}
 		h.Lost, h.LostAt, h.Fenced = true, now, false
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -81,6 +81,18 @@
 	return e.reigning == term && term != 0 && now.Before(e.until)
 }
 
+// Left is how long the member may still act as leader of the term without another
+// renewal; 0: it may not.
+func (e *Elector) Left(term uint64) time.Duration {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reigning != term || term == 0 {
+		return 0
+	}
+	return max(0, e.until.Sub(now))
+}
+
 // View returns what the node knows of the leadership.
 func (e *Elector) View() View {
 	e.mu.Lock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -23,12 +23,13 @@
 
 // What is counted.
 var (
-	Answers  = Metric{"vetchstream_answers_total", "Answers to users, by kind of request and status.", "request"}
-	Launches = Metric{"vetchstream_launches_total", "Launches sent to workers.", ""}
-	Endings  = Metric{"vetchstream_jobs_ended_total", "Jobs that are over, by their final phase.", "phase"}
-	Slots    = Metric{"vetchstream_slots_total", "Occurrences of reservations that are decided, by outcome.", "outcome"}
-	Moves    = Metric{"vetchstream_maintenance_moves_total", "Tasks moved or stopped for maintenance.", ""}
-	Accepted = Metric{"vetchstream_jobs_accepted_total", "Jobs accepted by this node, by the kind of record.", "record"}
+	Answers    = Metric{"vetchstream_answers_total", "Answers to users, by kind of request and status.", "request"}
+	Launches   = Metric{"vetchstream_launches_total", "Launches sent to workers.", ""}
+	Endings    = Metric{"vetchstream_jobs_ended_total", "Jobs that are over, by their final phase.", "phase"}
+	Slots      = Metric{"vetchstream_slots_total", "Occurrences of reservations that are decided, by outcome.", "outcome"}
+	Moves      = Metric{"vetchstream_maintenance_moves_total", "Tasks moved or stopped for maintenance.", ""}
+	ShareMoves = Metric{"vetchstream_share_moves_total", "Machines that a holder has given back or lost, by the reason.", "why"}
+	Accepted   = Metric{"vetchstream_jobs_accepted_total", "Jobs accepted by this node, by the kind of record.", "record"}
 )
 
 // What is timed, in seconds.
@@ -41,10 +42,11 @@
 
 // What is shown as it stands.
 var (
-	Machines = Metric{"vetchstream_machines", "Machines that the leader looks after.", ""}
-	Jobs     = Metric{"vetchstream_jobs", "Jobs that the leader looks after.", ""}
-	Held     = Metric{"vetchstream_machines_held", "Machines held for reservations.", ""}
-	Leading  = Metric{"vetchstream_leading", "1 while this node leads.", ""}
+	Machines  = Metric{"vetchstream_machines", "Machines that the leader looks after.", ""}
+	Jobs      = Metric{"vetchstream_jobs", "Jobs that the leader looks after.", ""}
+	Held      = Metric{"vetchstream_machines_held", "Machines held for reservations.", ""}
+	ShareHeld = Metric{"vetchstream_share_machines", "Machines that each controller deals with, at the leader.", "member"}
+	Leading   = Metric{"vetchstream_leading", "1 while this node leads.", ""}
 )
 
 // maxLabels bounds the values of a label: classes are the users' to name. What
@@ -109,13 +111,16 @@
 }
 
 // Set shows a figure as it stands.
-func (m *Meter) Set(of Metric, n int) {
+func (m *Meter) Set(of Metric, n int) { m.SetFor(of, "", n) }
+
+// SetFor is Set for one value of the metric's label.
+func (m *Meter) SetFor(of Metric, value string, n int) {
 	if m == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.gauges[m.key(of, "")] = float64(n)
+	m.gauges[m.key(of, value)] = float64(n)
 }
 
 // Took notes a time.
--- /dev/null
+++ b/internal/node/arm.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"vetchstream/internal/control"
+	"vetchstream/internal/peer"
+	"vetchstream/internal/share"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// arm deals with the machines that the leader has given to this node: it answers
+// their reports while the grant holds, tells the leader what they say, and sends
+// the leader's commands to them.
+type arm struct {
+	n     *Node
+	hc    *http.Client
+	calls int // direct commands that may be under way
+	room  int // machines that it can deal with
+
+	mu     sync.Mutex
+	holder *share.Holder
+}
+
+const (
+	// syncTime bounds a request; the leader answers within a fifth of a second.
+	syncTime = 900 * time.Millisecond
+	// syncGap is the least time between two requests, and syncIdle the wait of one that
+	// was refused or lost.
+	syncGap  = 25 * time.Millisecond
+	syncIdle = 150 * time.Millisecond
+)
+
+func newArm(n *Node, dial state.DialFunc) *arm {
+	sockets := n.set.Facts.Resources.MaxSockets
+	calls := control.DirectCalls(sockets)
+	return &arm{n: n, calls: calls, room: control.Room(sockets),
+		hc: &http.Client{Transport: &http.Transport{DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: calls,
+			IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
+		// A later process has a later time of day, within its skew; the leader lets in one
+		// that has not once the grants of the process before have ended.
+		holder: share.NewHolder(n.set.Member, n.set.Site, uint64(time.Now().UnixNano()))}
+}
+
+// run asks the leader for this node's grant until the context ends.
+func (a *arm) run(ctx context.Context) {
+	defer a.hc.CloseIdleConnections()
+	for ctx.Err() == nil {
+		begun := time.Now()
+		if !a.sync(ctx) {
+			wait(ctx, syncIdle)
+			continue
+		}
+		wait(ctx, syncGap-time.Since(begun))
+	}
+}
+
+// wait waits for a time, or until the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// sync makes one request and reports whether it was answered.
+func (a *arm) sync(ctx context.Context) bool {
+	v := a.n.elector.View()
+	a.mu.Lock()
+	if v.Leader == a.n.set.Member {
+		a.holder.Lead()
+	}
+	if v.Leader == "" || v.Leader == a.n.set.Member {
+		a.mu.Unlock()
+		return false
+	}
+	if v.Term > a.holder.Term() {
+		a.holder.Follow()
+	}
+	sent := time.Now()
+	q := a.holder.Request(a.room, a.calls, a.n.lag.Behind(), sent)
+	a.mu.Unlock()
+	sctx, cancel := context.WithTimeout(ctx, syncTime)
+	defer cancel()
+	p, err := a.n.mesh.Sync(sctx, v.Leader, q)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil || p.Term == 0 {
+		a.holder.Missed()
+		return false
+	}
+	for _, c := range a.holder.Granted(p, sent) {
+		go a.send(ctx, p.Term, c)
+	}
+	return true
+}
+
+// send sends a command of the leader's to a worker. The leader bounds how many are
+// under way.
+func (a *arm) send(ctx context.Context, term uint64, c share.Call) {
+	status, answer, reached, err := control.Direct(ctx, a.hc, c.Addr, c.Body, func() bool { return a.valid(term) })
+	if err != nil {
+		a.n.log.Debug("direct command failed", "addr", c.Addr, "status", status, "error", err)
+	}
+	a.mu.Lock()
+	a.holder.Finish(share.Done{ID: c.ID, Status: status, Reached: reached, Report: answer})
+	a.mu.Unlock()
+}
+
+// valid reports whether this node may act for the leader of the term right now.
+func (a *arm) valid(term uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Valid(term, time.Now())
+}
+
+// report answers the report of a machine in the share; nil: it is in none of ours.
+func (a *arm) report(body []byte) *peer.Reply {
+	m := &wire.Report{}
+	if err := wire.Unmarshal(body, m); err != nil || m.Host == "" || m.Session == 0 {
+		return nil // the leader refuses it
+	}
+	a.mu.Lock()
+	orders, verdict := a.holder.Report(m, body, time.Now())
+	term := a.holder.Term()
+	a.mu.Unlock()
+	switch verdict {
+	case share.Elsewhere:
+		return nil
+	case share.Lapsed:
+		if m.Token > term {
+			a.n.elector.Heard("", m.Token)
+		}
+		return control.Later("the leader has not renewed this node's grant")
+	}
+	b, err := wire.Marshal(wire.Answer{Token: term, Orders: orders})
+	if err != nil {
+		return control.Later("the answer does not encode")
+	}
+	// As late as possible: the lock may have been waited for longer than the grant.
+	if !a.valid(term) {
+		return control.Later("the leader has not renewed this node's grant")
+	}
+	return &peer.Reply{Status: http.StatusOK, Body: b}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"vetchstream/internal/lead"
 	"vetchstream/internal/meter"
 	"vetchstream/internal/peer"
+	"vetchstream/internal/share"
 	"vetchstream/internal/state"
 )
 
@@ -42,6 +43,7 @@
 	mesh    *peer.Mesh
 	route   route
 	lag     lag
+	arm     *arm // nil: the machines are not shared
 
 	mu      sync.Mutex
 	served  time.Time // when a user last came here
@@ -60,6 +62,7 @@
 	n.ctl = control.New(control.Deps{Settings: set, Tuning: tun, State: st,
 		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log, Meter: m,
 		Entitled: func(term uint64) bool { return n.elector.Entitled(term) },
+		Left:     func(term uint64) time.Duration { return n.elector.Left(term) },
 		Deposed:  func(term uint64) { n.elector.Heard("", term) }})
 	n.elector = lead.New(set.Member, time.Duration(tun.LeaderLeaseMs)*time.Millisecond,
 		state.Unbounded(set.Outside.State, nw.Dial), log, n.ctl.Lead)
@@ -69,6 +72,9 @@
 	}
 	defer mesh.Close()
 	n.mesh = mesh
+	if tun.Shares.Enabled && len(set.Siblings) > 0 {
+		n.arm = newArm(n, nw.Dial)
+	}
 
 	pl, err := nw.Listen(set.PeerListen)
 	if err != nil {
@@ -100,6 +106,9 @@
 			}
 		})
 	}
+	if n.arm != nil {
+		wg.Go(func() { n.arm.run(ctx) })
+	}
 	wg.Go(func() {
 		mesh.Pings(ctx, func(h peer.Hello) {
 			n.elector.Heard(h.Leader, h.Term)
@@ -215,8 +224,17 @@
 	submitForwardTime = 400 * time.Millisecond
 )
 
-// Report implements api.Backend.
-func (n *Node) Report(ctx context.Context, q *peer.Request) *peer.Reply { return n.ctl.Answer(ctx, q) }
+// Sync implements peer.Handler: only a leader gives shares.
+func (n *Node) Sync(ctx context.Context, r *share.Request) *share.Reply { return n.ctl.Sync(ctx, r) }
+
+// Report implements api.Backend: a worker is answered by the leader, or by the
+// holder of its machine.
+func (n *Node) Report(ctx context.Context, q *peer.Request) *peer.Reply {
+	if p := n.ctl.Answer(ctx, q); p != nil || n.arm == nil {
+		return p
+	}
+	return n.arm.report(q.Body)
+}
 
 // Forward implements api.Backend.
 func (n *Node) Forward(ctx context.Context, q *peer.Request) *peer.Reply {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,5 +1,5 @@
 // Package peer carries what controllers say to each other over gRPC: who leads,
-// and requests that are forwarded to the leader.
+// requests that are forwarded to the leader, and the shares of the machines.
 package peer
 
 import (
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/share"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
 )
@@ -99,6 +100,8 @@
 	Hello() Hello
 	// Local answers a request as leader, and refuses it otherwise.
 	Local(ctx context.Context, r *Request) *Reply
+	// Sync answers a holder's request as leader, and refuses it otherwise.
+	Sync(ctx context.Context, r *share.Request) *share.Reply
 }
 
 type none struct{}
@@ -119,6 +122,7 @@
 	Methods: []grpc.MethodDesc{
 		method("Ping", func(h Handler, _ context.Context, _ *none) *Hello { v := h.Hello(); return &v }),
 		method("Forward", func(h Handler, ctx context.Context, r *Request) *Reply { return h.Local(ctx, r) }),
+		method("Sync", func(h Handler, ctx context.Context, r *share.Request) *share.Reply { return h.Sync(ctx, r) }),
 	},
 }
 
@@ -217,6 +221,19 @@
 	return out, nil
 }
 
+// Sync asks the leader for the grant of this member's share.
+func (m *Mesh) Sync(ctx context.Context, leader string, r *share.Request) (*share.Reply, error) {
+	c := m.conns[leader]
+	if c == nil {
+		return nil, fmt.Errorf("peer %q is unknown", leader)
+	}
+	out := &share.Reply{}
+	if err := c.Invoke(ctx, "/vetchstream.Peer/Sync", r, out); err != nil {
+		return nil, fmt.Errorf("sync with %s: %w", leader, err)
+	}
+	return out, nil
+}
+
 // Pings asks every sibling once a second what it knows, until the context ends.
 func (m *Mesh) Pings(ctx context.Context, told func(Hello)) {
 	var wg sync.WaitGroup
--- /dev/null
+++ b/internal/share/allot.go
@@ -0,0 +1,587 @@
+package share
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// phase is how far the change of a machine's holder is.
+type phase uint8
+
+const (
+	own    phase = iota // the leader deals with it
+	giving              // the member may have it, and has not said so yet
+	given               // the member has said that it has it
+	taking              // it may still have it, and is told to let go
+)
+
+// machine is a machine of the fleet.
+type machine struct {
+	name, zone string
+	m          *member // nil in phase own
+	phase      phase
+	// tag is the first reply that carried the change; 0: none has.
+	tag   uint64
+	since time.Time // of the change
+	why   string
+	// sentAt is when its worker was last sent to the holder, and the holder has not
+	// told of it since; zero: it has.
+	sentAt time.Time
+	ranked []*seat
+	epoch  int // of the seats that it is ranked by
+}
+
+// member is a controller that may hold a share.
+type member struct {
+	name, zone string
+	life, seq  uint64
+	// number is that of the last reply, acked that of the last one taken in. at are the
+	// times of the replies from acked on.
+	number, acked uint64
+	at            map[uint64]time.Time
+	ackedAt       time.Time
+	// until is when the last grant has ended for certain, in the leader's time.
+	until time.Time
+	// told is up to when all that the member has answered is known.
+	told     time.Time
+	since    time.Time // asks without a gap since
+	heard    time.Time
+	joined   bool
+	joinedAt time.Time
+	leaving  string // why it is to give everything back; empty: it is not
+	notUntil time.Time
+	rest     time.Duration
+	room     int
+	behind   time.Time // since when it has been short of processor; zero: it is not
+	strays   []time.Time
+	machines map[*machine]struct{}
+	pending  map[*machine]struct{} // of these, those in phase giving or taking
+	fresh    bool                  // it has to forget what it held
+}
+
+// Freed is a machine that its holder does not deal with any more.
+type Freed struct {
+	Name, From, Why string
+	// Until is the last moment at which the holder may have answered a report.
+	Until time.Time
+	// Since is when the move began.
+	Since time.Time
+}
+
+// Allotter is the leader's side. Its owner steps it and passes the time in.
+type Allotter struct {
+	term     uint64
+	name     string
+	zone     string
+	set      Settings
+	members  map[string]*member
+	machines map[string]*machine
+	seats    []*seat
+	epoch    int
+	stale    bool // the seats have to be made anew
+	turns    float64
+	turnsAt  time.Time
+	lookAt   time.Time
+	stepAt   time.Time
+	patient  time.Time // nobody counts as silent before
+	moves    int
+}
+
+// NewAllotter makes the division of a term that has just begun: the leader deals
+// with all machines.
+func NewAllotter(term uint64, name, zone string, set Settings, now time.Time) *Allotter {
+	return &Allotter{term: term, name: name, zone: zone, set: set, members: map[string]*member{}, machines: map[string]*machine{},
+		stale: true, turnsAt: now, stepAt: now}
+}
+
+// Moves counts the changes of holder that were begun.
+func (a *Allotter) Moves() int { return a.moves }
+
+// Held returns how many machines each member has, with the leader's own.
+func (a *Allotter) Held() map[string]int {
+	out := map[string]int{a.name: len(a.machines)}
+	for _, m := range a.members {
+		if n := len(m.machines); n > 0 {
+			out[m.name] = n
+			out[a.name] -= n
+		}
+	}
+	return out
+}
+
+// Holder names the member that may answer a machine's reports, and whether it may
+// be asked to send commands; empty: the leader.
+func (a *Allotter) Holder(name string) (member string, asked bool) {
+	k := a.machines[name]
+	if k == nil || k.m == nil {
+		return "", false
+	}
+	return k.m.name, k.phase == given
+}
+
+// Told is up to when all that the member has answered is known.
+func (a *Allotter) Told(member string) time.Time {
+	if m := a.members[member]; m != nil {
+		return m.told
+	}
+	return time.Time{}
+}
+
+// divide makes the seats, and their bounds.
+func (a *Allotter) divide() {
+	if a.stale {
+		a.stale = false
+		a.epoch++
+		a.seats = []*seat{{name: a.name, zone: a.zone, weight: a.set.Own, room: a.set.Room}}
+		for _, name := range slices.Sorted(maps.Keys(a.members)) {
+			if m := a.members[name]; m.joined && m.leaving == "" {
+				a.seats = append(a.seats, &seat{m: m, name: name, zone: m.zone, weight: 1})
+			}
+		}
+	}
+	n := len(a.machines)
+	for _, s := range a.seats {
+		if s.m == nil {
+			s.load = n
+			for _, m := range a.members {
+				s.load -= len(m.machines)
+			}
+			continue
+		}
+		s.room, s.load = s.m.room, len(s.m.machines)
+		if !s.m.behind.IsZero() {
+			s.room = min(s.room, s.load) // no more while it is short of processor
+		}
+	}
+	bounds(a.seats, n)
+}
+
+// target is the controller that should have a machine: the first in its ranking
+// with room. One that has it stays while it is within its bound, unless the
+// ranking's very first has come to have room.
+func (a *Allotter) target(k *machine) *seat {
+	if k.epoch != a.epoch {
+		k.ranked, k.epoch = rank(k.name, k.zone, a.seats), a.epoch
+	}
+	var now *seat
+	for _, s := range k.ranked {
+		if s.m == k.m {
+			now = s
+		}
+	}
+	if now != nil && now.load <= now.bound {
+		if first := k.ranked[0]; first != now && first.load < first.bound {
+			return first
+		}
+		return now
+	}
+	for _, s := range k.ranked {
+		if s.load < s.bound {
+			return s
+		}
+	}
+	if now != nil {
+		return now
+	}
+	return a.seats[0]
+}
+
+// turn takes one from the moves that may be made now.
+func (a *Allotter) turn(now time.Time) bool {
+	a.turns = min(max(1, a.set.PerS/2), a.turns+now.Sub(a.turnsAt).Seconds()*a.set.PerS)
+	a.turnsAt = now
+	if a.turns < 1 {
+		return false
+	}
+	a.turns--
+	return true
+}
+
+// Route says what becomes of a report that has come to the leader.
+type Route uint8
+
+const (
+	// Serve: the leader answers it.
+	Serve Route = iota
+	// Send: the worker is sent to the holder that is named.
+	Send
+	// Wait: the holder is changing; the report is looked at again once it is known.
+	Wait
+)
+
+// strayTime is how long a worker that was sent to its holder may take to be heard
+// of there. One that comes back sooner does not reach it.
+const strayTime = 20 * time.Second
+
+// Report says who answers a report that has come to the leader.
+func (a *Allotter) Report(name, zone string, now time.Time) (Route, string) {
+	k := a.machines[name]
+	if k == nil {
+		k = &machine{name: name, zone: zone}
+		a.machines[name] = k
+	}
+	if k.zone != zone && zone != "" {
+		k.zone, k.epoch = zone, 0
+	}
+	switch k.phase {
+	case given:
+		if !k.sentAt.IsZero() && now.Sub(k.sentAt) < strayTime {
+			a.stray(k, now)
+			return Wait, ""
+		}
+		k.sentAt = now
+		return Send, k.m.name
+	case giving, taking:
+		return Wait, ""
+	}
+	return Serve, ""
+}
+
+// Served notes that the leader has answered a machine's report: this is when it may
+// be given away, so that the holder has it before the next report.
+func (a *Allotter) Served(name string, now time.Time) {
+	k := a.machines[name]
+	if k == nil || k.phase != own || len(a.machines) < a.set.Least {
+		return
+	}
+	a.divide()
+	if len(a.seats) == 1 {
+		return
+	}
+	if s := a.target(k); s.m != nil && a.turn(now) {
+		a.give(k, s.m, "its share", now)
+	}
+}
+
+func (a *Allotter) give(k *machine, m *member, why string, now time.Time) {
+	k.m, k.phase, k.tag, k.since, k.why, k.sentAt = m, giving, 0, now, why, time.Time{}
+	m.machines[k] = struct{}{}
+	m.pending[k] = struct{}{}
+	a.moves++
+}
+
+func (a *Allotter) take(k *machine, why string, now time.Time) {
+	if k.phase == own || k.phase == taking {
+		return
+	}
+	k.phase, k.tag, k.since, k.why = taking, 0, now, why
+	k.m.pending[k] = struct{}{}
+	a.moves++
+}
+
+// strayTen is the part of a member's share, one in that many, whose workers must
+// fail to reach it within strayTime for the member to count as cut from them.
+const (
+	strayTen   = 10
+	strayLeast = 3
+)
+
+// stray takes back a machine whose worker does not reach its holder. A holder that
+// many do not reach leaves.
+func (a *Allotter) stray(k *machine, now time.Time) {
+	m := k.m
+	a.take(k, "its worker does not reach the holder", now)
+	m.strays = append(slices.DeleteFunc(m.strays, func(t time.Time) bool { return now.Sub(t) > strayTime }), now)
+	if m.leaving == "" && len(m.strays) >= max(strayLeast, len(m.machines)/strayTen) {
+		a.leave(m, "its workers do not reach it", now)
+	}
+}
+
+// leave lets a member give back what it has, at the ordinary pace.
+func (a *Allotter) leave(m *member, why string, now time.Time) {
+	if m.leaving != "" || !m.joined {
+		return
+	}
+	m.leaving, a.stale = why, true
+	a.restMore(m, now)
+}
+
+// restMore lengthens the time for which a member that has left gets no machines. A
+// member that comes and goes every few seconds moves its share a few times only.
+func (a *Allotter) restMore(m *member, now time.Time) {
+	if now.Sub(m.joinedAt) > a.set.RestMost {
+		m.rest = 0
+	}
+	m.rest = min(max(a.set.Rest, 2*m.rest), a.set.RestMost)
+	m.notUntil = now.Add(m.rest)
+}
+
+// ends settles a machine that its holder does not deal with any more.
+func (a *Allotter) ends(k *machine, until time.Time) Freed {
+	f := Freed{Name: k.name, From: k.m.name, Why: k.why, Until: until, Since: k.since}
+	delete(k.m.machines, k)
+	delete(k.m.pending, k)
+	k.m, k.phase, k.tag, k.sentAt = nil, own, 0, time.Time{}
+	return f
+}
+
+// silent settles all machines of a member whose grants have ended.
+func (a *Allotter) silent(m *member, until time.Time, why string, now time.Time) []Freed {
+	var out []Freed
+	for k := range m.machines {
+		if k.phase != taking {
+			k.since, k.why = now, why
+		}
+		out = append(out, a.ends(k, until))
+	}
+	if len(out) > 0 {
+		a.moves += len(out)
+		slices.SortFunc(out, func(x, y Freed) int { return cmp.Compare(x.Name, y.Name) })
+	}
+	if m.joined {
+		m.joined, a.stale = false, true
+		a.restMore(m, now)
+	}
+	m.leaving, m.fresh, m.since = "", true, now
+	return out
+}
+
+// Sync takes in a request. It is refused, and its reports with it, if it is not the
+// member's newest.
+func (a *Allotter) Sync(r *Request, now time.Time) (freed []Freed, ok bool) {
+	m := a.members[r.Member]
+	if m == nil {
+		m = &member{name: r.Member, zone: r.Zone, life: r.Life, since: now, ackedAt: now, at: map[uint64]time.Time{},
+			machines: map[*machine]struct{}{}, pending: map[*machine]struct{}{}, fresh: true}
+		a.members[r.Member] = m
+	}
+	if r.Life != m.life {
+		// A request of a life that is over may come late. A clock that was set back is
+		// let in once every grant of the other life has ended.
+		if r.Life < m.life && now.Before(m.until) {
+			return nil, false
+		}
+		// The process before has ended, so it answers nothing after this.
+		freed = a.silent(m, now, "the holder was started anew", now)
+		m.life, m.seq, m.ackedAt = r.Life, 0, now
+		clear(m.at)
+	}
+	if r.Seq <= m.seq {
+		return freed, false
+	}
+	m.seq, m.room, m.heard = r.Seq, r.Room, now
+	switch {
+	case !r.Behind:
+		m.behind = time.Time{}
+	case m.behind.IsZero():
+		m.behind = now
+	}
+	if r.Term == a.term && r.Number > m.acked {
+		at, known := m.at[r.Number]
+		if !known {
+			return freed, false // no reply of ours
+		}
+		m.acked, m.ackedAt = r.Number, now
+		if !r.More {
+			m.told = at
+		}
+		for n := range m.at {
+			if n < r.Number {
+				delete(m.at, n)
+			}
+		}
+		m.fresh = false
+		for k := range m.pending {
+			switch {
+			case k.tag == 0 || k.tag > m.acked:
+			case k.phase == giving:
+				k.phase = given
+				delete(m.pending, k)
+			case k.phase == taking:
+				// This request holds all that it answered before it let go.
+				freed = append(freed, a.ends(k, at))
+			}
+		}
+	}
+	a.member(m, len(r.Have) > 0, now)
+	if m.joined && r.Term != a.term {
+		a.adopt(m, r.Have, now)
+	}
+	return freed, true
+}
+
+// member lets a member join that has asked without a gap for long enough; one that
+// dealt with machines until the lead changed, at once.
+func (a *Allotter) member(m *member, had bool, now time.Time) {
+	if m.joined || m.leaving != "" || !m.behind.IsZero() || now.Before(m.notUntil) || m.room <= 0 {
+		return
+	}
+	if had || now.Sub(m.since) >= a.set.Join {
+		m.joined, m.joinedAt, a.stale, m.strays = true, now, true, nil
+	}
+}
+
+// adopt leaves a member what it dealt with under the leader before, whose grants
+// have all ended, as far as the machines have not come here meanwhile: their
+// workers need not turn to another controller.
+func (a *Allotter) adopt(m *member, have []string, now time.Time) {
+	if len(a.machines) < a.set.Least {
+		return
+	}
+	for _, name := range have {
+		if k := a.machines[name]; k != nil && k.phase == own && len(m.machines) < m.room {
+			a.give(k, m, "it had it before", now)
+		}
+	}
+}
+
+// Known notes a machine that has not reported yet.
+func (a *Allotter) Known(name, zone string) {
+	if a.machines[name] == nil {
+		a.machines[name] = &machine{name: name, zone: zone}
+	}
+}
+
+// Heard notes that the holder has heard a machine.
+func (a *Allotter) Heard(name string) {
+	if k := a.machines[name]; k != nil {
+		k.sentAt = time.Time{}
+	}
+}
+
+// Gone forgets a machine that was returned.
+func (a *Allotter) Gone(name string, now time.Time) {
+	k := a.machines[name]
+	if k == nil {
+		return
+	}
+	if k.phase == own {
+		delete(a.machines, name)
+		return
+	}
+	a.take(k, "it was returned", now)
+	delete(a.machines, name)
+}
+
+// Due reports whether a reply has something to say besides the grant.
+func (a *Allotter) Due(member string) bool {
+	m := a.members[member]
+	if m == nil {
+		return false
+	}
+	for k := range m.pending {
+		if k.tag == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Reply makes the answer to the member's newest request. The caller shortens ForMs
+// to what is left of the leader's own entitlement.
+func (a *Allotter) Reply(member string, now time.Time) *Reply {
+	m := a.members[member]
+	m.number++
+	m.at[m.number] = now
+	r := &Reply{Term: a.term, Number: m.number, Fresh: m.fresh}
+	for k := range m.pending {
+		if k.tag == 0 {
+			k.tag = m.number
+		}
+		if k.phase == giving {
+			r.Add = append(r.Add, k.name)
+		} else {
+			r.Drop = append(r.Drop, k.name)
+		}
+	}
+	slices.Sort(r.Add)
+	slices.Sort(r.Drop)
+	switch {
+	case len(m.machines) == 0:
+		m.ackedAt = now
+	case now.Sub(m.ackedAt) <= a.set.Grant:
+		r.ForMs = a.set.Grant.Milliseconds()
+		// The holder counts from before it asked, so it ends sooner than this.
+		m.until = now.Add(a.set.Grant + drift(a.set.Grant))
+	default:
+		// Its requests come, and what is sent to it is lost: it has no valid grant, and
+		// its machines must not wait for one.
+	}
+	return r
+}
+
+// behindTime is how long a member may be short of processor before it gives its
+// share back, gapTime how long it may not be heard of before it has to ask for
+// Join again, and lookEvery spaces the looks at all machines.
+const (
+	behindTime = 8 * time.Second
+	gapTime    = time.Second
+	lookEvery  = 500 * time.Millisecond
+)
+
+// Step does what time brings: members that have fallen silent, and shares that are
+// too large, at the pace of the settings.
+func (a *Allotter) Step(now time.Time) (freed []Freed) {
+	if now.Sub(a.stepAt) > gapTime {
+		// It is the leader that stood still: the members' requests wait behind this look.
+		a.patient = now.Add(gapTime)
+	}
+	a.stepAt = now
+	for _, name := range slices.Sorted(maps.Keys(a.members)) {
+		m := a.members[name]
+		quiet := now.Sub(m.heard) > a.set.Grant
+		switch {
+		case now.Before(a.patient):
+		case len(m.machines) > 0 && now.After(m.until):
+			freed = append(freed, a.silent(m, m.until, "the holder is silent", now)...)
+		case m.joined && len(m.machines) == 0 && quiet:
+			a.silent(m, now, "", now)
+		}
+		if !m.joined && now.Sub(m.heard) > gapTime {
+			m.since = now
+		}
+		if m.joined && !m.behind.IsZero() && now.Sub(m.behind) > behindTime {
+			a.leave(m, "it is short of processor", now)
+		}
+		if m.leaving != "" && len(m.machines) == 0 {
+			m.joined, m.leaving, a.stale = false, "", true
+		}
+	}
+	if now.Sub(a.lookAt) < lookEvery {
+		return freed
+	}
+	a.lookAt = now
+	a.divide()
+	few := len(a.machines) < a.set.Least-a.set.Least/5
+	for _, name := range slices.Sorted(maps.Keys(a.members)) {
+		m := a.members[name]
+		for k := range m.machines {
+			if k.phase != given {
+				continue
+			}
+			why := ""
+			switch {
+			case m.leaving != "":
+				why = m.leaving
+			case few:
+				why = "the fleet is small"
+			default:
+				if s := a.target(k); s.m != m {
+					why = "a share has changed"
+					s.load++
+				}
+			}
+			if why == "" {
+				continue
+			}
+			if !a.turn(now) {
+				return freed
+			}
+			for _, s := range a.seats {
+				if s.m == m {
+					s.load--
+				}
+			}
+			a.take(k, why, now)
+		}
+	}
+	return freed
+}
+
+// PerSecond is how many workers a controller with that share of a core turns in a
+// second: a connection and its first report take some two milliseconds, and a
+// tenth of the processor is left to it.
+func PerSecond(coreShare float64) float64 { return max(5, math.Round(coreShare*0.1/0.002)) }
