--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -23,10 +23,20 @@
 
 	calls int // under way
 	most  int
+	next  time.Time // of the next look at what cannot wait
 }
 
+// urgentEvery spaces the looks at the machines that wait for a command: in a large
+// fleet they are hundreds, and one after each message took a fifth of the leader's
+// time.
+const urgentEvery = 20 * time.Millisecond
+
 // urgent sends what cannot wait for the next reports.
 func (cm *commands) urgent(now time.Time) {
+	if now.Before(cm.next) {
+		return
+	}
+	cm.next = now.Add(urgentEvery)
 	for _, h := range cm.fleet.Awake() {
 		if cm.reachable(h, now) && h.Urgent(now) {
 			cm.call(h, now)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -152,8 +152,10 @@
 	if !r.takeover.load() {
 		return
 	}
-	tick := time.NewTicker(100 * time.Millisecond)
+	tick := time.NewTicker(turnEvery)
 	defer tick.Stop()
+	soon := time.NewTimer(turnEvery)
+	defer soon.Stop()
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -163,6 +165,7 @@
 		case f := <-r.inbox:
 			f()
 		case <-tick.C:
+		case <-soon.C:
 		}
 		// Take what else has come, so that a burst costs one plan.
 		for range 64 {
@@ -176,9 +179,15 @@
 			break
 		}
 		r.turn(time.Now())
+		if r.fleet.Waits() {
+			soon.Reset(urgentEvery)
+		}
 	}
 }
 
+// turnEvery is how often the actor looks up without a message.
+const turnEvery = 100 * time.Millisecond
+
 // serve takes what users ask, and stores what they have submitted.
 func (r *reign) serve() {
 	for n := len(r.users); n > 0; n-- {
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -65,7 +65,7 @@
 
 // holdTime is how long a holder's request waits for something to say: requests
 // that come as often as they can would take the processor of both sides.
-const holdTime = 200 * time.Millisecond
+const holdTime = 50 * time.Millisecond
 
 // relayTime is how long a holder may take with a direct command. After that what
 // the command launched is in doubt, and the ledger sends it once more.
@@ -253,7 +253,7 @@
 	}
 	member, asked := sh.allot.Holder(h.Name)
 	b := sh.boxes[member]
-	if !asked || b == nil || (b.back == nil && time.Since(b.since) > 3*holdTime) {
+	if !asked || b == nil || (b.back == nil && time.Since(b.since) > 600*time.Millisecond) {
 		return false, true // it is not there: the command must not wait for its end
 	}
 	return true, b.under < b.most
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -344,6 +344,9 @@
 	return f.awake
 }
 
+// Waits reports whether any machine is on that list.
+func (f *Fleet) Waits() bool { return len(f.awake) > 0 }
+
 // Remove forgets a machine whose release was answered: everything on it is gone.
 func (f *Fleet) Remove(h *Host) []Event {
 	ev := f.drop(h)
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -30,6 +30,9 @@
 	// sentAt is when its worker was last sent to the holder, and the holder has not
 	// told of it since; zero: it has.
 	sentAt time.Time
+	// fresh: it has come up in this term and has never had a holder. It turns at no
+	// cost to a share: its pace is that of the boots.
+	fresh  bool
 	ranked []*seat
 	epoch  int // of the seats that it is ranked by
 }
@@ -224,7 +227,7 @@
 func (a *Allotter) Report(name, zone string, now time.Time) (Route, string) {
 	k := a.machines[name]
 	if k == nil {
-		k = &machine{name: name, zone: zone}
+		k = &machine{name: name, zone: zone, fresh: true}
 		a.machines[name] = k
 	}
 	if k.zone != zone && zone != "" {
@@ -255,13 +258,13 @@
 	if len(a.seats) == 1 {
 		return
 	}
-	if s := a.target(k); s.m != nil && a.turn(now) {
+	if s := a.target(k); s.m != nil && (k.fresh || a.turn(now)) {
 		a.give(k, s.m, "its share", now)
 	}
 }
 
 func (a *Allotter) give(k *machine, m *member, why string, now time.Time) {
-	k.m, k.phase, k.tag, k.since, k.why, k.sentAt = m, giving, 0, now, why, time.Time{}
+	k.m, k.phase, k.tag, k.since, k.why, k.sentAt, k.fresh = m, giving, 0, now, why, time.Time{}, false
 	m.machines[k] = struct{}{}
 	m.pending[k] = struct{}{}
 	if t := now.Add(a.set.Grant); t.After(m.until) {
