Leadership: a leader that the state service does not answer goes on by its siblings' promises

Change: every sibling is asked; one that the state service refuses as well promises not to campaign for promise_ms, and keeps to it. While all promises hold the leader is entitled, counted from before it asked. A member in an election does not promise; a fresh process waits one promise unless no sibling says that it leads; a sibling that is not reached ends it.

Measured: TestPledge explores outages, refusals, ends and late answers without a finding, and finds two entitled members with each of five guards taken out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -240,6 +240,10 @@
 type Tuning struct {
 	// LeaderLeaseMs is the length of the leader's lease in the state service.
 	LeaderLeaseMs int `json:"leader_lease_ms"`
+	// PromiseMs is how long a sibling promises not to campaign, at a time, while the
+	// state service answers nobody, in milliseconds; 0: a leader that cannot renew its
+	// lease stops.
+	PromiseMs int `json:"promise_ms"`
 	// Rollouts switches roll-outs of services on.
 	Rollouts struct {
 		Enabled bool `json:"enabled"`
--- /dev/null
+++ b/internal/explore/explore.go
@@ -0,0 +1,124 @@
+// Package explore plays every order of a few steps of a small world, states that
+// look alike once, and finds the shortest order that breaks something. It is for
+// tests of machines that are pure: stepped with messages, with time passed in.
+package explore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// World is what is played. It is made anew for each order, so it need not be copied.
+type World interface {
+	// Print names the state: worlds that print alike go on alike.
+	Print() string
+	// Broken says what does not hold; empty: all does.
+	Broken() string
+}
+
+// Action is a step that can be taken for each of some things.
+type Action[W World] struct {
+	Name string
+	Each int
+	// Do reports whether the step could be taken.
+	Do func(w W, i int) bool
+}
+
+// Step is one action for one thing, by their indices.
+type Step struct{ Action, I int }
+
+// Game is a world with its steps.
+type Game[W World] struct {
+	New     func() W
+	Actions []Action[W]
+	// Start are the steps before the first that is tried.
+	Start []Step
+	// Most is how many states are looked at.
+	Most int
+	// Every is how often, in states, a state is played on without faults by Settle; 0:
+	// never. Settle returns what does not come about.
+	Every  int
+	Settle func(w W) string
+}
+
+// Play explores and returns how many states it has seen, and the first order that
+// breaks something with what it breaks; empty: none does.
+func (g *Game[W]) Play() (states int, broken string) {
+	seen := map[string]bool{}
+	level := [][]Step{nil}
+	for len(level) > 0 {
+		var next [][]Step
+		for _, path := range level {
+			for a := range g.Actions {
+				for i := range g.Actions[a].Each {
+					w := g.replay(path)
+					could := g.Actions[a].Do(w, i)
+					now := append(slices.Clone(path), Step{a, i})
+					if why := w.Broken(); why != "" {
+						return len(seen), g.say(now) + ": " + why
+					}
+					p := w.Print()
+					if !could || seen[p] {
+						continue
+					}
+					seen[p] = true
+					next = append(next, now)
+					if g.Every == 0 || len(seen)%g.Every != 0 {
+						continue
+					}
+					if why := g.Settle(w); why != "" {
+						return len(seen), g.say(now) + ", then without faults: " + why
+					}
+				}
+			}
+			if len(seen) >= g.Most {
+				return len(seen), ""
+			}
+		}
+		level = next
+	}
+	return len(seen), ""
+}
+
+func (g *Game[W]) replay(path []Step) W {
+	w := g.New()
+	for _, s := range slices.Concat(g.Start, path) {
+		g.Actions[s.Action].Do(w, s.I)
+	}
+	return w
+}
+
+// Do takes a step by its name.
+func (g *Game[W]) Do(w W, name string, i int) {
+	for a := range g.Actions {
+		if g.Actions[a].Name == name {
+			g.Actions[a].Do(w, i)
+			return
+		}
+	}
+	panic("no step is named " + name)
+}
+
+// Steps are steps by their names, each for things 0 to n-1.
+func (g *Game[W]) Steps(n int, names ...string) (out []Step) {
+	for _, name := range names {
+		for a := range g.Actions {
+			if g.Actions[a].Name != name {
+				continue
+			}
+			for i := range n {
+				out = append(out, Step{a, i})
+			}
+		}
+	}
+	return out
+}
+
+func (g *Game[W]) say(path []Step) string {
+	var b []string
+	for _, s := range path {
+		b = append(b, fmt.Sprintf("%s%d", g.Actions[s.Action].Name, s.I))
+	}
+	return strings.Join(b, " ")
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -63,22 +63,32 @@
 	until    time.Time
 	reigning uint64
 	deposed  chan struct{}
+	pledge   *pledge
+	ask      Ask
+	asking   bool
+	carried  bool // the entitlement rests on promises
+}
+
+// Ask asks a sibling to promise that it does not campaign for a while.
+type Ask func(ctx context.Context, member string, term uint64) (promised bool, err error)
+
+// Pledge lets a leader that the state service does not answer go on for as long as
+// every sibling promises not to campaign; length 0: off.
+func (e *Elector) Pledge(length time.Duration, siblings []string, ask Ask) {
+	e.pledge, e.ask = newPledge(length, siblings, time.Now()), ask
 }
 
 // New makes an elector; lead is run, with a context that ends with the reign,
 // each time the member takes the lead.
 func New(member string, ttl time.Duration, st *state.Client, log *slog.Logger, lead func(context.Context, Reign)) *Elector {
-	return &Elector{member: member, ttl: ttl, state: st, log: log, lead: lead}
+	return &Elector{member: member, ttl: ttl, state: st, log: log, lead: lead, pledge: newPledge(0, nil, time.Now())}
 }
 
 // Entitled reports whether the member may act as leader of the term right now.
 // It is asked as late as possible, at each sending, because a decision can wait
 // behind a busy processor for longer than the lease lasts.
 func (e *Elector) Entitled(term uint64) bool {
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.reigning == term && term != 0 && now.Before(e.until)
+	return e.Left(term) > 0
 }
 
 // Left is how long the member may still act as leader of the term without another
@@ -90,7 +100,84 @@
 	if e.reigning != term || term == 0 {
 		return 0
 	}
-	return max(0, e.until.Sub(now))
+	until := e.until
+	if t := e.pledge.until(); !until.IsZero() && t.After(until) {
+		until = t
+	}
+	return max(0, until.Sub(now))
+}
+
+// probeTime bounds the look whether the state service answers this member.
+const probeTime = 400 * time.Millisecond
+
+// Promise answers a leader that asks whether this member campaigns. It does not for
+// the length of a promise if the state service refuses it as well.
+func (e *Elector) Promise(ctx context.Context, term uint64) bool {
+	e.mu.Lock()
+	off := e.pledge.length == 0 || term < e.view.Term
+	e.mu.Unlock()
+	if off {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	_, err := e.state.Get(ctx, keyHolder)
+	refused := err != nil && !errors.Is(err, state.ErrNotFound)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pledge.promise(refused, time.Now())
+}
+
+// Met takes in what a sibling says of itself.
+func (e *Elector) Met(member string, leads bool) {
+	e.mu.Lock()
+	e.pledge.hears(member, leads)
+	e.mu.Unlock()
+}
+
+// askEvery spaces the rounds of asking: a promise that is not renewed ends the
+// entitlement.
+const askEvery = 300 * time.Millisecond
+
+// askAll asks every sibling for its promise, one round at a time.
+func (e *Elector) askAll(ctx context.Context, term uint64) {
+	e.mu.Lock()
+	if e.pledge.length == 0 || e.asking {
+		e.mu.Unlock()
+		return
+	}
+	e.asking = true
+	siblings := e.pledge.siblings
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTime)
+	var wg sync.WaitGroup
+	for _, m := range siblings {
+		wg.Go(func() {
+			asked := time.Now()
+			if ok, err := e.ask(ctx, m, term); err != nil || !ok {
+				return
+			}
+			e.mu.Lock()
+			if e.reigning == term {
+				e.pledge.take(m, asked)
+			}
+			e.mu.Unlock()
+		})
+	}
+	go func() {
+		wg.Wait()
+		cancel()
+		e.mu.Lock()
+		e.asking = false
+		now := time.Now()
+		carried := e.reigning == term && now.After(e.until) && now.Before(e.pledge.until())
+		was := e.carried
+		e.carried = carried
+		e.mu.Unlock()
+		if carried && !was {
+			e.log.Info("the state service answers nobody, going on by the siblings' promises", "term", term)
+		}
+	}()
 }
 
 // View returns what the node knows of the leadership.
@@ -139,7 +226,15 @@
 			continue
 		}
 		if !held {
-			e.campaign(ctx, term, termVersion)
+			e.mu.Lock()
+			may := e.pledge.campaign(time.Now())
+			e.mu.Unlock()
+			if may {
+				e.campaign(ctx, term, termVersion)
+				e.mu.Lock()
+				e.pledge.rest()
+				e.mu.Unlock()
+			}
 			pause(ctx, 50*time.Millisecond)
 			continue
 		}
@@ -249,7 +344,7 @@
 		defer close(finished)
 		e.lead(rctx, r)
 	}()
-	e.renew(rctx, lease, deposed)
+	e.renew(rctx, r.Term, lease, deposed)
 	e.mu.Lock()
 	e.reigning, e.until, e.deposed = 0, time.Time{}, nil
 	if e.view.Term == r.Term {
@@ -264,7 +359,7 @@
 // renew keeps the lease until it is gone or a later term was heard of. In an
 // outage the entitlement lapses but the reign goes on: leases have their full
 // time again afterwards, so the same term may resume.
-func (e *Elector) renew(ctx context.Context, lease uint64, deposed <-chan struct{}) {
+func (e *Elector) renew(ctx context.Context, term, lease uint64, deposed <-chan struct{}) {
 	tick := time.NewTimer(e.ttl / 4)
 	defer tick.Stop()
 	for {
@@ -288,7 +383,8 @@
 			return
 		default:
 			e.log.Debug("lease renewal failed", "error", err)
-			wait = 200 * time.Millisecond
+			e.askAll(ctx, term)
+			wait = askEvery
 		}
 		tick.Reset(wait)
 	}
--- /dev/null
+++ b/internal/lead/pledge_test.go
@@ -0,0 +1,300 @@
+package lead
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"vetchstream/internal/explore"
+)
+
+// guard is one that can be taken out of a world, to see that the explorer notices.
+type guard uint8
+
+const (
+	none        guard = iota
+	keeps             // a member that has promised does not campaign
+	waits             // a fresh process waits for what the one before may have promised
+	fromAsking        // a promise counts from when it was asked for, not from its answer
+	all               // every sibling has to have promised
+	notMeantime       // a member that campaigns does not promise
+)
+
+const (
+	tick   = 500 * time.Millisecond
+	ttl    = 2 * time.Second
+	length = 1200 * time.Millisecond
+)
+
+// member is a process of a controller, with its wire to the two others.
+type member struct {
+	p       *pledge
+	reigns  bool
+	until   time.Time
+	trying  bool // an election that has begun and is not settled
+	refused bool // by the state service alone
+	// answers are promises on their way, by who gave them: when they were asked for.
+	answers map[int]time.Time
+}
+
+// world is a state service with three members. A lease does not run out in an
+// outage, and has its full time afterwards.
+type world struct {
+	out     guard
+	now     time.Time
+	down    bool
+	holder  int // -1: none
+	expires time.Time
+	m       [3]member
+}
+
+func newWorld(out guard) *world {
+	w := &world{out: out, now: time.Unix(1000, 0), holder: -1}
+	for i := range w.m {
+		w.start(i)
+	}
+	w.now = w.now.Add(2 * length)
+	return w
+}
+
+func (w *world) start(i int) {
+	var siblings []string
+	for j := range 3 {
+		if j != i {
+			siblings = append(siblings, fmt.Sprint(j))
+		}
+	}
+	w.m[i] = member{p: newPledge(length, siblings, w.now), refused: w.m[i].refused, answers: map[int]time.Time{}}
+}
+
+func (w *world) served(i int) bool { return !w.down && !w.m[i].refused }
+
+func (w *world) entitled(i int) bool {
+	m := &w.m[i]
+	until := m.until
+	t := m.p.until()
+	if w.out == all {
+		for _, got := range m.p.got {
+			if got.After(t) {
+				t = got
+			}
+		}
+	}
+	if t.After(until) {
+		until = t
+	}
+	return m.reigns && w.now.Before(until)
+}
+
+var actions = []explore.Action[*world]{
+	{Name: "tick", Each: 1, Do: func(w *world, _ int) bool {
+		w.now = w.now.Add(tick)
+		if w.holder >= 0 && !w.down && !w.now.Before(w.expires) {
+			w.holder = -1
+		}
+		return true
+	}},
+	{Name: "outage", Each: 1, Do: func(w *world, _ int) bool {
+		w.down = !w.down
+		if !w.down {
+			w.expires = w.now.Add(ttl)
+		}
+		return true
+	}},
+	{Name: "refuse", Each: 3, Do: func(w *world, i int) bool { w.m[i].refused = !w.m[i].refused; return true }},
+	{Name: "renew", Each: 2, Do: func(w *world, i int) bool {
+		m := &w.m[i]
+		if !m.reigns || !w.served(i) {
+			return false
+		}
+		if w.holder != i {
+			m.reigns = false
+			m.p.rest()
+			return true
+		}
+		m.until, w.expires = w.now.Add(ttl-50*time.Millisecond), w.now.Add(ttl)
+		return true
+	}},
+	{Name: "campaign", Each: 3, Do: func(w *world, i int) bool {
+		m := &w.m[i]
+		if m.reigns || m.trying || !w.served(i) || w.holder >= 0 {
+			return false
+		}
+		may := m.p.campaign(w.now)
+		if w.out == keeps || w.out == waits && w.now.Before(m.p.born.Add(2*length)) {
+			m.p.campaigns, may = true, true
+		}
+		m.trying = may
+		return may
+	}},
+	// The election's commit comes later than the decision for it.
+	{Name: "elected", Each: 3, Do: func(w *world, i int) bool {
+		m := &w.m[i]
+		if !m.trying || !w.served(i) {
+			return false
+		}
+		m.trying = false
+		if w.holder >= 0 {
+			m.p.rest()
+			return true
+		}
+		w.holder, w.expires = i, w.now.Add(ttl)
+		m.reigns, m.until = true, w.now.Add(ttl-50*time.Millisecond)
+		return true
+	}},
+	// The leader, member 0 in most plays, asks a sibling, which answers at once; the
+	// answer may come late.
+	{Name: "ask", Each: 2, Do: func(w *world, i int) bool {
+		m, s := &w.m[0], &w.m[1+i]
+		if !m.reigns || w.served(0) {
+			return false
+		}
+		if w.out == notMeantime {
+			s.p.campaigns = false
+		}
+		if !s.reigns && s.p.promise(!w.served(1+i), w.now) {
+			m.answers[1+i] = w.now
+		}
+		return true
+	}},
+	{Name: "answer", Each: 2, Do: func(w *world, i int) bool {
+		m := &w.m[0]
+		asked, ok := m.answers[1+i]
+		if !ok || !m.reigns {
+			return false
+		}
+		delete(m.answers, 1+i)
+		if w.out == fromAsking {
+			asked = w.now
+		}
+		m.p.take(fmt.Sprint(1+i), asked)
+		return true
+	}},
+	{Name: "end", Each: 2, Do: func(w *world, i int) bool { w.start(i); return true }},
+	{Name: "hear", Each: 2, Do: func(w *world, i int) bool {
+		// Member 1 hears of the two others.
+		j := 2 * i
+		w.m[1].p.hears(fmt.Sprint(j), w.m[j].reigns)
+		return true
+	}},
+}
+
+func (w *world) Broken() string {
+	var leads []string
+	for i := range w.m {
+		if w.entitled(i) {
+			leads = append(leads, fmt.Sprint(i))
+		}
+	}
+	if len(leads) > 1 {
+		return "entitled: " + strings.Join(leads, " and ")
+	}
+	return ""
+}
+
+func (w *world) Print() string {
+	var b strings.Builder
+	at := func(t time.Time) { fmt.Fprint(&b, max(-1, t.Sub(w.now)/time.Millisecond), " ") }
+	fmt.Fprint(&b, w.down, w.holder)
+	at(w.expires)
+	for i := range w.m {
+		m := &w.m[i]
+		fmt.Fprint(&b, "|", m.reigns, m.trying, m.refused, m.p.campaigns, len(m.p.idle))
+		at(m.until)
+		at(m.p.given)
+		at(m.p.born.Add(length + m.p.slip()))
+		for j := range 3 {
+			at(m.p.got[fmt.Sprint(j)])
+			if t, ok := m.answers[j]; ok {
+				fmt.Fprint(&b, max(-2*length, t.Sub(w.now)))
+			}
+		}
+	}
+	return b.String()
+}
+
+// TestPledge: never two members that are entitled, whatever is refused, down, ends
+// or comes late. With a guard taken out the explorer finds why it is there.
+func TestPledge(t *testing.T) {
+	tests := []struct {
+		name string
+		out  guard
+	}{
+		{"as it is", none},
+		{"a member that has promised campaigns", keeps},
+		{"a fresh process does not wait", waits},
+		{"a promise counted from its answer", fromAsking},
+		{"not every sibling has promised", all},
+		{"a promise during an election", notMeantime},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &explore.Game[*world]{New: func() *world { return newWorld(tt.out) }, Actions: actions, Most: 2000}
+			one := func(name string) []explore.Step { return g.Steps(2, name)[1:] }
+			leads := slices.Concat(g.Steps(1, "campaign", "elected"))
+			refused := slices.Concat(leads, g.Steps(3, "refuse"), g.Steps(1, "tick", "tick", "tick"))
+			asked := slices.Concat(refused, g.Steps(2, "ask"))
+			starts := [][]explore.Step{leads, refused, asked, slices.Concat(asked, g.Steps(2, "answer")),
+				slices.Concat(asked, g.Steps(1, "tick"), g.Steps(2, "answer")), // late
+				// A sibling is in an election, and is refused again, when it is asked.
+				slices.Concat(refused, g.Steps(1, "tick"), one("refuse"), one("campaign"), one("refuse"), g.Steps(2, "ask"))}
+			states, broken := 0, ""
+			for _, start := range starts {
+				g.Start = start
+				n, b := g.Play()
+				states += n
+				if broken == "" {
+					broken = b
+				}
+			}
+			t.Logf("%d states: %s", states, broken)
+			if (broken != "") != (tt.out != none) {
+				t.Errorf("after %d states: %q", states, broken)
+			}
+		})
+	}
+}
+
+// TestPromise: when a promise is given, and when its end lets a member campaign.
+func TestPromise(t *testing.T) {
+	now := time.Unix(1000, 0)
+	late := now.Add(time.Minute)
+	tests := []struct {
+		name string
+		do   func(p *pledge) bool
+		want bool
+	}{
+		{"not refused: it had better lead itself", func(p *pledge) bool { return p.promise(false, late) }, false},
+		{"refused as well", func(p *pledge) bool { return p.promise(true, late) }, true},
+		{"off", func(p *pledge) bool { p.length = 0; return p.promise(true, late) }, false},
+		{"while it campaigns", func(p *pledge) bool { p.campaign(late); return p.promise(true, late) }, false},
+		{"once the election is over", func(p *pledge) bool { p.campaign(late); p.rest(); return p.promise(true, late) }, true},
+		{"it campaigns again after its promise", func(p *pledge) bool {
+			p.promise(true, late)
+			return !p.campaign(late.Add(length)) && p.campaign(late.Add(length+p.slip()))
+		}, true},
+		{"a fresh process waits", func(p *pledge) bool { return p.campaign(now.Add(length)) }, false},
+		{"unless no sibling leads", func(p *pledge) bool { p.hears("a", false); p.hears("b", false); return p.campaign(now) }, true},
+		{"one does", func(p *pledge) bool {
+			p.hears("a", false)
+			p.hears("b", false)
+			p.hears("b", true)
+			return p.campaign(now)
+		}, false},
+		{"the leader counts from the first promise that ends", func(p *pledge) bool {
+			p.take("a", late)
+			missing := p.until().IsZero()
+			p.take("b", late.Add(time.Second))
+			return missing && p.until().Equal(late.Add(length))
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := tt.do(newPledge(length, []string{"a", "b"}, now)); got != tt.want {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,14 @@
 		Deposed:  func(term uint64) { n.elector.Heard("", term) }})
 	n.elector = lead.New(set.Member, time.Duration(tun.LeaderLeaseMs)*time.Millisecond,
 		state.Unbounded(set.Outside.State, nw.Dial), log, n.ctl.Lead)
+	siblings := make([]string, len(set.Siblings))
+	for i := range set.Siblings {
+		siblings[i] = set.Siblings[i].Member
+	}
+	n.elector.Pledge(time.Duration(tun.PromiseMs)*time.Millisecond, siblings, func(ctx context.Context, member string, term uint64) (bool, error) {
+		p, err := n.mesh.Promise(ctx, member, &peer.Plea{Term: term})
+		return err == nil && p.Given, err
+	})
 	mesh, err := peer.Dial(set.Siblings, nw.Dial)
 	if err != nil {
 		return err
@@ -112,6 +120,7 @@
 	wg.Go(func() {
 		mesh.Pings(ctx, func(h peer.Hello) {
 			n.elector.Heard(h.Leader, h.Term)
+			n.elector.Met(h.Member, h.Member == h.Leader)
 			if h.Member == h.Leader {
 				n.elector.Alive()
 			}
@@ -224,6 +233,11 @@
 	submitForwardTime = 400 * time.Millisecond
 )
 
+// Promise implements peer.Handler.
+func (n *Node) Promise(ctx context.Context, q *peer.Plea) *peer.Promise {
+	return &peer.Promise{Given: n.elector.Promise(ctx, q.Term)}
+}
+
 // Sync implements peer.Handler: only a leader gives shares.
 func (n *Node) Sync(ctx context.Context, r *share.Request) *share.Reply { return n.ctl.Sync(ctx, r) }
 
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -11,6 +11,7 @@
 // shared lets the controllers share every machine, quickly.
 func shared(_ *config.Settings, tun *config.Tuning) {
 	sh := &tun.Shares
+	tun.PromiseMs = 2000
 	sh.Enabled, sh.Least, sh.JoinS, sh.RestS, sh.PerS = true, 1, 1, 2, 200
 }
 
@@ -76,6 +77,10 @@
 			s.cutLinks("peers", nil)
 		}}, {40 * sec, cutLeader(isWorker, 15*sec)}}},
 		{name: "state service out while machines move", faults: []fault{{6 * sec, outage(8 * sec)}, {30 * sec, crashOther(4 * sec)}}},
+		{name: "state service out for longer than the lease", faults: []fault{{15 * sec, outage(30 * sec)}}, also: keeps},
+		{name: "leader refused by the state service alone", faults: []fault{{15 * sec, refuseLeader(20 * sec)}}, also: keeps},
+		{name: "a sibling ends in an outage, then the leader", faults: []fault{{14 * sec, outage(25 * sec)}, {20 * sec, crashOther(3 * sec)}, {30 * sec, crash(1)}}},
+		{name: "all end in an outage", faults: []fault{{14 * sec, outage(20 * sec)}, {17 * sec, crash(3)}}},
 		{name: "a holder comes and goes every ten seconds", faults: []fault{{10 * sec, crashOther(5 * sec)}, {20 * sec, crashOther(5 * sec)}, {30 * sec, crashOther(5 * sec)}, {40 * sec, crashOther(5 * sec)}}},
 	})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -102,6 +102,18 @@
 	Local(ctx context.Context, r *Request) *Reply
 	// Sync answers a holder's request as leader, and refuses it otherwise.
 	Sync(ctx context.Context, r *share.Request) *share.Reply
+	// Promise answers a leader that asks this member not to campaign for a while.
+	Promise(ctx context.Context, r *Plea) *Promise
+}
+
+// Plea is what a leader says that the state service does not answer.
+type Plea struct {
+	Term uint64 `codec:"term"`
+}
+
+// Promise is the answer to a plea.
+type Promise struct {
+	Given bool `codec:"given"`
 }
 
 type none struct{}
@@ -122,6 +134,7 @@
 	Methods: []grpc.MethodDesc{
 		method("Ping", func(h Handler, _ context.Context, _ *none) *Hello { v := h.Hello(); return &v }),
 		method("Forward", func(h Handler, ctx context.Context, r *Request) *Reply { return h.Local(ctx, r) }),
+		method("Promise", func(h Handler, ctx context.Context, r *Plea) *Promise { return h.Promise(ctx, r) }),
 		method("Sync", func(h Handler, ctx context.Context, r *share.Request) *share.Reply { return h.Sync(ctx, r) }),
 	},
 }
@@ -202,12 +215,8 @@
 
 // Forward hands a request to another member.
 func (m *Mesh) Forward(ctx context.Context, member string, r *Request) (*Reply, error) {
-	c := m.conns[member]
-	if c == nil {
-		return nil, fmt.Errorf("peer %q is unknown", member)
-	}
-	out := &Reply{}
-	if err := c.Invoke(ctx, "/vetchstream.Peer/Forward", r, out); err != nil {
+	out, err := invoke[Reply](ctx, m, member, "Forward", r)
+	if err != nil {
 		// Silent until a ping is answered: the requests that come next must not each
 		// wait for a member that stands still. (A client that has hung up says nothing
 		// about the member.)
@@ -216,24 +225,34 @@
 			delete(m.heard, member)
 			m.mu.Unlock()
 		}
-		return nil, fmt.Errorf("forward to %s: %w", member, err)
+		return nil, err
 	}
 	return out, nil
 }
 
-// Sync asks the leader for the grant of this member's share.
-func (m *Mesh) Sync(ctx context.Context, leader string, r *share.Request) (*share.Reply, error) {
-	c := m.conns[leader]
+// invoke calls a method of another member.
+func invoke[Res any](ctx context.Context, m *Mesh, member, name string, r any) (*Res, error) {
+	c := m.conns[member]
 	if c == nil {
-		return nil, fmt.Errorf("peer %q is unknown", leader)
+		return nil, fmt.Errorf("peer %q is unknown", member)
 	}
-	out := &share.Reply{}
-	if err := c.Invoke(ctx, "/vetchstream.Peer/Sync", r, out); err != nil {
-		return nil, fmt.Errorf("sync with %s: %w", leader, err)
+	out := new(Res)
+	if err := c.Invoke(ctx, "/vetchstream.Peer/"+name, r, out); err != nil {
+		return nil, fmt.Errorf("%s at %s: %w", name, member, err)
 	}
 	return out, nil
 }
 
+// Sync asks the leader for the grant of this member's share.
+func (m *Mesh) Sync(ctx context.Context, leader string, r *share.Request) (*share.Reply, error) {
+	return invoke[share.Reply](ctx, m, leader, "Sync", r)
+}
+
+// Promise asks a sibling not to campaign for a while.
+func (m *Mesh) Promise(ctx context.Context, member string, r *Plea) (*Promise, error) {
+	return invoke[Promise](ctx, m, member, "Promise", r)
+}
+
 // Pings asks every sibling once a second what it knows, until the context ends.
 func (m *Mesh) Pings(ctx context.Context, told func(Hello)) {
 	var wg sync.WaitGroup
--- a/internal/share/explore_test.go
+++ b/internal/share/explore_test.go
@@ -9,10 +9,11 @@
 	"testing"
 	"time"
 
+	"vetchstream/internal/explore"
 	"vetchstream/internal/wire"
 )
 
-// The explorer plays every order of a few steps of two leaders, two holders and two
+// The game plays every order of a few steps of two leaders, two holders and two
 // machines, with messages that are late or lost, and processes that end.
 
 // guard is one that can be taken out of a world, to see that the explorer notices.
@@ -144,20 +145,16 @@
 	return p
 }
 
-// actions are the steps; each reports whether it can be taken now.
-var actions = []struct {
-	name string
-	do   func(w *world, i int) bool
-	each int // holders or machines that it is for
-}{
-	{"tick", func(w *world, _ int) bool {
+// actions are the steps, for the holders or the machines.
+var actions = []explore.Action[*world]{
+	{Name: "tick", Do: func(w *world, _ int) bool {
 		w.now = w.now.Add(tick)
 		if w.leads() {
 			w.freed(w.lead.Step(w.now))
 		}
 		return true
-	}, 1},
-	{"ask", func(w *world, i int) bool {
+	}, Each: 1},
+	{Name: "ask", Do: func(w *world, i int) bool {
 		s := &w.sides[i]
 		if s.req != nil || s.reply != nil {
 			return false
@@ -167,16 +164,16 @@
 		}
 		s.sent, s.req = w.now, s.h.Request(2, 1, false, w.now)
 		return true
-	}, 2},
-	{"arrive", func(w *world, i int) bool {
+	}, Each: 2},
+	{Name: "arrive", Do: func(w *world, i int) bool {
 		s := &w.sides[i]
 		if s.req == nil {
 			return false
 		}
 		s.reply, s.req = w.arrive(i, s.req), nil
 		return true
-	}, 2},
-	{"grant", func(w *world, i int) bool {
+	}, Each: 2},
+	{Name: "grant", Do: func(w *world, i int) bool {
 		s := &w.sides[i]
 		if s.reply == nil {
 			return false
@@ -188,8 +185,8 @@
 		s.h.Granted(s.reply, sent)
 		s.reply = nil
 		return true
-	}, 2},
-	{"lose", func(w *world, i int) bool {
+	}, Each: 2},
+	{Name: "lose", Do: func(w *world, i int) bool {
 		s := &w.sides[i]
 		if s.req == nil && s.reply == nil {
 			return false
@@ -200,8 +197,8 @@
 		s.req, s.reply = nil, nil
 		s.h.Missed()
 		return true
-	}, 2},
-	{"late", func(w *world, i int) bool {
+	}, Each: 2},
+	{Name: "late", Do: func(w *world, i int) bool {
 		s := &w.sides[i]
 		if s.late == nil {
 			return false
@@ -209,17 +206,17 @@
 		w.arrive(i, s.late) // nobody waits for the reply
 		s.late = nil
 		return true
-	}, 2},
-	{"end", func(w *world, i int) bool { w.start(i); return true }, 1},
-	{"report", func(w *world, k int) bool {
+	}, Each: 2},
+	{Name: "end", Do: func(w *world, i int) bool { w.start(i); return true }, Each: 1},
+	{Name: "report", Do: func(w *world, k int) bool {
 		if w.leads() {
 			if r, _ := w.lead.Report(w.names[k], "", w.now); r == Serve {
 				w.lead.Served(w.names[k], w.now)
 			}
 		}
 		return true
-	}, 2},
-	{"checkin", func(w *world, k int) bool {
+	}, Each: 2},
+	{Name: "checkin", Do: func(w *world, k int) bool {
 		// The worker reports to whoever answers it.
 		for i := range w.sides {
 			w.seq[k]++
@@ -230,26 +227,26 @@
 			}
 		}
 		return false
-	}, 2},
-	{"depose", func(w *world, _ int) bool { was := w.deposed; w.deposed = true; return !was && w.lead.term == 1 }, 1},
-	{"succeed", func(w *world, _ int) bool {
+	}, Each: 2},
+	{Name: "depose", Do: func(w *world, _ int) bool { was := w.deposed; w.deposed = true; return !was && w.lead.term == 1 }, Each: 1},
+	{Name: "succeed", Do: func(w *world, _ int) bool {
 		if !w.deposed || (w.leads() && w.out != afterLead) {
 			return false
 		}
 		w.begin(w.lead.term + 1)
 		return true
-	}, 1},
-	{"renew", func(w *world, _ int) bool {
+	}, Each: 1},
+	{Name: "renew", Do: func(w *world, _ int) bool {
 		if w.deposed || !w.leads() {
 			return false
 		}
 		w.renew()
 		return true
-	}, 1},
+	}, Each: 1},
 }
 
-// check looks at what must hold in every state.
-func (w *world) check() {
+// Broken looks at what must hold in every state.
+func (w *world) Broken() string {
 	if w.out == untilOver {
 		for _, m := range w.lead.members {
 			if len(m.machines) > 0 && w.now.Sub(m.heard) >= tick {
@@ -279,13 +276,14 @@
 			w.broken = fmt.Sprintf("%s was answered at %v, told up to %v, known %v", name, w.rel(w.answered[k]), w.rel(w.lead.Told(h)), w.rel(w.known[k]))
 		}
 	}
+	return w.broken
 }
 
 // begun is the begin of the present term.
 func (w *world) begun() time.Time { return w.ends[w.lead.term-1] }
 
-// print names the state: times are told from now, and those long past are alike.
-func (w *world) print() string {
+// Print names the state: times are told from now, and those long past are alike.
+func (w *world) Print() string {
 	var b strings.Builder
 	at := func(t time.Time) {
 		d := max(-4*tick, w.rel(t))
@@ -333,44 +331,26 @@
 	return b.String()
 }
 
-type step struct{ action, i int }
-
-func (w *world) take(s step) bool {
-	ok := actions[s.action].do(w, s.i)
-	w.check()
-	return ok
-}
-
-// settles plays on without faults and reports whether every machine is served.
-func (w *world) settles() bool {
-	do := func(name string, i int) {
-		a := slices.IndexFunc(actions, func(x struct {
-			name string
-			do   func(w *world, i int) bool
-			each int
-		}) bool {
-			return x.name == name
-		})
-		w.take(step{a, i})
-	}
+// settle plays on without faults: every machine is to be served.
+func settle(g *explore.Game[*world], w *world) string {
 	for range 14 {
-		do("tick", 0)
-		do("renew", 0)
+		g.Do(w, "tick", 0)
+		g.Do(w, "renew", 0)
 		if !w.leads() {
-			do("depose", 0)
-			do("succeed", 0)
+			g.Do(w, "depose", 0)
+			g.Do(w, "succeed", 0)
 		}
 		for i := range 2 {
-			do("grant", i)
-			do("arrive", i)
-			do("grant", i)
-			do("ask", i)
-			do("arrive", i)
-			do("grant", i)
+			for _, name := range []string{"grant", "arrive", "grant", "ask", "arrive", "grant"} {
+				g.Do(w, name, i)
+			}
 			if h, _ := w.lead.Holder(w.names[i]); h == "" {
-				do("report", i) // the worker has nowhere else to go
+				g.Do(w, "report", i) // the worker has nowhere else to go
+			}
+			g.Do(w, "checkin", i)
+			if why := w.Broken(); why != "" {
+				return why
 			}
-			do("checkin", i)
 		}
 	}
 	for _, name := range w.names {
@@ -380,77 +360,13 @@
 		}
 		s := &w.sides[h[1]-'0']
 		if k := s.h.machines[name]; k == nil || k.dropped || !s.h.Valid(w.lead.term, w.now) {
-			return false
-		}
-	}
-	return w.leads()
-}
-
-// explore plays all orders of steps, states that look alike once, until it has seen
-// that many, and returns the first sequence that breaks something.
-func explore(out guard, prefix []step, few bool, most int) (states int, broken string) {
-	type node struct{ path []step }
-	replay := func(path []step) *world {
-		w := newWorld(out)
-		// The holders have joined, and the first machine is one's, or on its way.
-		for _, s := range prefix {
-			w.take(s)
-		}
-		for _, s := range path {
-			w.take(s)
-		}
-		return w
-	}
-	seen := map[string]bool{}
-	level := []node{{}}
-	for len(level) > 0 {
-		var next []node
-		for _, nd := range level {
-			for a := range actions {
-				for i := range actions[a].each {
-					if few && i > 0 {
-						continue
-					}
-					w := replay(nd.path)
-					s := step{a, i}
-					if !w.take(s) && w.broken == "" {
-						continue
-					}
-					path := append(slices.Clone(nd.path), s)
-					if w.broken != "" {
-						return len(seen), say(path) + ": " + w.broken
-					}
-					if p := w.print(); seen[p] {
-						continue
-					} else {
-						seen[p] = true
-					}
-					if len(seen)%37 == 0 && out == none {
-						if !w.settles() {
-							return len(seen), say(path) + ": a machine is not served again"
-						}
-						if w.broken != "" {
-							return len(seen), say(path) + ", then without faults: " + w.broken
-						}
-					}
-					next = append(next, node{path})
-				}
-			}
-			if len(seen) > most {
-				return len(seen), ""
-			}
+			return name + " is not served again"
 		}
-		level = next
 	}
-	return len(seen), ""
-}
-
-func say(path []step) string {
-	var b []string
-	for _, s := range path {
-		b = append(b, fmt.Sprintf("%s%d", actions[s.action].name, s.i))
+	if !w.leads() {
+		return "nobody leads"
 	}
-	return strings.Join(b, " ")
+	return ""
 }
 
 // most is how many states a case looks at from each start. More find nothing new
@@ -461,20 +377,6 @@
 // entitlement, nothing answered that the leader does not count with, and every
 // machine served again. With a guard taken out the explorer finds why it is there.
 func TestExplore(t *testing.T) {
-	const ask, arrive, grant, report = 1, 2, 3, 7
-	// starts are the holders that have joined, without machines and with one.
-	starts := func(holders int) [][]step {
-		all := func(of ...int) (out []step) {
-			for _, a := range of {
-				for i := range holders {
-					out = append(out, step{a, i})
-				}
-			}
-			return out
-		}
-		joined := all(ask, arrive, grant)
-		return [][]step{slices.Concat(joined, []step{{}, {report, 0}}, all(ask, arrive, grant, ask, arrive, grant)), joined}
-	}
 	tests := []struct {
 		name string
 		out  guard
@@ -489,14 +391,24 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			states, broken := 0, ""
-			// With a guard out one holder and one machine are enough, and go deeper.
+			g := &explore.Game[*world]{New: func() *world { return newWorld(tt.out) }, Actions: actions, Most: *most}
 			holders := 2
-			if tt.out != none {
+			if tt.out == none {
+				g.Every, g.Settle = 37, func(w *world) string { return settle(g, w) }
+			} else {
+				// One holder and one machine are enough, and go deeper.
 				holders = 1
+				g.Actions = slices.Clone(actions)
+				for a := range g.Actions {
+					g.Actions[a].Each = 1
+				}
 			}
-			for _, prefix := range starts(holders) {
-				n, b := explore(tt.out, prefix, holders == 1, *most)
+			// The holders have joined; one has a machine, then none has.
+			joined := g.Steps(holders, "ask", "arrive", "grant")
+			states, broken := 0, ""
+			for _, start := range [][]explore.Step{slices.Concat(joined, g.Steps(1, "tick", "report"), g.Steps(holders, "ask", "arrive", "grant", "ask", "arrive", "grant")), joined} {
+				g.Start = start
+				n, b := g.Play()
 				states, broken = states+n, cmp.Or(broken, b)
 			}
 			t.Logf("%d states: %s", states, broken)
