Shares: answers of the leader to what is new, a leader cut from its workers, a leader that gives the lead away

An answer to a report carries launches and clears at once where the leader gives it; through a holder a launch took a direct command, and an exit was cleared only by the worker's next report, up to 6 s later, until when its task could not come back there.

Change: a holder lets a report that says something new wait for up to 250 ms for the leader's answer. Its launches are settled by the worker's next report as before (point 8), also by one that says nothing new. A machine whose worker reaches the leader only through a member is given to that member; a leader to which no worker comes keeps none. A leader that has been short of processor for yield_s, while a sibling computes twice as fast, lets its lease run out and ends it: nobody waits, and no grant outlasts it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -244,6 +244,10 @@
 	// state service answers nobody, in milliseconds; 0: a leader that cannot renew its
 	// lease stops.
 	PromiseMs int `json:"promise_ms"`
+	// YieldS is for how long a leader must have been short of processor, in seconds,
+	// before it gives the lead to a controller that computes at least twice as fast; 0:
+	// it keeps it.
+	YieldS float64 `json:"yield_s"`
 	// Rollouts switches roll-outs of services on.
 	Rollouts struct {
 		Enabled bool `json:"enabled"`
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -166,7 +166,7 @@
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed report"})
 		}
-		do, box = func(r *reign, back func(*peer.Reply)) { r.report(m, back) }, r.inbox
+		do, box = func(r *reign, back func(*peer.Reply)) { r.report(m, q.Via, back) }, r.inbox
 	default:
 		return reply(http.StatusBadRequest, wire.Error{Error: "unknown request"})
 	}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -200,15 +200,16 @@
 // maxOrders bounds one answer, well below the limit for bodies.
 const maxOrders = 400
 
-// report takes in a worker's check-in and answers it.
-func (r *reign) report(m *wire.Report, back func(*peer.Reply)) {
+// report takes in a worker's check-in and answers it; via is the member that has
+// handed it on.
+func (r *reign) report(m *wire.Report, via string, back func(*peer.Reply)) {
 	now := time.Now()
 	if r.machines.gone(m.Host) {
 		// A late message of a machine that is gone must not bring it back.
 		back(Later("machine was returned"))
 		return
 	}
-	if !r.shares.route(m, func() { r.report(m, back) }, back) {
+	if !r.shares.route(m, func() { r.report(m, via, back) }, back) {
 		return
 	}
 	h := r.fleet.Hosts[m.Host]
@@ -226,7 +227,7 @@
 	r.takeover.launched(len(sent), now)
 	r.work.handle(ev, now)
 	back(reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders}))
-	r.shares.served(h, now)
+	r.shares.served(h, via, now)
 }
 
 // scanEvery spaces the looks at every machine and every job: in a large fleet one
@@ -256,6 +257,7 @@
 	r.machines.cloud(now)
 	r.planner.place(now)
 	r.registry.register(now)
+	r.shares.answer(now)
 	r.commands.urgent(now)
 	r.shares.step(now, scan)
 	if !scan {
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -43,6 +43,15 @@
 	under   int // those that it has
 	calls   []share.Call
 	settled []share.Settled
+	asked   []asked // reports that said something new and wait for an answer
+	answers []share.Answer
+}
+
+// asked is a report whose answer the holder waits for.
+type asked struct {
+	host         *fleet.Host
+	session, seq uint64
+	fresh        bool
 }
 
 // relay is a direct command that a holder sends.
@@ -126,11 +135,11 @@
 }
 
 // served notes that the leader has answered a machine.
-func (sh *shares) served(h *fleet.Host, now time.Time) {
+func (sh *shares) served(h *fleet.Host, via string, now time.Time) {
 	if sh.allot == nil || !h.Durable || !h.Fenced || h.Releasing {
 		return
 	}
-	sh.allot.Served(h.Name, now)
+	sh.allot.Served(h.Name, via, now)
 	sh.bind(h)
 }
 
@@ -206,22 +215,42 @@
 	}
 	sh.allot.Heard(e.Host)
 	if len(e.Report) == 0 {
-		sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
+		ev := sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
+		sh.work.handle(ev, now)
 	} else {
 		m := &wire.Report{}
 		if err := wire.Unmarshal(e.Report, m); err != nil || m.Host != e.Host {
 			return // it was read once by the holder
 		}
-		if _, ok := sh.work.observe(h, m, true, now); !ok {
+		fresh, ok := sh.work.observe(h, m, true, now)
+		if !ok {
 			return
 		}
-		sh.changed()
+		b.asked = append(b.asked, asked{h, m.Session, m.Seq, fresh})
+		return
 	}
 	if clears := h.Clears(maxOrders); clears != nil {
 		b.settled = append(b.settled, share.Settled{Host: e.Host, Clears: clears})
 	}
 }
 
+// answer answers the reports that wait for it, as the leader answers those that
+// come to it. It comes before the direct commands: what goes by an answer needs none.
+func (sh *shares) answer(now time.Time) {
+	for member, b := range sh.boxes {
+		for _, a := range b.asked {
+			if by := a.host.Holder(); by == nil || by.Name != member || sh.fleet.Hosts[a.host.Name] != a.host || a.host.Session != a.session {
+				continue
+			}
+			orders, sent, ev := sh.fleet.Compose(a.host, a.seq, a.fresh, now, maxOrders)
+			sh.takeover.launched(len(sent), now)
+			sh.work.handle(ev, now)
+			b.answers = append(b.answers, share.Answer{Host: a.host.Name, Session: a.session, Seq: a.seq, Orders: orders})
+		}
+		b.asked = nil
+	}
+}
+
 // free takes machines back from their holders.
 func (sh *shares) free(freed []share.Freed, now time.Time) {
 	for _, f := range freed {
@@ -301,13 +330,13 @@
 		if b.back == nil {
 			continue
 		}
-		if len(b.calls) == 0 && len(b.settled) == 0 && !sh.allot.Due(member) && now.Sub(b.since) < holdTime {
+		if len(b.calls) == 0 && len(b.answers) == 0 && len(b.settled) == 0 && !sh.allot.Due(member) && now.Sub(b.since) < holdTime {
 			continue
 		}
 		r := sh.allot.Reply(member, now)
-		r.Calls, r.Settled = b.calls, b.settled
+		r.Calls, r.Answers, r.Settled = b.calls, b.answers, b.settled
 		back := b.back
-		b.back, b.calls, b.settled, b.since = nil, nil, nil, now
+		b.back, b.calls, b.answers, b.settled, b.since = nil, nil, nil, nil, now
 		back(r)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,15 +192,28 @@
 }
 
 // Renew takes in that the holder has answered a report which said the same as the
-// one before.
-func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) {
+// one before. A launch in an answer to an earlier report did not arrive, or the
+// report would have shown it.
+func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) (ev []Event) {
 	if session != h.Session || h.Lost {
-		return
+		return nil
 	}
 	if at.After(h.heard) {
 		h.heard = at
 	}
-	h.seq = max(h.seq, seq)
+	if seq <= h.seq {
+		return nil
+	}
+	h.seq = seq
+	for _, s := range h.Slots {
+		if s.Sent && !s.Seen && !s.Direct && seq > s.viaSeq {
+			ev = append(ev, f.remove(h, s, Never)...)
+		}
+	}
+	if ev != nil {
+		h.Recount()
+	}
+	return ev
 }
 
 // Past is a job that an earlier leader may have launched on a machine. The team
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -149,6 +149,33 @@
 			b.msg(true, 2, 1, term, nil)
 			b.orders(b.compose(1, true), "")
 		}},
+		{"4, 9: a held machine is judged as of what its holder has told, and at its end as of the grant", func(b *bed) {
+			by := &Holder{Name: "n1", Told: b.now}
+			b.msg(true, 1, 1, term, run)
+			b.h.Hold(by)
+			b.now = b.now.Add(15 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "its holder may have renewed the lease since")
+			by.Told = b.now.Add(-10 * time.Second)
+			b.f.Renew(b.h, 1, 2, b.now.Add(-4*time.Second))
+			b.h.Unhold(b.now.Add(-time.Second))
+			b.now = b.now.Add(9 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "within a lease of the grant's end")
+			b.now = b.now.Add(time.Second)
+			b.f.Expire(b.now)
+			b.live(0, "beyond it")
+		}},
+		{"8: a launch in an answer of the holder's is settled by a report that says nothing new", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.h.Hold(&Holder{Name: "n1"})
+			b.assign(1)
+			b.compose(1, true)
+			b.f.Renew(b.h, 1, 1, b.now)
+			b.live(1, "the same report once more")
+			b.f.Renew(b.h, 1, 2, b.now)
+			b.live(0, "after the next report")
+		}},
 		{"8, 15: one that has to go is launched to be stopped, one of a cancelled job is not", func(b *bed) {
 			b.msg(true, 1, 1, term, nil)
 			b.assign(1)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -67,6 +67,9 @@
 	ask      Ask
 	asking   bool
 	carried  bool // the entitlement rests on promises
+	resigns  bool // the lease is not renewed any more
+	// notBefore holds a member back that has given the lead away.
+	notBefore time.Time
 }
 
 // Ask asks a sibling to promise that it does not campaign for a while.
@@ -128,6 +131,21 @@
 	return e.pledge.promise(refused, time.Now())
 }
 
+// resignTime is how long a member that has given the lead away leaves it to the
+// others.
+const resignTime = 5 * time.Second
+
+// Resign gives the lead of the term away: the lease is not renewed, and ended once
+// the entitlement, and every grant that rests on it, has run out. The others need
+// not wait for it.
+func (e *Elector) Resign(term uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.reigning == term && term != 0 {
+		e.resigns = true
+	}
+}
+
 // Met takes in what a sibling says of itself.
 func (e *Elector) Met(member string, leads bool) {
 	e.mu.Lock()
@@ -227,7 +245,8 @@
 		}
 		if !held {
 			e.mu.Lock()
-			may := e.pledge.campaign(time.Now())
+			now := time.Now()
+			may := !now.Before(e.notBefore) && e.pledge.campaign(now)
 			e.mu.Unlock()
 			if may {
 				e.campaign(ctx, term, termVersion)
@@ -346,16 +365,31 @@
 	}()
 	e.renew(rctx, r.Term, lease, deposed)
 	e.mu.Lock()
-	e.reigning, e.until, e.deposed = 0, time.Time{}, nil
+	resigned := e.resigns
+	e.reigning, e.until, e.deposed, e.resigns = 0, time.Time{}, nil, false
+	if resigned {
+		e.notBefore = time.Now().Add(resignTime)
+	}
 	if e.view.Term == r.Term {
 		e.view.Leader = ""
 	}
 	e.mu.Unlock()
 	cancel()
 	<-finished
+	if resigned {
+		_ = e.state.Revoke(ctx, lease) // if it fails, the lease runs out
+	}
 	e.log.Info("left the lead", "term", r.Term)
 }
 
+// resigning reports whether the lead is being given away, and what is left of the
+// entitlement.
+func (e *Elector) resigning() (left time.Duration, resigns bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Until(e.until), e.resigns
+}
+
 // renew keeps the lease until it is gone or a later term was heard of. In an
 // outage the entitlement lapses but the reign goes on: leases have their full
 // time again afterwards, so the same term may resume.
@@ -370,6 +404,13 @@
 			return
 		case <-tick.C:
 		}
+		if left, resigns := e.resigning(); resigns {
+			if left <= 0 {
+				return
+			}
+			tick.Reset(left)
+			continue
+		}
 		begun := time.Now()
 		err := e.state.Extend(ctx, lease)
 		wait := e.ttl / 4
--- a/internal/node/arm.go
+++ b/internal/node/arm.go
@@ -24,6 +24,13 @@
 
 	mu     sync.Mutex
 	holder *share.Holder
+	asks   map[string]ask // by machine
+}
+
+// ask is a report that waits for the leader's answer.
+type ask struct {
+	session, seq uint64
+	orders       chan []wire.Order
 }
 
 const (
@@ -33,6 +40,9 @@
 	// was refused or lost.
 	syncGap  = 25 * time.Millisecond
 	syncIdle = 150 * time.Millisecond
+	// askTime is how long a worker waits for the leader's answer before it gets this
+	// node's own, which renews its lease.
+	askTime = 250 * time.Millisecond
 )
 
 func newArm(n *Node, dial state.DialFunc) *arm {
@@ -40,7 +50,7 @@
 	calls := control.DirectCalls(sockets)
 	// Each controller keeps connections for commands, so each keeps fewer than a leader
 	// that sends all of them.
-	return &arm{n: n, calls: calls, room: control.Room(sockets),
+	return &arm{n: n, calls: calls, room: control.Room(sockets), asks: map[string]ask{},
 		hc: &http.Client{Transport: &http.Transport{DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: max(8, calls/4),
 			IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
 		// A later process has a later time of day, within its skew; the leader lets in one
@@ -103,6 +113,13 @@
 	for _, c := range a.holder.Granted(p, sent) {
 		go a.send(ctx, p.Term, c)
 	}
+	for i := range p.Answers {
+		an := &p.Answers[i]
+		if q, ok := a.asks[an.Host]; ok && q.session == an.Session && q.seq == an.Seq {
+			delete(a.asks, an.Host)
+			q.orders <- an.Orders // it has room for one
+		}
+	}
 	return true
 }
 
@@ -126,7 +143,7 @@
 }
 
 // report answers the report of a machine in the share; nil: it is in none of ours.
-func (a *arm) report(body []byte) *peer.Reply {
+func (a *arm) report(ctx context.Context, body []byte) *peer.Reply {
 	m := &wire.Report{}
 	if err := wire.Unmarshal(body, m); err != nil || m.Host == "" || m.Session == 0 {
 		return nil // the leader refuses it
@@ -134,6 +151,10 @@
 	a.mu.Lock()
 	orders, verdict := a.holder.Report(m, body, time.Now())
 	term := a.holder.Term()
+	q := ask{m.Session, m.Seq, make(chan []wire.Order, 1)}
+	if verdict == share.Asked {
+		a.asks[m.Host] = q // an older one of the machine is not waited for any more
+	}
 	a.mu.Unlock()
 	switch verdict {
 	case share.Elsewhere:
@@ -144,6 +165,22 @@
 		}
 		return control.Later("the leader has not renewed this node's grant")
 	}
+	if verdict == share.Asked {
+		t := time.NewTimer(askTime)
+		defer t.Stop()
+		select {
+		case orders = <-q.orders:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		a.mu.Lock()
+		// What the leader says from now on is too late: its launches count as not
+		// executed once the worker's next report lacks them.
+		if now, ok := a.asks[m.Host]; ok && now.orders == q.orders {
+			delete(a.asks, m.Host)
+		}
+		a.mu.Unlock()
+	}
 	b, err := wire.Marshal(wire.Answer{Token: term, Orders: orders})
 	if err != nil {
 		return control.Later("the answer does not encode")
--- a/internal/node/lag.go
+++ b/internal/node/lag.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/crc32"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +15,36 @@
 	mean   time.Duration // smoothed lateness of timers
 	behind bool
 	since  time.Time // when behind last changed
+	// work are the last times that a piece of work took.
+	work  [5]time.Duration
+	works int
+}
+
+// probeBytes is the piece of work: some hundred microseconds on a core of today.
+const probeBytes = 256 << 10
+
+var probe [probeBytes]byte
+
+// measure times the piece of work. The least of the last times counts: it is the
+// one that nothing else came into.
+func (l *lag) measure() {
+	begun := time.Now()
+	crc32.ChecksumIEEE(probe[:])
+	d := time.Since(begun)
+	l.mu.Lock()
+	l.work[l.works%len(l.work)] = d
+	l.works++
+	l.mu.Unlock()
+}
+
+// Work is how long the piece of work takes; 0: not known yet.
+func (l *lag) Work() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.works < len(l.work) {
+		return 0
+	}
+	return slices.Min(l.work[:])
 }
 
 const (
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	route   route
 	lag     lag
 	arm     *arm // nil: the machines are not shared
+	yield   yield
 
 	mu      sync.Mutex
 	served  time.Time // when a user last came here
@@ -114,6 +115,10 @@
 			}
 		})
 	}
+	if tun.YieldS > 0 {
+		n.yield.patience = config.Seconds(tun.YieldS)
+		wg.Go(func() { n.watchLead(ctx) })
+	}
 	if n.arm != nil {
 		wg.Go(func() { n.arm.run(ctx) })
 	}
@@ -121,6 +126,9 @@
 		mesh.Pings(ctx, func(h peer.Hello) {
 			n.elector.Heard(h.Leader, h.Term)
 			n.elector.Met(h.Member, h.Member == h.Leader)
+			if tun.YieldS > 0 {
+				n.yield.heard(h, time.Now())
+			}
 			if h.Member == h.Leader {
 				n.elector.Alive()
 			}
@@ -152,7 +160,8 @@
 	n.mu.Lock()
 	serves := time.Since(n.served) < servesTime
 	n.mu.Unlock()
-	return peer.Hello{Member: n.set.Member, Leader: v.Leader, Term: v.Term, Serves: serves}
+	return peer.Hello{Member: n.set.Member, Leader: v.Leader, Term: v.Term, Serves: serves, Behind: n.lag.Behind(),
+		WorkUs: n.lag.Work().Microseconds(), Stored: time.Since(v.Seen) < storedTime}
 }
 
 // Local implements peer.Handler: only a leader answers for others.
@@ -163,6 +172,10 @@
 	return control.Later("not the leader")
 }
 
+// storedTime is for how long a node counts as one that the state service answers:
+// its watch comes back every five seconds.
+const storedTime = 7 * time.Second
+
 // servesTime is for how long a node counts as one that users are sent to after the
 // last of them came.
 const servesTime = 3 * time.Second
@@ -247,12 +260,14 @@
 	if p := n.ctl.Answer(ctx, q); p != nil || n.arm == nil {
 		return p
 	}
-	return n.arm.report(q.Body)
+	return n.arm.report(ctx, q.Body)
 }
 
 // Forward implements api.Backend.
 func (n *Node) Forward(ctx context.Context, q *peer.Request) *peer.Reply {
-	p, err := n.mesh.Forward(ctx, n.Leader(), q)
+	h := *q
+	h.Via = n.set.Member
+	p, err := n.mesh.Forward(ctx, n.Leader(), &h)
 	if err != nil {
 		return control.Later("the leader is not to be reached")
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,6 +38,12 @@
 	Term   uint64 `codec:"term"`
 	// Serves: users have come to the node lately, so the load balancer sends them.
 	Serves bool `codec:"serves,omitempty"`
+	// Behind: the process is short of processor. WorkUs is how long it takes for a
+	// piece of work that is the same everywhere, in microseconds; 0: not known.
+	Behind bool  `codec:"behind,omitempty"`
+	WorkUs int64 `codec:"work_us,omitempty"`
+	// Stored: the state service has answered the member lately.
+	Stored bool `codec:"stored,omitempty"`
 }
 
 // Kinds of forwarded requests.
@@ -58,6 +64,8 @@
 	Kind string `codec:"kind"`
 	ID   string `codec:"id,omitempty"`
 	Body []byte `codec:"body,omitempty"`
+	// Via is the member that hands a report on; empty: it came from the worker.
+	Via string `codec:"via,omitempty"`
 }
 
 // Operation is a request about a roll-out or the calendar: what to do with which
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -32,7 +32,11 @@
 	sentAt time.Time
 	// fresh: it has come up in this term and has never had a holder. It turns at no
 	// cost to a share: its pace is that of the boots.
-	fresh  bool
+	fresh bool
+	// pinned is the member through which its worker has come, until the time given: it
+	// reaches no other.
+	pinned string
+	until  time.Time
 	ranked []*seat
 	epoch  int // of the seats that it is ranked by
 }
@@ -93,8 +97,11 @@
 	turnsAt  time.Time
 	lookAt   time.Time
 	stepAt   time.Time
-	patient  time.Time // nobody counts as silent before
-	moves    int
+	// directAt and viaAt are when a report came to the leader itself, and through a
+	// member.
+	directAt, viaAt time.Time
+	patient         time.Time // nobody counts as silent before
+	moves           int
 }
 
 // NewAllotter makes the division of a term that has just begun: the leader deals
@@ -138,7 +145,7 @@
 }
 
 // divide makes the seats, and their bounds.
-func (a *Allotter) divide() {
+func (a *Allotter) divide(now time.Time) {
 	if a.stale {
 		a.stale = false
 		a.epoch++
@@ -152,7 +159,10 @@
 	n := len(a.machines)
 	for _, s := range a.seats {
 		if s.m == nil {
-			s.load = n
+			s.load, s.room = n, a.set.Room
+			if now.Sub(a.directAt) > cutTime && now.Sub(a.viaAt) < cutTime {
+				s.room = 0
+			}
 			for _, m := range a.members {
 				s.load -= len(m.machines)
 			}
@@ -169,29 +179,32 @@
 // target is the controller that should have a machine: the first in its ranking
 // with room. One that has it stays while it is within its bound, unless the
 // ranking's very first has come to have room.
-func (a *Allotter) target(k *machine) *seat {
+func (a *Allotter) target(k *machine, now time.Time) *seat {
 	if k.epoch != a.epoch {
 		k.ranked, k.epoch = rank(k.name, k.zone, a.seats), a.epoch
 	}
-	var now *seat
+	var has *seat
 	for _, s := range k.ranked {
 		if s.m == k.m {
-			now = s
+			has = s
+		}
+		if s.name == k.pinned && now.Before(k.until) && s.load < s.room {
+			return s
 		}
 	}
-	if now != nil && now.load <= now.bound {
-		if first := k.ranked[0]; first != now && first.load < first.bound {
+	if has != nil && has.load <= has.bound {
+		if first := k.ranked[0]; first != has && first.load < first.bound {
 			return first
 		}
-		return now
+		return has
 	}
 	for _, s := range k.ranked {
 		if s.load < s.bound {
 			return s
 		}
 	}
-	if now != nil {
-		return now
+	if has != nil {
+		return has
 	}
 	return a.seats[0]
 }
@@ -247,18 +260,33 @@
 	return Serve, ""
 }
 
+// cutTime is how long no report may come to the leader itself, while others are handed
+// on to it, before it counts as cut from the workers and keeps no machines.
+const cutTime = 5 * time.Second
+
+// pinTime is how long a machine stays with the member through which its worker has
+// come to the leader.
+const pinTime = time.Minute
+
 // Served notes that the leader has answered a machine's report: this is when it may
-// be given away, so that the holder has it before the next report.
-func (a *Allotter) Served(name string, now time.Time) {
+// be given away, so that the holder has it before the next report. Via is the
+// member that handed the report on; empty: it came from the worker. A leader that is
+// cut from its workers gives their machines to those that are not.
+func (a *Allotter) Served(name, via string, now time.Time) {
 	k := a.machines[name]
 	if k == nil || k.phase != own || len(a.machines) < a.set.Least {
 		return
 	}
-	a.divide()
+	if via != "" {
+		k.pinned, k.until, a.viaAt = via, now.Add(pinTime), now
+	} else {
+		a.directAt = now
+	}
+	a.divide(now)
 	if len(a.seats) == 1 {
 		return
 	}
-	if s := a.target(k); s.m != nil && (k.fresh || a.turn(now)) {
+	if s := a.target(k, now); s.m != nil && (k.fresh || a.turn(now)) {
 		a.give(k, s.m, "its share", now)
 	}
 }
@@ -560,7 +588,7 @@
 		return freed
 	}
 	a.lookAt = now
-	a.divide()
+	a.divide(now)
 	few := len(a.machines) < a.set.Least-a.set.Least/5
 	for _, name := range slices.Sorted(maps.Keys(a.members)) {
 		m := a.members[name]
@@ -575,7 +603,7 @@
 			case few:
 				why = "the fleet is small"
 			default:
-				if s := a.target(k); s.m != m {
+				if s := a.target(k, now); s.m != m {
 					why = "a share has changed"
 					s.load++
 				}
--- a/internal/share/hold.go
+++ b/internal/share/hold.go
@@ -21,6 +21,9 @@
 	Lapsed
 	// Answered: the orders are the answer.
 	Answered
+	// Asked: the report says something new. The orders are the answer if none comes
+	// from the leader in time; until then the worker waits.
+	Asked
 )
 
 // drift is what a grant loses for the clocks of the two sides: they may differ by
@@ -108,7 +111,8 @@
 }
 
 // Report takes in a report of a worker. The orders of an answer are exits that the
-// worker may forget; launches and halts go by direct commands.
+// worker may forget; the leader's own go by its answer to a report that says
+// something new, or by direct commands.
 func (h *Holder) Report(m *wire.Report, body []byte, now time.Time) ([]wire.Order, Verdict) {
 	k := h.machines[m.Host]
 	if k == nil || k.dropped {
@@ -123,8 +127,9 @@
 	}
 	k.session, k.seq, k.at = m.Session, m.Seq, now
 	k.reports++
+	verdict := Answered
 	if d := digest(m); !k.known || d != k.digest || m.Notice != nil {
-		k.digest, k.known = d, true
+		k.digest, k.known, verdict = d, true, Asked
 		k.full, k.fullAt = slices.Clone(body), k.reports
 	}
 	k.exits = k.exits[:0]
@@ -138,7 +143,7 @@
 	for _, e := range k.settled {
 		orders = append(orders, wire.Order{Op: wire.Clear, Task: e.task, Attempt: e.attempt})
 	}
-	return orders, Answered
+	return orders, verdict
 }
 
 // requestBytes bounds the reports in a request.
--- a/internal/share/message.go
+++ b/internal/share/message.go
@@ -56,6 +56,15 @@
 	Report  []byte `codec:"report,omitempty"`
 }
 
+// Answer is the leader's answer to a report that said something new. The holder
+// gives it if the worker still waits for it.
+type Answer struct {
+	Host    string       `codec:"host"`
+	Session uint64       `codec:"shift"`
+	Seq     uint64       `codec:"tick"`
+	Orders  []wire.Order `codec:"orders"`
+}
+
 // Settled names exits of a machine that the worker may forget.
 type Settled struct {
 	Host   string       `codec:"host"`
@@ -75,5 +84,6 @@
 	Add     []string  `codec:"add,omitempty"`
 	Drop    []string  `codec:"drop,omitempty"`
 	Calls   []Call    `codec:"calls,omitempty"`
+	Answers []Answer  `codec:"answers,omitempty"`
 	Settled []Settled `codec:"settled,omitempty"`
 }
