--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -298,7 +298,7 @@
 	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
 	t.Rollouts.Most, t.Rollouts.Checks = 1000, 16
 	t.Calendar = Calendar{Hold: true, Drain: true, Backfill: true, HoldS: 900, Days: 100, Most: 2000, PerTeam: 500, Windows: 100, Occurrences: 400}
-	t.Shares = Shares{Least: 200, GrantMs: 2000, JoinS: 3, RestS: 5, RestMostS: 120, Own: 0.4}
+	t.Shares = Shares{Least: 200, GrantMs: 2000, JoinS: 3, RestS: 5, RestMostS: 120, Own: 0.45}
 	h := &t.Hosts
 	h.IdleBoots, h.GiveUpBoots, h.MinFill, h.PatienceS, h.SickErrors = 1, 4, 0.5, 15, 3
 	return t
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -38,7 +38,7 @@
 
 // slack is how far above its part of the machines a controller may be: bounded
 // loads, which keep the moves few when machines come and go.
-const slack = 1.15
+const slack = 1.1
 
 // zoneWeight is how much more a controller in the machine's own zone weighs.
 const zoneWeight = 1.5
