--- a/internal/emulate/memory.go
+++ b/internal/emulate/memory.go
@@ -17,17 +17,27 @@
 	listeners map[string]*memListener
 	conns     map[*memConn]bool
 	cut       func(from, to string) bool
+	mute      func(from, to string) bool
 }
 
 // NewMemory makes a network without cuts.
 func NewMemory() *Memory {
-	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false }}
+	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false },
+		mute: func(string, string) bool { return false }}
 }
 
 func (n *Memory) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut(from, to) || n.cut(to, from)
+	return n.cut(from, to) || n.cut(to, from) || n.mute(from, to)
+}
+
+// Mute holds what passes from one host to another for which f is true, and not what
+// comes back.
+func (n *Memory) Mute(f func(from, to string) bool) {
+	n.mu.Lock()
+	n.mute = f
+	n.mu.Unlock()
 }
 
 // Cut holds what passes between two hosts for which f is true, in either direction.
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// muteOther holds what a controller that does not lead sends to the other
+// controllers, and not what they send to it.
+func muteOther(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		other := controllers[(s.leader()+1)%3].Member
+		s.net.Mute(func(a, b string) bool { return a == other && isNode(b) })
+		time.Sleep(d)
+		s.net.Mute(func(string, string) bool { return false })
+	}
+}
+
 // spread checks that every controller has answered reports, one in that many of all
 // at the least.
 func spread(part int) func(*sim) {
@@ -69,6 +80,9 @@
 		{name: "a holder ends, is away, and ends again at once", faults: []fault{{14 * sec, crashOther(9 * sec)}, {35 * sec, crashOther(300 * time.Millisecond)}}, also: keeps},
 		{name: "the leader ends in the middle of a move, then all", faults: []fault{{13 * sec, crashOther(200 * time.Millisecond)}, {14 * sec, crash(1)}, {40 * sec, crash(3)}}},
 		{name: "a holder cut from the controllers, held", faults: []fault{{14 * sec, cutOther(isNode, 20*sec)}}},
+		{name: "a holder that the others do not hear, though it hears them; delivered a minute later", faults: []fault{{14 * sec, muteOther(60 * sec)}}},
+		{name: "a holder ends each time that a job is cancelled", faults: []fault{{12900 * time.Millisecond, crashOther(2 * sec)}, {21900 * time.Millisecond, crashOther(2 * sec)}, {30900 * time.Millisecond, crashOther(2 * sec)}}},
+		{name: "a zone with machines of every holder cut while one comes back", faults: []fault{{12 * sec, cutZone("a", 16*sec)}, {14 * sec, crashOther(6 * sec)}}},
 		{name: "a holder cut from its workers alone, held", faults: []fault{{14 * sec, cutOther(isWorker, 25*sec)}}},
 		{name: "a holder stands still past its grant, then the leader", faults: []fault{{14 * sec, func(s *sim) { s.still[(s.leader()+1)%3].shut(5 * sec) }}, {30 * sec, freeze(1, 3500*time.Millisecond)}}},
 		{name: "peers cut from each other, then the leader from the workers", faults: []fault{{10 * sec, func(s *sim) {
--- a/internal/node/storm_test.go
+++ b/internal/node/storm_test.go
@@ -57,7 +57,12 @@
 	s, closeAll := newSim(t, 1, func(c *emulate.Config) {
 		c.Most, c.Limits = 40+st.services*st.replicas/3, nil
 		c.Types = []wire.MachineType{{Name: "small", CPUs: 8, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: zones}}
-	}, func(_ *config.Settings, tun *config.Tuning) { tun.Rollouts.Enabled = true })
+	}, func(set *config.Settings, tun *config.Tuning) {
+		tun.Rollouts.Enabled = true
+		if seed%2 == 1 {
+			shared(set, tun)
+		}
+	})
 	w := s.World
 	w.Keep()
 	for i := range 8 + st.services*st.replicas/6 {
