Door: connections of workers with tasks yield last

Need: with more machines than sockets the longest idle connection yielded, whether its worker had tasks or not. TestDoorKeeps.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,6 +35,14 @@
 	Healthy() bool
 }
 
+type workKey struct{}
+
+// WithWork hands the door of a connection's requests whom to tell whether its worker
+// has tasks.
+func WithWork(ctx context.Context, told func(work bool)) context.Context {
+	return context.WithValue(ctx, workKey{}, told)
+}
+
 // Server is the door.
 type Server struct {
 	back  Backend
@@ -155,6 +163,9 @@
 	defer cancel()
 	r := &peer.Request{Kind: peer.KindReport, Body: body}
 	if p := s.back.Report(ctx, r); p != nil {
+		if told, ok := ctx.Value(workKey{}).(func(bool)); ok {
+			told(p.Work)
+		}
 		write(w, p)
 		return
 	}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -226,7 +226,9 @@
 	orders, sent, ev := r.fleet.Compose(h, m.Seq, fresh, now, maxOrders)
 	r.takeover.launched(len(sent), now)
 	r.work.handle(ev, now)
-	back(reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders}))
+	p := reply(http.StatusOK, wire.Answer{Token: r.term, Orders: orders})
+	p.Work = h.Busy()
+	back(p)
 	r.shares.served(h, via, now)
 }
 
--- a/internal/node/arm.go
+++ b/internal/node/arm.go
@@ -189,5 +189,5 @@
 	if !a.valid(term) {
 		return control.Later("the leader has not renewed this node's grant")
 	}
-	return &peer.Reply{Status: http.StatusOK, Body: b}
+	return &peer.Reply{Status: http.StatusOK, Body: b, Work: len(m.Tasks) > 0}
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -25,7 +25,8 @@
 // door limits the connections that are open at a time. At the limit a new one
 // takes the place of the one that has been idle for longest, so that a flood, or
 // a fleet that has moved on to another leader, does not shut out health checks
-// and users.
+// and users. Connections of workers that have tasks yield last: with more machines
+// than sockets their leases would run out while idle machines are served.
 type door struct {
 	net.Listener
 	most int
@@ -36,7 +37,8 @@
 
 	mu   sync.Mutex
 	open int
-	idle *list.List // of *doorConn, longest idle first
+	// idle and kept hold *doorConn, longest idle first; kept those of workers with tasks.
+	idle, kept *list.List
 }
 
 type doorConn struct {
@@ -44,10 +46,12 @@
 	d    *door
 	once sync.Once
 	at   *list.Element // nil: a request is under way
+	in   *list.List    // that at is in
+	keep bool          // of a worker with tasks, by its last report
 }
 
 func newDoor(l net.Listener, most int) *door {
-	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), ended: make(chan struct{}), idle: list.New()}
+	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), ended: make(chan struct{}), idle: list.New(), kept: list.New()}
 }
 
 // Accept waits for a connection and for room for it.
@@ -90,7 +94,11 @@
 		return true
 	}
 	var oldest *doorConn
-	if e := d.idle.Front(); e != nil {
+	e := d.idle.Front()
+	if e == nil {
+		e = d.kept.Front()
+	}
+	if e != nil {
 		oldest = e.Value.(*doorConn)
 		d.busy(oldest)
 	}
@@ -111,11 +119,18 @@
 // busy takes a connection off the list of idle ones; the caller holds the lock.
 func (d *door) busy(c *doorConn) {
 	if c.at != nil {
-		d.idle.Remove(c.at)
+		c.in.Remove(c.at)
 		c.at = nil
 	}
 }
 
+// keeps notes whether the connection is that of a worker with tasks.
+func (c *doorConn) keeps(work bool) {
+	c.d.mu.Lock()
+	c.keep = work
+	c.d.mu.Unlock()
+}
+
 // state follows the server's connections.
 func (d *door) state(conn net.Conn, s http.ConnState) {
 	c, ok := conn.(*doorConn)
@@ -126,7 +141,11 @@
 	defer d.mu.Unlock()
 	d.busy(c)
 	if s == http.StateIdle {
-		c.at = d.idle.PushBack(c)
+		c.in = d.idle
+		if c.keep {
+			c.in = d.kept
+		}
+		c.at = c.in.PushBack(c)
 		d.wake()
 	}
 }
--- a/internal/node/door_test.go
+++ b/internal/node/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 )
@@ -79,3 +80,45 @@
 		})
 	}
 }
+
+// TestDoorKeeps: connections of workers that have tasks yield last, whatever idles
+// for longer.
+func TestDoorKeeps(t *testing.T) {
+	tests := []struct {
+		name  string
+		work  []bool // of the connections, in the order in which they became idle
+		wants []int  // the order in which they yield
+	}{
+		{"longest idle first", []bool{false, false, false}, []int{0, 1, 2}},
+		{"without tasks first", []bool{true, false, true, false}, []int{1, 3, 0, 2}},
+		{"all have tasks", []bool{true, true}, []int{0, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDoor(nil, len(tt.work))
+			var closed []int
+			for i, work := range tt.work {
+				if !d.admit() {
+					t.Fatal("no room")
+				}
+				c := &doorConn{Conn: closer{closed: func() { closed = append(closed, i) }}, d: d}
+				c.keeps(work)
+				d.state(c, http.StateIdle)
+			}
+			for range tt.work {
+				d.admit()
+			}
+			if !slices.Equal(closed, tt.wants) {
+				t.Errorf("closed %v, want %v", closed, tt.wants)
+			}
+		})
+	}
+}
+
+// closer is a connection that tells when it is closed.
+type closer struct {
+	net.Conn
+	closed func()
+}
+
+func (c closer) Close() error { c.closed(); return nil }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,9 @@
 		}
 	}
 	d := newDoor(hl, inbound(set))
-	srv := &http.Server{ConnState: d.state, Handler: api.New(n, log, m).Handler(), ReadHeaderTimeout: 10 * time.Second,
+	srv := &http.Server{ConnState: d.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return api.WithWork(ctx, c.(*doorConn).keeps)
+	}, Handler: api.New(n, log, m).Handler(), ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -76,7 +76,7 @@
 func TestShares(t *testing.T) {
 	sec := time.Second
 	playDays(t, 1, shared, []day{
-		{name: "quiet", also: spread(8)},
+		{name: "quiet", also: spread(40)},
 		{name: "a holder ends, is away, and ends again at once", faults: []fault{{14 * sec, crashOther(9 * sec)}, {35 * sec, crashOther(300 * time.Millisecond)}}, also: keeps},
 		{name: "the leader ends in the middle of a move, then all", faults: []fault{{13 * sec, crashOther(200 * time.Millisecond)}, {14 * sec, crash(1)}, {40 * sec, crash(3)}}},
 		{name: "a holder cut from the controllers, held", faults: []fault{{14 * sec, cutOther(isNode, 20*sec)}}},
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -101,6 +101,8 @@
 	// Settled: a refusal that is the leader's own word, to be handed to the client
 	// as it is.
 	Settled bool `codec:"settled,omitempty"`
+	// Work: the worker that is answered has tasks.
+	Work bool `codec:"work,omitempty"`
 }
 
 // Handler answers siblings.
