--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -40,7 +40,7 @@
 
 func (b *bed) start(name, zone string) {
 	b.life++
-	b.h[name], b.down[name] = NewHolder(name, zone, b.life), false
+	b.h[name], b.down[name] = NewHolder(name, zone, b.life), false // a new process
 }
 
 // round plays 200 ms; a worker of each tenth machine reports, to its holder or to
@@ -167,6 +167,45 @@
 			b.play(100 * time.Second)
 			b.held(third)
 		}},
+		{"a new leader hears of two holders: each keeps what it names first, and no machine has two", nil, func(b *bed) {
+			for _, h := range b.h {
+				h.Follow()
+				h.have = append(h.have, "host-1", "host-2") // both say so
+			}
+			b.a = NewAllotter(8, "n0", "a", b.a.set, b.now)
+			for i := range b.size {
+				b.a.Known(fmt.Sprintf("host-%d", i), zones[i%3])
+			}
+			before := b.a.Moves()
+			b.play(10 * time.Second)
+			b.held(third)
+			if n := b.a.Moves() - before; n > 460 {
+				b.t.Errorf("%d changes, though some 400 machines stay where they are", n)
+			}
+			for _, name := range []string{"host-1", "host-2"} {
+				n := 0
+				for _, h := range b.h {
+					if k := h.machines[name]; k != nil && !k.dropped {
+						n++
+					}
+				}
+				if n > 1 {
+					b.t.Errorf("%s has %d holders", name, n)
+				}
+			}
+		}},
+		{"2,000 machines whose only holder ends turn at the pace of the workers and the settings", func(s *Settings) { s.PerS = 40 }, func(b *bed) {
+			b.down["n1"] = true
+			b.play(30 * time.Second) // the other has joined late, and has all but the leader's
+			b.down["n2"] = true
+			b.play(3 * time.Second)
+			n := b.a.Held()["n0"]
+			b.start("n1", "b")
+			b.play(4 * time.Second)
+			if got := n - b.a.Held()["n0"]; n != b.size || got > 40*4 {
+				b.t.Errorf("the leader has %d of %d, and %d of them turned in 3 s", n, b.size, got)
+			}
+		}},
 		{"workers that do not reach their holder take it out", nil, func(b *bed) {
 			b.down["n2"] = true // it goes on asking, but no worker reaches it
 			for n := range 40 {
@@ -184,7 +223,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t, 600, tt.edit)
+			size := 600
+			if strings.HasPrefix(tt.name, "2,000") {
+				size = 2000
+			}
+			b := newBed(t, size, tt.edit)
 			b.start("n1", "b")
 			b.start("n2", "c")
 			b.play(30 * time.Second)
