Shares: a holder that may have ended gets nothing more, and workers are not sent to it

The leader went on to give it machines, which put off the moment at which it counts as silent, and sent workers back to it.

Change: a holder that has not asked for 0.5 s gets no machines, and a report of one of its machines waits at the leader, which has it within a grant. The emulated workers try the next node after 1 s, as the protocol says.

--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -254,9 +254,11 @@
 // free takes machines back from their holders.
 func (sh *shares) free(freed []share.Freed, now time.Time) {
 	for _, f := range freed {
-		if h := sh.fleet.Hosts[f.Name]; h != nil {
-			h.Unhold(f.Until)
+		h := sh.fleet.Hosts[f.Name]
+		if h == nil {
+			continue // it was returned meanwhile
 		}
+		h.Unhold(f.Until)
 		k := moveKind{f.From, f.Why}
 		m := sh.told[k]
 		if m == nil {
--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"vetchstream/internal/job"
 	"vetchstream/internal/wire"
 )
@@ -20,10 +22,14 @@
 	starts  int
 	lapsed  int            // tasks that ran when the lease of their machine ended
 	answers map[string]int // answered reports, by controller
+	// silence is how long workers went without an answer, from the first report that
+	// had none, in milliseconds.
+	silence *hdrhistogram.Histogram
 }
 
 func newJudge() judge {
-	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}, answers: map[string]int{}}
+	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}, answers: map[string]int{},
+		silence: hdrhistogram.New(1, time.Hour.Milliseconds(), 3)}
 }
 
 // maxBroken bounds the list of broken rules: one fault can break thousands.
@@ -71,6 +77,16 @@
 	return maps.Clone(w.judge.answers)
 }
 
+// Silences are quantiles of how long workers went without an answer, from the first
+// report that had none: the median, 99 % and the longest; n is how many did.
+func (w *World) Silences() (n int64, half, most99, longest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
+	h := w.judge.silence
+	return h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())
+}
+
 // Open lists the jobs whose users have not been told that they are over, with
 // what they were told.
 func (w *World) Open() map[string]string {
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -66,6 +66,7 @@
 	node    int
 	sent    time.Time
 	change  bool
+	mute    time.Time // sending of the first report without an answer since the last; zero: none
 }
 
 // Name is the machine's name in the cloud.
@@ -236,6 +237,8 @@
 	stepEvery = 100 * time.Millisecond
 	// changeEvery is how often it may report changes (protocol).
 	changeEvery = 500 * time.Millisecond
+	// nextAfter is how long a worker waits before it tries the next node (protocol).
+	nextAfter = time.Second
 	// answerTime is how late an answer may come (protocol).
 	answerTime = 4 * time.Second
 )
@@ -328,10 +331,18 @@
 			k.token, k.change = a.Token, true
 		}
 		k.leased = sent
+		if !k.mute.IsZero() {
+			_ = w.judge.silence.RecordValue(max(1, time.Since(k.mute).Milliseconds())) // within its range
+			k.mute = time.Time{}
+		}
 		w.judge.answers[w.cfg.Controllers[node].Member]++
 		k.obey(a.Orders)
 		return
 	}
+	if k.mute.IsZero() {
+		k.mute = sent
+	}
+	k.sent = time.Now().Add(nextAfter - w.cfg.Report)
 	k.node = (node + 1) % len(w.cfg.Controllers)
 	var to wire.Redirect
 	if status == http.StatusMisdirectedRequest && wire.Unmarshal(body, &to) == nil {
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// answers checks that no worker went without an answer for longer than that.
+func answers(within time.Duration) func(*sim) {
+	return func(s *sim) {
+		n, half, most99, longest := s.Silences()
+		s.t.Logf("%d workers without an answer: half %v, 99 %% %v, longest %v", n, half, most99, longest)
+		if longest > within {
+			s.t.Errorf("a worker went without an answer for %v", longest)
+		}
+		keeps(s)
+	}
+}
+
 func isNode(h string) bool { return strings.HasPrefix(h, "n") }
 
 // TestShares plays days on which the machines are shared and their holders fail.
@@ -108,6 +120,7 @@
 		{name: "the only holder ends, then the leader", faults: []fault{
 			{3 * sec, func(s *sim) { i := (s.leader() + 2) % 3; s.kill(i); time.Sleep(40 * sec); s.startNode(i) }},
 			{18 * sec, crashOther(6 * sec)}, {50 * sec, crash(1)}}},
+		{name: "a holder of a third ends", faults: []fault{{25 * sec, crashOther(8 * sec)}}, also: answers(6 * sec)},
 		{name: "workers cut while the leader changes, then all crash", faults: []fault{
 			{14 * sec, cutWorkers(rng(11), 2*scale, 18*sec)}, {16 * sec, crash(1)}, {45 * sec, crash(3)}}},
 	})
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -169,8 +169,8 @@
 			continue
 		}
 		s.room, s.load = s.m.room, len(s.m.machines)
-		if !s.m.behind.IsZero() {
-			s.room = min(s.room, s.load) // no more while it is short of processor
+		if !s.m.behind.IsZero() || now.Sub(s.m.heard) > quietTime {
+			s.room = min(s.room, s.load) // no more while it is short of processor, or may have ended
 		}
 	}
 	bounds(a.seats, n)
@@ -232,6 +232,10 @@
 	Wait
 )
 
+// quietTime is how long a holder may not ask before workers are not sent to it: it
+// asks many times a second.
+const quietTime = 500 * time.Millisecond
+
 // strayTime is how long a worker that was sent to its holder may take to be heard
 // of there. One that comes back sooner does not reach it.
 const strayTime = 20 * time.Second
@@ -248,6 +252,9 @@
 	}
 	switch k.phase {
 	case given:
+		if now.Sub(k.m.heard) > quietTime {
+			return Wait, "" // it may have ended: its machines are free within a grant
+		}
 		if !k.sentAt.IsZero() && now.Sub(k.sentAt) < strayTime {
 			a.stray(k, now)
 			return Wait, ""
@@ -295,9 +302,9 @@
 	k.m, k.phase, k.tag, k.since, k.why, k.sentAt, k.fresh = m, giving, 0, now, why, time.Time{}, false
 	m.machines[k] = struct{}{}
 	m.pending[k] = struct{}{}
-	if t := now.Add(a.set.Grant); t.After(m.until) {
+	if len(m.machines) == 1 && now.After(m.until) {
 		// It has no grant yet: it must not count as silent before its next request.
-		m.until = t
+		m.until = now.Add(a.set.Grant)
 	}
 	a.moves++
 }
--- a/internal/share/explore_test.go
+++ b/internal/share/explore_test.go
@@ -406,7 +406,7 @@
 			// The holders have joined; one has a machine, then none has.
 			joined := g.Steps(holders, "ask", "arrive", "grant")
 			states, broken := 0, ""
-			for _, start := range [][]explore.Step{slices.Concat(joined, g.Steps(1, "tick", "report"), g.Steps(holders, "ask", "arrive", "grant", "ask", "arrive", "grant")), joined} {
+			for _, start := range [][]explore.Step{slices.Concat(joined, g.Steps(1, "tick"), joined, g.Steps(1, "report"), joined, joined), joined} {
 				g.Start = start
 				n, b := g.Play()
 				states, broken = states+n, cmp.Or(broken, b)
