Leadership: a stored term that is behind the workers' tokens is gone above at once

Cause: a leader whose term is below the tokens that workers have seen is deposed by the first report, and each election added one to the stored term: with a gap of 38 it took minutes, in which every answer was dropped and every lease ran out.

Change: the next term is above the highest that was heard, on the same conditions; one line in the log says so.

--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -73,6 +73,20 @@
 	return e, ok
 }
 
+// Put sets a key past every condition, as one who restores an older state does.
+func (s *Store) Put(key string, data any) error {
+	b, err := wire.Marshal(data)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.kv[key] = state.Entry{Key: key, Value: b, Version: s.epoch}
+	s.bump()
+	return nil
+}
+
 // Job finds the description of a job among the records that controllers keep:
 // the emulated workers read there what users would have uploaded for them.
 func (s *Store) Job(id string) *job.Spec {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -319,6 +319,15 @@
 	if err != nil {
 		return
 	}
+	e.mu.Lock()
+	heard := e.view.Term
+	e.mu.Unlock()
+	if heard > term {
+		// A state service that has lost its last moments names a term below the tokens
+		// that workers have seen. They would drop every answer of the next one.
+		e.log.Warn("the stored term is behind what workers or siblings have seen, going above it", "stored", term, "seen", heard)
+		term = heard
+	}
 	term++
 	hv, err1 := state.Put(keyHolder, holder{Member: e.member, Term: term})
 	tv, err2 := state.Put(KeyTerm, termRecord{Term: term})
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -19,6 +19,7 @@
 	"vetchstream/internal/config"
 	"vetchstream/internal/emulate"
 	"vetchstream/internal/job"
+	"vetchstream/internal/lead"
 	"vetchstream/internal/wire"
 )
 
@@ -312,6 +313,19 @@
 	do func(s *sim)
 }
 
+// termsAbove checks that the last term is above one that workers have seen, by no
+// more than that many.
+func termsAbove(seen, most uint64) func(*sim) {
+	return func(s *sim) {
+		var rec struct {
+			Term uint64 `codec:"term"`
+		}
+		if e, ok := s.store.Entry(lead.KeyTerm); !ok || wire.Unmarshal(e.Value, &rec) != nil || rec.Term <= seen || rec.Term > seen+most {
+			s.t.Errorf("the last term is %d, and workers have seen %d", rec.Term, seen)
+		}
+	}
+}
+
 func isWorker(h string) bool { return strings.HasPrefix(h, "w") }
 
 // The faults. Each undoes itself.
@@ -354,6 +368,18 @@
 	}
 }
 
+// lostMoments lets a leader of a high term end, and the state service name a term of
+// long ago.
+func lostMoments(s *sim) {
+	for _, term := range []uint64{40, 3} {
+		if err := s.store.Put(lead.KeyTerm, map[string]any{"term": term}); err != nil {
+			panic(err)
+		}
+		crash(1)(s) // the next term is one above
+		time.Sleep(8 * time.Second)
+	}
+}
+
 func cutWorkers(r *rand.Rand, n int, d time.Duration) func(*sim) {
 	return func(s *sim) {
 		hit := map[string]bool{}
@@ -492,6 +518,7 @@
 			s.cutLinks("peers", nil)
 		}}}},
 		{name: "a machine dies, then the leader (6, 12)", faults: []fault{{15 * time.Second, die(rng(9), 1)}, {16 * time.Second, crash(1)}}},
+		{name: "the stored term falls behind the tokens of the workers (1, 5)", faults: []fault{{12 * time.Second, lostMoments}}, also: termsAbove(41, 3)},
 		{name: "a machine that fails everything (12)", faults: []fault{{12 * time.Second, sick(rng(8))}}},
 	})
 }
