Shares: a new machine is given away at its first report; clocks that have not moved say nothing

And a leader's measure of its own speed counted steps of the clock of 0.

Measures of 0 are left out.

--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -134,9 +134,11 @@
 	return true
 }
 
-// served notes that the leader has answered a machine.
+// served notes that the leader has answered a machine. One that is new is given away
+// before it has seen the term and is in the registry, which a launch still waits for:
+// a fleet that boots within a minute would take all sockets of the leader first.
 func (sh *shares) served(h *fleet.Host, via string, now time.Time) {
-	if sh.allot == nil || !h.Durable || !h.Fenced || h.Releasing {
+	if sh.allot == nil || h.Releasing {
 		return
 	}
 	sh.allot.Served(h.Name, via, now)
--- a/internal/node/lag.go
+++ b/internal/node/lag.go
@@ -31,6 +31,9 @@
 	begun := time.Now()
 	crc32.ChecksumIEEE(probe[:])
 	d := time.Since(begun)
+	if d <= 0 {
+		return // the clock has not moved: it says nothing
+	}
 	l.mu.Lock()
 	l.work[l.works%len(l.work)] = d
 	l.works++
