Shares: requests and replies stay below what a message may have; a holder was refused for ever

The ends of 95 to 144 commands, each with a worker's report, and 128 KiB of reports made a request of 290 to 360 KB, above the limit of gRPC messages; it was refused and made again, larger, for ever. It also explains why the leader had all its sockets.

Change: ends of commands and reports share the bytes of a request, the rest comes next; replies are bounded in the same way; a refusal is logged at debug; a command that has not left when it is given up counts as not sent.

Measured: cases of TestHolder and TestReplySize, which fail without the bounds.

--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"vetchstream/internal/config"
@@ -72,6 +73,33 @@
 	longest  time.Duration
 }
 
+// replyBytes bounds what a reply carries besides the machines that come and go, as
+// the holders refuse larger messages: a burst of launches on hundreds of machines
+// would be lost whole. One item may come on top; the rest has the next reply.
+const replyBytes = 128 << 10
+
+// orderBytes is what an order takes, about.
+const orderBytes = 80
+
+// fill moves what waits into a reply, answers first: workers wait for them.
+func (b *box) fill(r *share.Reply) {
+	size := 0
+	fits := func(n int) bool {
+		ok := size < replyBytes
+		size += n
+		return ok
+	}
+	for len(b.answers) > 0 && fits(64+orderBytes*len(b.answers[0].Orders)) {
+		r.Answers, b.answers = append(r.Answers, b.answers[0]), b.answers[1:]
+	}
+	for len(b.calls) > 0 && fits(64+len(b.calls[0].Body)) {
+		r.Calls, b.calls = append(r.Calls, b.calls[0]), b.calls[1:]
+	}
+	for len(b.settled) > 0 && fits(64+orderBytes*len(b.settled[0].Clears)) {
+		r.Settled, b.settled = append(r.Settled, b.settled[0]), b.settled[1:]
+	}
+}
+
 // holdTime is how long a holder's request waits for something to say: requests
 // that come as often as they can would take the processor of both sides.
 const holdTime = 50 * time.Millisecond
@@ -324,8 +352,12 @@
 		for id, r := range sh.relayed {
 			if now.Sub(r.at) > relayTime {
 				delete(sh.relayed, id)
-				sh.boxes[r.member].under--
-				sh.commands.ended(r.host, 0, nil, true, errNoWord, r.sent)
+				b := sh.boxes[r.member]
+				b.under--
+				waits := len(b.calls)
+				b.calls = slices.DeleteFunc(b.calls, func(c share.Call) bool { return c.ID == id })
+				// One that has not left yet was certainly not sent.
+				sh.commands.ended(r.host, 0, nil, len(b.calls) == waits, errNoWord, r.sent)
 			}
 		}
 		sh.tell(now)
@@ -338,9 +370,9 @@
 			continue
 		}
 		r := sh.allot.Reply(member, now)
-		r.Calls, r.Answers, r.Settled = b.calls, b.answers, b.settled
+		b.fill(r)
 		back := b.back
-		b.back, b.calls, b.answers, b.settled, b.since = nil, nil, nil, nil, now
+		b.back, b.since = nil, now
 		back(r)
 	}
 }
--- /dev/null
+++ b/internal/control/shares_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"testing"
+
+	"vetchstream/internal/share"
+	"vetchstream/internal/wire"
+)
+
+// TestReplySize: a reply stays below what a holder takes, whatever waits, and nothing
+// of it is lost.
+func TestReplySize(t *testing.T) {
+	tests := []struct {
+		name                   string
+		calls, answers, clears int
+		body                   int // bytes of a call
+	}{
+		{"nothing", 0, 0, 0, 0},
+		{"a burst of launches on hundreds of machines", 700, 0, 0, 2 << 10},
+		{"a few that are as large as can be", 9, 0, 0, 30 << 10},
+		{"everything at once", 300, 500, 400, 1 << 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &box{}
+			for range tt.calls {
+				b.calls = append(b.calls, share.Call{Addr: "10.0.0.1:9000", Body: make([]byte, tt.body)})
+			}
+			orders := make([]wire.Order, 20)
+			for range tt.answers {
+				b.answers = append(b.answers, share.Answer{Host: "host-000001", Orders: orders})
+			}
+			for range tt.clears {
+				b.settled = append(b.settled, share.Settled{Host: "host-000001", Clears: orders})
+			}
+			calls, answers, clears := 0, 0, 0
+			for range 100 {
+				r := &share.Reply{Term: 1}
+				b.fill(r)
+				calls, answers, clears = calls+len(r.Calls), answers+len(r.Answers), clears+len(r.Settled)
+				if enc, err := wire.Marshal(r); err != nil || len(enc) > 4*wire.MaxBody {
+					t.Fatalf("a reply of %d bytes: %v", len(enc), err)
+				}
+			}
+			if calls != tt.calls || answers != tt.answers || clears != tt.clears {
+				t.Errorf("%d calls, %d answers, %d clears came", calls, answers, clears)
+			}
+		})
+	}
+}
--- a/internal/node/arm.go
+++ b/internal/node/arm.go
@@ -34,8 +34,9 @@
 }
 
 const (
-	// syncTime bounds a request; the leader answers within a fifth of a second.
-	syncTime = 900 * time.Millisecond
+	// syncTime bounds a request; the leader answers at once, or as soon as it is not
+	// behind.
+	syncTime = 1500 * time.Millisecond
 	// syncGap is the least time between two requests, and syncIdle the wait of one that
 	// was refused or lost.
 	syncGap  = 25 * time.Millisecond
@@ -107,6 +108,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if err != nil || p.Term == 0 {
+		if err != nil {
+			a.n.log.Debug("asking the leader for this node's grant failed", "leader", v.Leader, "error", err)
+		}
 		a.holder.Missed()
 		return false
 	}
--- a/internal/share/hold.go
+++ b/internal/share/hold.go
@@ -146,17 +146,29 @@
 	return orders, verdict
 }
 
-// requestBytes bounds the reports in a request.
-const requestBytes = 128 << 10
+// requestBytes bounds the reports in a request, and doneBytes those in the ends of
+// commands: one more may come on top. The leader refuses larger messages, and a
+// request that it refuses would be made again for ever.
+const (
+	requestBytes = 128 << 10
+	doneBytes    = 64 << 10
+)
 
 // Request makes the next request. Until Granted or Missed no other is made.
 func (h *Holder) Request(room, calls int, behind bool, now time.Time) *Request {
 	h.seq++
 	r := &Request{Member: h.member, Zone: h.zone, Life: h.life, Seq: h.seq, Term: h.term, Number: h.number,
-		Room: room, Calls: calls, Behind: behind, Have: h.have, Done: slices.Clone(h.done)}
-	h.sentDone = len(h.done)
-	h.flight = map[string]uint64{}
+		Room: room, Calls: calls, Behind: behind, Have: h.have}
+	h.flight, h.sentDone = map[string]uint64{}, 0
 	size := 0
+	for i := range h.done {
+		if size > doneBytes {
+			break
+		}
+		size += 64 + len(h.done[i].Report)
+		r.Done = append(r.Done, h.done[i])
+		h.sentDone++
+	}
 	for name, k := range h.machines {
 		if k.reports == k.told {
 			continue
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -271,6 +271,20 @@
 			q = h.Request(1, 1, false, now)
 			say("%d entries, %d done", len(q.Entries), len(q.Done))
 		}, "1 entries, body 1, 2 done; 0 entries, 0 done"},
+		{"a request stays below what the leader takes; the rest comes next", func(h *Holder, say func(string, ...any)) {
+			for i := range 100 {
+				h.Finish(Done{ID: uint64(i), Report: make([]byte, 3<<10)})
+			}
+			for n := uint64(2); n < 7; n++ {
+				size := 0
+				q := h.Request(1, 1, false, now)
+				for _, d := range q.Done {
+					size += len(d.Report)
+				}
+				say("%d up to %v", len(q.Done), size <= doneBytes+3<<10)
+				h.Granted(&Reply{Term: 7, Number: n, ForMs: 2000}, now)
+			}
+		}, "21 up to true; 21 up to true; 21 up to true; 21 up to true; 16 up to true"},
 		{"an exit is cleared once the leader has settled it, and a late word clears nothing", func(h *Holder, say func(string, ...any)) {
 			o, _ := h.Report(rep(1, gone), body, now)
 			say("%d orders", len(o))
