--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 )
 
 // World is what is played. It is made anew for each order, so it need not be copied.
@@ -42,6 +43,20 @@
 	Settle func(w W) string
 }
 
+// From plays from each of several starts and returns how many states were seen in
+// all, and the first order that breaks something.
+func (g *Game[W]) From(starts ...[]Step) (states int, broken string) {
+	for _, start := range starts {
+		g.Start = start
+		n, b := g.Play()
+		states += n
+		if broken == "" {
+			broken = b
+		}
+	}
+	return states, broken
+}
+
 // Play explores and returns how many states it has seen, and the first order that
 // breaks something with what it breaks; empty: none does.
 func (g *Game[W]) Play() (states int, broken string) {
@@ -115,6 +130,25 @@
 	return out
 }
 
+// Printer names a state. Times are told from now, so that states that differ in the
+// time of day alone are alike.
+type Printer struct {
+	strings.Builder
+	Now time.Time
+	// Past is how long ago all that is longer ago counts as.
+	Past time.Duration
+}
+
+// At prints a time.
+func (p *Printer) At(times ...time.Time) {
+	for _, t := range times {
+		fmt.Fprintf(p, "%d ", max(-p.Past, t.Sub(p.Now))/time.Millisecond)
+	}
+}
+
+// Say prints values.
+func (p *Printer) Say(values ...any) { fmt.Fprint(p, values...) }
+
 func (g *Game[W]) say(path []Step) string {
 	var b []string
 	for _, s := range path {
