Shares: a report that waits while its machine is being given is sent on once the holder has it

Cause: found on reading over; it was looked at again only when a machine came back to the leader, and answered 503 after 3 s otherwise.

--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -235,6 +235,7 @@
 		}
 	}
 	sh.free(freed, now)
+	sh.taken(r.Member)
 }
 
 // entry takes in what a machine has reported to its holder.
@@ -298,12 +299,30 @@
 		m.machines++
 		m.longest = max(m.longest, now.Sub(f.Since))
 		sh.c.Meter.Add(meter.ShareMoves, f.Why, 1)
-		again := sh.waiting[f.Name]
-		delete(sh.waiting, f.Name)
-		for _, do := range again {
-			do()
+		sh.again(f.Name)
+	}
+}
+
+// again looks once more at the reports of a machine whose holder was changing.
+func (sh *shares) again(name string) {
+	waiting := sh.waiting[name]
+	delete(sh.waiting, name)
+	for _, do := range waiting {
+		do()
+	}
+}
+
+// taken sends on the workers of machines that the member has taken over meanwhile.
+func (sh *shares) taken(member string) {
+	var names []string
+	for name := range sh.waiting {
+		if by, has := sh.allot.Holder(name); has && by == member {
+			names = append(names, name)
 		}
 	}
+	for _, name := range names {
+		sh.again(name)
+	}
 }
 
 // takes reports whether a direct command to a machine goes through its holder, and
