--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"vetchstream/internal/fleet"
+	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
 )
 
@@ -90,6 +91,12 @@
 	}()
 }
 
+// DirectClient sends direct commands, and keeps as many idle connections for them.
+func DirectClient(dial state.DialFunc, idle int) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: idle,
+		IdleConnTimeout: 30 * time.Second, DisableCompression: true}}
+}
+
 // errNotEntitled: the sender may not act for the leader any more.
 var errNotEntitled = errors.New("not entitled")
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,9 +56,8 @@
 
 // New makes a controller that does not lead yet.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, groups: groupShelf{state: d.State}, direct: &http.Client{Transport: &http.Transport{DialContext: d.Dial,
-		MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: DirectCalls(d.Settings.Facts.Resources.MaxSockets),
-		IdleConnTimeout: 30 * time.Second, DisableCompression: true}}}
+	return &Controller{Deps: d, groups: groupShelf{state: d.State},
+		direct: DirectClient(d.Dial, DirectCalls(d.Settings.Facts.Resources.MaxSockets))}
 }
 
 // The state service's limits are shared out by role: nearly all requests are the
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -104,6 +104,10 @@
 // that come as often as they can would take the processor of both sides.
 const holdTime = 50 * time.Millisecond
 
+// absentTime is after what time without a request a holder gets no commands: they
+// are sent directly.
+const absentTime = 600 * time.Millisecond
+
 // relayTime is how long a holder may take with a direct command. After that what
 // the command launched is in doubt, and the ledger sends it once more.
 const relayTime = 3500 * time.Millisecond
@@ -245,21 +249,18 @@
 		return
 	}
 	sh.allot.Heard(e.Host)
-	if len(e.Report) == 0 {
-		ev := sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
-		sh.work.handle(ev, now)
-	} else {
+	if len(e.Report) > 0 {
 		m := &wire.Report{}
 		if err := wire.Unmarshal(e.Report, m); err != nil || m.Host != e.Host {
 			return // it was read once by the holder
 		}
-		fresh, ok := sh.work.observe(h, m, true, now)
-		if !ok {
-			return
+		if fresh, ok := sh.work.observe(h, m, true, now); ok {
+			b.asked = append(b.asked, asked{h, m.Session, m.Seq, fresh})
 		}
-		b.asked = append(b.asked, asked{h, m.Session, m.Seq, fresh})
 		return
 	}
+	ev := sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
+	sh.work.handle(ev, now)
 	if clears := h.Clears(maxOrders); clears != nil {
 		b.settled = append(b.settled, share.Settled{Host: e.Host, Clears: clears})
 	}
@@ -333,7 +334,7 @@
 	}
 	member, asked := sh.allot.Holder(h.Name)
 	b := sh.boxes[member]
-	if !asked || b == nil || (b.back == nil && time.Since(b.since) > 600*time.Millisecond) {
+	if !asked || b == nil || (b.back == nil && time.Since(b.since) > absentTime) {
 		return false, true // it is not there: the command must not wait for its end
 	}
 	return true, b.under < b.most
--- a/internal/node/arm.go
+++ b/internal/node/arm.go
@@ -52,8 +52,7 @@
 	// Each controller keeps connections for commands, so each keeps fewer than a leader
 	// that sends all of them.
 	return &arm{n: n, calls: calls, room: control.Room(sockets), asks: map[string]ask{},
-		hc: &http.Client{Transport: &http.Transport{DialContext: dial, MaxConnsPerHost: 2, MaxIdleConnsPerHost: 1, MaxIdleConns: max(8, calls/4),
-			IdleConnTimeout: 30 * time.Second, DisableCompression: true}},
+		hc: control.DirectClient(dial, max(8, calls/4)),
 		// A later process has a later time of day, within its skew; the leader lets in one
 		// that has not once the grants of the process before have ended.
 		holder: share.NewHolder(n.set.Member, n.set.Site, uint64(time.Now().UnixNano()))}
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -373,9 +373,7 @@
 		}
 		out = append(out, a.ends(k, until))
 	}
-	if len(out) > 0 {
-		slices.SortFunc(out, func(x, y Freed) int { return cmp.Compare(x.Name, y.Name) })
-	}
+	slices.SortFunc(out, func(x, y Freed) int { return cmp.Compare(x.Name, y.Name) })
 	if m.joined {
 		m.joined, a.stale = false, true
 		a.restMore(m, now)
