Guarantees, borrowing and fairness go by the resource that is guaranteed

A guarantee of 0 CPUs was held against the CPUs that come with them, so that no work there was ever inside its guarantee and every team always borrowed. Change: a resource of which nothing is guaranteed says nothing; what is borrowed, and the order among teams that borrow, is counted in the resource that binds.

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -155,13 +155,22 @@
 	return left.CPUs >= t.Guarantee.CPUs-slack && left.GPUs >= t.Guarantee.GPUs-slack
 }
 
-// Within reports whether need is still inside the team's guarantee.
+// within reports whether need is still inside the team's guarantee. A resource of
+// which nothing is guaranteed says nothing about it, but what takes none of the
+// others is inside no guarantee.
 func (t *Team) within(need Amount) bool {
-	if t.Guarantee.CPUs == 0 && t.Guarantee.GPUs == 0 {
-		return false
+	u, inside := t.Used.plus(need, 1), false
+	for _, r := range [...]struct{ guaranteed, used, need float64 }{
+		{t.Guarantee.CPUs, u.CPUs, need.CPUs}, {t.Guarantee.GPUs, u.GPUs, need.GPUs}} {
+		if r.guaranteed == 0 {
+			continue
+		}
+		if r.used > r.guaranteed+slack {
+			return false
+		}
+		inside = inside || r.need > 0
 	}
-	u := t.Used.plus(need, 1)
-	return u.CPUs <= t.Guarantee.CPUs+slack && u.GPUs <= t.Guarantee.GPUs+slack
+	return inside
 }
 
 func (t *Team) room(need Amount) bool {
@@ -169,8 +178,37 @@
 	return (t.Limit.CPUs == 0 || u.CPUs <= t.Limit.CPUs+slack) && (t.Limit.GPUs == 0 || u.GPUs <= t.Limit.GPUs+slack)
 }
 
+// borrowed is what the team uses beyond its guarantee. A team that is guaranteed
+// accelerators alone borrows none of the CPUs that come with them; one without any
+// guarantee borrows all that it uses.
+func (t *Team) borrowed() (a Amount) {
+	if t.Guarantee.CPUs == 0 && t.Guarantee.GPUs == 0 {
+		return t.Used
+	}
+	if t.Guarantee.CPUs > 0 {
+		a.CPUs = max(0, t.Used.CPUs-t.Guarantee.CPUs)
+	}
+	if t.Guarantee.GPUs > 0 {
+		a.GPUs = max(0, t.Used.GPUs-t.Guarantee.GPUs)
+	}
+	return a
+}
+
 func (t *Team) borrows() bool {
-	return t.Used.CPUs > t.Guarantee.CPUs+slack || t.Used.GPUs > t.Guarantee.GPUs+slack
+	b := t.borrowed()
+	return b.CPUs > slack || b.GPUs > slack
+}
+
+// part is the larger of an amount's parts of another, CPUs and accelerators apart:
+// the one that binds.
+func (a Amount) part(of Amount) (p float64) {
+	if of.CPUs > 0 {
+		p = a.CPUs / of.CPUs
+	}
+	if of.GPUs > 0 {
+		p = max(p, a.GPUs/of.GPUs)
+	}
+	return p
 }
 
 // Input is all that a plan depends on.
@@ -291,9 +329,9 @@
 	for i := range order {
 		order[i] = i
 	}
-	total := 0.0
+	var total Amount
 	for i := range in.Machines {
-		total += in.Machines[i].Total.CPUs
+		total = total.plus(in.Machines[i].Total, 1)
 	}
 	inside := make([]bool, len(in.Demands))
 	start := make([]float64, len(in.Demands))
@@ -303,11 +341,9 @@
 		if d.Team >= 0 {
 			t := &in.Teams[d.Team]
 			inside[i] = t.within(d.Need)
-			if total > 0 {
-				// A team that borrows much yields to the others, as if its work had
-				// more time: no team's burst starves another's.
-				start[i] += fairSeconds * max(0, t.Used.CPUs-t.Guarantee.CPUs) / total
-			}
+			// A team that borrows much yields to the others, as if its work had
+			// more time: no team's burst starves another's.
+			start[i] += fairSeconds * t.borrowed().part(total)
 		}
 	}
 	sort.SliceStable(order, func(a, b int) bool {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -108,6 +108,41 @@
 	}
 }
 
+// TestGuarantee: what a team is guaranteed, borrows and yields is counted in the
+// resource that is guaranteed; 0 of the other says nothing.
+func TestGuarantee(t *testing.T) {
+	gpus := func(n float64) Amount { return Amount{CPUs: 6 * n, GPUs: n} }
+	tests := []struct {
+		name           string
+		team           Team
+		need           Amount
+		within, borrow bool
+	}{
+		{"inside, accelerators alone are guaranteed", Team{Guarantee: Amount{GPUs: 10}, Used: gpus(8)}, gpus(2), true, false},
+		{"beyond it with this task", Team{Guarantee: Amount{GPUs: 10}, Used: gpus(9)}, gpus(2), false, false},
+		{"beyond it already", Team{Guarantee: Amount{GPUs: 10}, Used: gpus(11)}, gpus(1), false, true},
+		{"a task without accelerators is in no guarantee of them", Team{Guarantee: Amount{GPUs: 10}}, Amount{CPUs: 1}, false, false},
+		{"CPUs alone are guaranteed", Team{Guarantee: Amount{CPUs: 10}, Used: Amount{CPUs: 11}}, Amount{CPUs: 1}, false, true},
+		{"both are: either can be the one that is used up", Team{Guarantee: Amount{CPUs: 100, GPUs: 2}, Used: gpus(2)}, gpus(1), false, false},
+		{"no guarantee: all is borrowed", Team{Used: gpus(1)}, gpus(1), false, true},
+	}
+	for _, tt := range tests {
+		if w, b := tt.team.within(tt.need), tt.team.borrows(); w != tt.within || b != tt.borrow {
+			t.Errorf("%s: within %v, borrows %v", tt.name, w, b)
+		}
+	}
+	// Of two teams the one that borrows the larger part of the fleet's accelerators
+	// yields, however few CPUs it uses.
+	m := Machine{Total: Amount{CPUs: 100, GPUs: 10, MemGB: 10}, Free: Amount{CPUs: 50, GPUs: 1, MemGB: 10}, Scale: 1, Price: 1}
+	a, b := demand(1, job.Array, 1, 0), demand(2, job.Array, 1, 0)
+	a.Need.GPUs, b.Need.GPUs, b.Team = 1, 1, 1
+	p := Make(Input{Machines: []Machine{m}, Demands: []Demand{a, b}, Weights: paper,
+		Teams: []Team{{Guarantee: Amount{GPUs: 1}, Used: Amount{CPUs: 8, GPUs: 8}}, {Guarantee: Amount{GPUs: 1}, Used: Amount{CPUs: 40, GPUs: 1}}}})
+	if len(p.Assign) != 1 || p.Assign[0].Demand != 1 {
+		t.Errorf("the room went to %v, want the team that borrows nothing", p.Assign)
+	}
+}
+
 func TestPreempt(t *testing.T) {
 	base := func() Input {
 		m := machine(0, 0, 8)
@@ -148,6 +183,16 @@
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
 			in.Teams[1].Guarantee, in.Teams[1].Leaving = Amount{CPUs: 2}, Amount{CPUs: 3}
 		}, nil},
+		{"borrowed accelerators yield to a guarantee of accelerators", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Demands[0].Need = Amount{CPUs: 4, GPUs: 4}
+			in.Machines[0].Total.GPUs = 4
+			for i := range in.Machines[0].Victims {
+				in.Machines[0].Victims[i].Need.GPUs = 2
+			}
+			in.Teams[0].Guarantee = Amount{GPUs: 10}
+			in.Teams[1] = Team{Guarantee: Amount{GPUs: 1}, Used: Amount{CPUs: 7, GPUs: 6}}
+		}, []int{1, 0}},
 		{"guaranteed work does not yield to a guarantee", func(in *Input) {
 			in.Demands[0].Rank = job.Standard
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
