Ledger: machines that report and hear nothing, copies of reports, gangs that fetch for long

Cause: a machine whose reports arrive and that nothing reaches looked idle and was chosen again and again; one of an earlier leader held its jobs back for as long as it reported. A late copy of a report renewed the lease as the ledger has it, and its answer counted halts as sent that arrived nowhere. A gang one of whose images took longer than its members wait was stopped whole, which gave the fetch up, and went round like that. Change: what may run and whether a machine can be used are kept apart (Deaf, Unheard); probes bring it back, patience ends with its return. A report that is older than another is refused and renews nothing. A member that has waited in vain comes back with the same attempt while others fetch.

--- a/internal/control/calls.go
+++ b/internal/control/calls.go
@@ -45,10 +45,11 @@
 	}
 }
 
-// fence calls the workers that have not shown this term yet.
+// fence calls the workers that have not shown this term yet, and those that do not
+// seem to hear: an answer brings them back into use.
 func (cm *commands) fence(now time.Time) {
 	for _, h := range cm.fleet.All() {
-		if !h.Fenced && cm.reachable(h, now) {
+		if (!h.Fenced || h.Deaf() || h.Unheard) && cm.reachable(h, now) {
 			cm.call(h, now)
 		}
 	}
@@ -157,6 +158,10 @@
 		// Silent machines must not hold the few calls at a time that there are.
 		h.NextCall = now.Add(min(maxCallPause, time.Second<<min(h.Failures, 8)))
 		h.Failures++
+		// A machine that hangs, or that nothing reaches, has much room and would be
+		// chosen again and again.
+		h.Unheard = true
+		cm.work.handle(cm.fleet.Withdraw(h), now)
 		return
 	}
 	h.Failures = 0
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -44,10 +44,11 @@
 	most  int    // writes in a transaction
 	txns  int    // that wrote jobs
 	conns chan net.Conn
+	ended chan struct{} // a dial may still come when the service has ended
 }
 
 func newStateService(t *testing.T) *stateService {
-	s := &stateService{kv: map[string]state.Entry{}, most: 12, doom: job.GroupPrefix[:1], conns: make(chan net.Conn)}
+	s := &stateService{kv: map[string]state.Entry{}, most: 12, doom: job.GroupPrefix[:1], conns: make(chan net.Conn), ended: make(chan struct{})}
 	srv := &http.Server{Handler: s}
 	go func() { _ = srv.Serve(s) }()
 	t.Cleanup(func() {
@@ -58,13 +59,14 @@
 }
 
 func (s *stateService) Accept() (net.Conn, error) {
-	c, ok := <-s.conns
-	if !ok {
+	select {
+	case c := <-s.conns:
+		return c, nil
+	case <-s.ended:
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
-func (s *stateService) Close() error   { close(s.conns); return nil }
+func (s *stateService) Close() error   { close(s.ended); return nil }
 func (s *stateService) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (s *stateService) dial(_ context.Context, _, addr string) (net.Conn, error) {
@@ -72,8 +74,12 @@
 		return nil, net.ErrClosed
 	}
 	a, b := net.Pipe()
-	s.conns <- b
-	return a, nil
+	select {
+	case s.conns <- b:
+		return a, nil
+	case <-s.ended:
+		return nil, net.ErrClosed
+	}
 }
 
 func (s *stateService) put(key string, v any) {
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -157,12 +157,23 @@
 // giveBack returns machines that are idle, silent, sick or never came up. After a
 // takeover those that have answered need not wait for those that have not.
 func (mc *machines) giveBack(now time.Time) {
+	patience := mc.fleet.Lease + lostGrace
 	for _, h := range mc.fleet.All() {
-		if h.Releasing || h.Inherited {
+		if h.Releasing {
+			continue
+		}
+		if h.Inherited {
+			// Its reports keep it from being lost, but it has not taken in this term: it
+			// would hold back its jobs for as long as it goes on reporting.
+			if now.Sub(mc.takeover.begun()) > patience {
+				mc.release(h, "it reports and takes in nothing that is sent to it")
+			}
 			continue
 		}
 		t := mc.c.Tuning.Hosts
 		switch {
+		case h.Deaf() && now.Sub(h.DeafAt) > patience:
+			mc.release(h, "it reports and takes in nothing that is sent to it")
 		case h.Booting:
 			if now.Sub(h.Born) > time.Duration(t.GiveUpBoots*float64(mc.boot(h)))+10*time.Second {
 				mc.release(h, "it does not come up")
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -259,7 +259,9 @@
 		}
 		return
 	}
+	deaf := h.Deaf()
 	ev := sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
+	sh.work.hearing(h, deaf)
 	sh.work.handle(ev, now)
 	if clears := h.Clears(maxOrders); clears != nil {
 		b.settled = append(b.settled, share.Settled{Host: e.Host, Clears: clears})
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -28,13 +28,14 @@
 	if !h.Known || h.Type < 0 {
 		wk.names.describe(h, m.Type, m.Zone, m.Spot)
 	}
-	booting := h.Booting
+	booting, deaf := h.Booting, h.Deaf()
 	res := wk.fleet.Observe(h, m, isReport, now, wk.book.find)
 	if res.Deposed {
 		wk.log.Info("a worker has seen a later term", "host", h.Name, "seen", m.Token)
 		wk.c.Deposed(m.Token)
 		return false, false
 	}
+	wk.hearing(h, deaf)
 	if res.Fresh && booting && !h.Booting {
 		wk.log.Info("machine is up", "host", h.Name, "after", now.Sub(h.Born).Round(time.Second))
 		h.IdleFrom = now
@@ -59,6 +60,17 @@
 	return res.Fresh, true
 }
 
+// hearing tells of a machine that has turned deaf, or hears again.
+func (wk *work) hearing(h *fleet.Host, was bool) {
+	switch {
+	case h.Deaf() && !was:
+		wk.log.Info("machine reports and takes in nothing that is sent to it, no more work for now", "host", h.Name)
+	case was && !h.Deaf():
+		wk.log.Info("machine hears again", "host", h.Name)
+		wk.changed()
+	}
+}
+
 // gangSeen ties a gang to the attempt that a report shows: the number survives
 // a change of leader this way.
 func (wk *work) gangSeen(s *fleet.Slot) {
@@ -197,7 +209,24 @@
 	case wire.CauseNoSuch:
 		wk.holdBack(j, now)
 	}
-	if j.Shape == job.Gang && s.Cause != wire.CauseFull {
+	if j.Shape == job.Gang && s.Cause != wire.CauseFull && !(s.Cause == wire.CauseIncomplete && wk.fetching(j)) {
 		wk.breakGang(j)
 	}
 }
+
+// fetching reports whether a gang of which one member has just left waits for nothing
+// but images. That member comes back with the same attempt: if all were stopped, the
+// fetches would be given up, and a gang one of whose images takes longer than members
+// wait would go round like that for ever. With another member without a place the gang
+// gives way, so that two halves of gangs do not hold each other's room.
+func (wk *work) fetching(j *job.Job) bool {
+	if j.GangBroken || j.GangRan || len(j.Live) != j.Tasks-1 {
+		return false
+	}
+	for s := range wk.fleet.On(j) {
+		if s.On() && !s.Stopping && (s.Phase == "" || s.Phase == wire.Pulling) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/deaf_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"vetchstream/internal/wire"
+)
+
+// TestDeaf: a worker whose reports arrive and that hears nothing, and copies of its
+// reports that come late. What may be on the machine, and whether it can be used, are
+// different questions. The numbers are the points of docs/safety.md.
+func TestDeaf(t *testing.T) {
+	run := map[uint64]string{1: wire.Running}
+	usable := func(b *bed, want bool, when string) {
+		b.t.Helper()
+		if got := b.h.Usable(); got != want {
+			b.t.Errorf("%s: usable %v, want %v", when, got, want)
+		}
+	}
+	tests := []struct {
+		name string
+		do   func(b *bed)
+	}{
+		{"18: an answer that was not taken in: no more launches, the rest goes elsewhere", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(1, true)
+			b.f.Assign(b.h, Key{b.j, 1, 2}, b.now)
+			b.msg(true, 1, 2, term, nil)
+			b.live(0, "the launch did not arrive")
+			if b.j.Live[1] != 0 {
+				b.t.Error("what waited to be sent still waits for the deaf machine")
+			}
+			usable(b, false, "after the lost launch")
+		}},
+		{"18: it is used again once it has taken something in", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(1, true)
+			b.msg(true, 1, 2, term, nil)
+			b.msg(true, 1, 3, term, nil)
+			usable(b, false, "a report alone shows nothing")
+			b.msg(false, 1, 4, term, nil)
+			usable(b, true, "after its answer to a direct command")
+		}},
+		{"18: so does a launch that was thought lost", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(1, true)
+			b.f.Assign(b.h, Key{b.j, 1, 2}, b.now)
+			b.compose(0, true)
+			b.msg(true, 1, 2, term, nil)
+			usable(b, false, "after the lost answer")
+			m := &wire.Report{Host: "host-1", Session: 1, Seq: 3, Token: term, Tasks: []wire.TaskReport{{Task: "run-1/1", Attempt: 2, Phase: wire.Running}}}
+			b.f.Observe(b.h, m, true, b.now, find(b))
+			usable(b, true, "its report shows the direct launch")
+		}},
+		{"18: a session that ends although its reports were answered", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.now = b.now.Add(8 * time.Second)
+			b.msg(true, 1, 2, term, run)
+			b.now = b.now.Add(5 * time.Second)
+			b.msg(true, 2, 3, term, nil)
+			b.live(0, "the session is over")
+			usable(b, false, "in the new session")
+		}},
+		{"18: what may be on it goes by the answers, not by what it hears", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			b.f.Deafen(b.h, b.now)
+			b.live(1, "a direct launch without an answer")
+			b.now = b.now.Add(9 * time.Second)
+			b.msg(true, 1, 2, term, nil)
+			b.now = b.now.Add(9 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "18 s after the launch, 9 s after a report was answered")
+			b.msg(true, 2, 3, term, nil)
+			b.live(0, "after the session")
+		}},
+		{"18: a machine that hangs gets nothing until it is heard", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.h.Unheard = true
+			usable(b, false, "after a direct command without an answer")
+			b.msg(true, 1, 2, term, nil)
+			usable(b, true, "after a report")
+		}},
+		{"19: copies renew no lease", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.msg(true, 1, 2, term, run)
+			for range 3 {
+				b.now = b.now.Add(4 * time.Second)
+				b.msg(true, 1, 2, term, run)
+				b.msg(true, 1, 1, term, run)
+			}
+			b.f.Expire(b.now)
+			b.live(0, "12 s after the last report, 0 s after its copy")
+		}},
+		{"19: nor do they through a holder", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.f.Renew(b.h, 1, 2, b.now)
+			b.now = b.now.Add(9 * time.Second)
+			b.f.Renew(b.h, 1, 2, b.now)
+			b.now = b.now.Add(4 * time.Second)
+			b.f.Expire(b.now)
+			b.live(0, "13 s after the last report, 4 s after its copy")
+		}},
+		{"19: a copy at the next leader is the past once a report has come", func(b *bed) {
+			b.msg(true, 1, 9, term, nil)
+			if !b.h.Past(1, 8) || b.h.Past(1, 10) || b.h.Past(2, 1) {
+				b.t.Error("the past is what is older than the newest report")
+			}
+			b.msg(true, 1, 8, term, run)
+			b.live(0, "after a copy that shows the task")
+		}},
+		{"9, 19: a report that a direct answer overtook is no copy", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			b.msg(false, 1, 3, term, run)
+			b.now = b.now.Add(9 * time.Second)
+			b.msg(true, 1, 2, term, run)
+			b.now = b.now.Add(5 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "14 s after the first report, 5 s after the one that was overtaken")
+		}},
+		{"19: a copy takes nothing of a machine that began anew", func(b *bed) {
+			b.msg(true, 1, 40, term, run)
+			b.now = b.now.Add(time.Second)
+			for seq := range uint64(6) { // it counts from the start, with nothing on it
+				b.msg(true, 1, seq+1, 0, nil)
+				b.now = b.now.Add(2 * time.Second)
+			}
+			b.f.Expire(b.now)
+			b.live(0, "its tasks are given up with the lease of the session that is known")
+			b.msg(true, 2, 7, 0, nil)
+			if b.h.Lost {
+				b.t.Error("shut out for good")
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.do(newBed(t)) })
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,6 +116,13 @@
 
 	Session uint64
 	seq     uint64
+	// reported is the newest report of the session; seq may be that of a direct answer.
+	reported uint64
+	// DeafAt is since when the worker has shown that it takes in nothing that is sent
+	// to it; zero: it has not. Its reports may come all the while.
+	DeafAt time.Time
+	// Unheard: a direct command had no answer, and nothing was heard since.
+	Unheard bool
 	// Fenced: the worker has sent a message with our own term.
 	Fenced bool
 	// heard is the last moment from which an answer of ours, of a holder of ours or of
@@ -191,31 +198,65 @@
 	return now
 }
 
+// Past reports whether a report is older than another that was taken in: a copy, or
+// one that was held back. The worker does not wait for its answer any more, so that
+// renews nothing, and what is sent in it arrives nowhere.
+func (h *Host) Past(session, seq uint64) bool {
+	return session < h.Session || (session == h.Session && seq <= h.reported)
+}
+
 // Renew takes in that the holder has answered a report which said the same as the
 // one before. A launch in an answer to an earlier report did not arrive, or the
 // report would have shown it.
 func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) (ev []Event) {
-	if session != h.Session || h.Lost {
+	if session != h.Session || h.Lost || h.Past(session, seq) {
 		return nil
 	}
+	h.reported = seq
 	if at.After(h.heard) {
 		h.heard = at
 	}
 	if seq <= h.seq {
 		return nil
 	}
-	h.seq = seq
+	h.seq, h.Unheard = seq, false
 	for _, s := range h.Slots {
 		if s.Sent && !s.Seen && !s.Direct && seq > s.viaSeq {
 			ev = append(ev, f.remove(h, s, Never)...)
 		}
 	}
 	if ev != nil {
+		ev = append(ev, f.Deafen(h, at)...)
 		h.Recount()
 	}
 	return ev
 }
 
+// Deafen notes that the worker has not taken in what was sent to it. It gets no
+// launches, and what waits to be sent goes elsewhere, until a message shows that it
+// hears again. What has been sent stays possible: it may have arrived after the
+// worker's last word.
+func (f *Fleet) Deafen(h *Host, now time.Time) []Event {
+	if h.DeafAt.IsZero() {
+		h.DeafAt = now
+	}
+	return f.Withdraw(h)
+}
+
+// Withdraw takes back what waits to be sent to a machine.
+func (f *Fleet) Withdraw(h *Host) (ev []Event) {
+	for _, s := range h.Slots {
+		if !s.Sent {
+			ev = append(ev, f.remove(h, s, Never)...)
+		}
+	}
+	h.Recount()
+	return ev
+}
+
+// Deaf reports whether the worker is known not to take in what is sent to it.
+func (h *Host) Deaf() bool { return !h.DeafAt.IsZero() }
+
 // Past is a job that an earlier leader may have launched on a machine. The team
 // is kept for a job that is over, and is -1 where it is not known.
 type Past struct {
@@ -424,7 +465,7 @@
 
 // Usable reports whether the machine may get launches.
 func (h *Host) Usable() bool {
-	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero()
+	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() && !h.Deaf() && !h.Unheard
 }
 
 // Assign puts a placement into the ledger; its launch is sent by the next answer
@@ -470,10 +511,18 @@
 	if m.Token > f.Term {
 		return Result{Deposed: true}
 	}
-	// Even an older report may be the one that the worker is waiting for, when a
-	// direct answer overtook it: its answer renews the lease.
-	if isReport && m.Session >= h.Session && (!h.Lost || m.Session > h.Session) && now.After(h.heard) {
-		h.heard = now
+	if isReport && h.Past(m.Session, m.Seq) {
+		return Result{}
+	}
+	// Even a report that is older than a direct answer may be the one that the worker
+	// is waiting for: its answer renews the lease.
+	if isReport && (!h.Lost || m.Session > h.Session) {
+		if now.After(h.heard) {
+			h.heard = now
+		}
+		if m.Session == h.Session {
+			h.reported = m.Seq
+		}
 	}
 	if m.Session < h.Session || (m.Session == h.Session && m.Seq <= h.seq) {
 		return Result{}
@@ -484,12 +533,18 @@
 		return Result{}
 	}
 	r := Result{Fresh: true}
+	deaf, hears := false, !isReport
 	if m.Session > h.Session {
 		if h.Session != 0 {
+			// Its lease has run out although its reports were answered.
+			deaf = isReport && !h.Lost
 			r.Events = append(r.Events, f.drop(h)...)
 			h.Images = nil
 		}
-		h.Session, h.Fenced = m.Session, false
+		h.Session, h.Fenced, h.reported = m.Session, false, 0
+		if isReport {
+			h.reported = m.Seq
+		}
 		h.Lost = false
 		// A new session has its full lease from its own begin, which may be as late
 		// as this message, whether or not a report was ever answered in it. Counting
@@ -497,7 +552,7 @@
 		// just started.
 		h.heard = now
 	}
-	h.seq, h.Booting = m.Seq, false
+	h.seq, h.Booting, h.Unheard = m.Seq, false, false
 	if m.Token == f.Term {
 		h.Fenced = true
 	}
@@ -529,6 +584,7 @@
 			f.link(h, s)
 		}
 		s.shown = h.messages
+		hears = hears || (s.Sent && !s.Seen)
 		s.Sent, s.Seen, s.Direct = true, true, false
 		was := s.Phase
 		if was == wire.Exited {
@@ -561,8 +617,15 @@
 			// next report settles the launch. The answer to a direct command does
 			// not: it can overtake the answer that carries the launch.
 			r.Events = append(r.Events, f.remove(h, s, Never)...)
+			deaf = true
 		}
 	}
+	switch {
+	case hears:
+		h.DeafAt = time.Time{}
+	case deaf:
+		r.Events = append(r.Events, f.Deafen(h, now)...)
+	}
 	h.Recount()
 	return r
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -41,7 +41,7 @@
 		}
 		m.Tasks = append(m.Tasks, tr)
 	}
-	return b.f.Observe(b.h, m, report, b.now, func(string) *job.Job { return b.j })
+	return b.f.Observe(b.h, m, report, b.now, find(b))
 }
 
 func (b *bed) assign(attempt uint64) { b.f.Assign(b.h, Key{b.j, 0, attempt}, b.now) }
@@ -289,3 +289,5 @@
 		t.Run(tt.name, func(t *testing.T) { tt.do(newBed(t)) })
 	}
 }
+
+func find(b *bed) func(string) *job.Job { return func(string) *job.Job { return b.j } }
