--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -16,6 +16,7 @@
 // of the protocol. The world's lock guards it.
 type judge struct {
 	told    map[string]string // job -> last final phase told, or "accepted"
+	users   users
 	aborted map[string]time.Time
 	done    map[string]map[int32]bool
 	broken  []string
@@ -28,7 +29,7 @@
 }
 
 func newJudge() judge {
-	return judge{told: map[string]string{}, aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}, answers: map[string]int{},
+	return judge{told: map[string]string{}, users: newUsers(), aborted: map[string]time.Time{}, done: map[string]map[int32]bool{}, answers: map[string]int{},
 		silence: hdrhistogram.New(1, time.Hour.Milliseconds(), 3)}
 }
 
@@ -105,6 +106,7 @@
 func (w *World) Accepted(id string) {
 	w.mu.Lock()
 	w.judge.told[id] = "accepted"
+	w.judge.users.accepted[id] = time.Now()
 	w.mu.Unlock()
 }
 
@@ -126,6 +128,7 @@
 	if status == 404 {
 		w.breaks("forgotten: %s got 404", spec.ID)
 	}
+	w.asked(spec.ID, status == 200)
 	if status != 200 {
 		return before
 	}
@@ -148,7 +151,11 @@
 // started judges a task that gets its image; the caller holds the lock.
 func (w *World) started(k *Worker, t *task) {
 	w.judge.starts++
-	team := 0.0
+	if _, ok := w.judge.users.begun[t.spec.ID]; !ok {
+		w.judge.users.begun[t.spec.ID] = time.Now()
+	}
+	w.judge.users.starts[t.name] = true
+	team, inZone := Limit{t.spec.CPUs, t.spec.GPUs}, 1
 	for _, o := range w.workers {
 		for _, x := range o.tasks {
 			if !o.on(x) || x == t || x.spec == nil {
@@ -158,15 +165,22 @@
 				w.breaks("ran_twice: %s starts on %s while it is on %s", t.name, k.name, o.name)
 			}
 			if x.spec.Team == t.spec.Team {
-				team += x.spec.CPUs
+				team.CPUs += x.spec.CPUs
+				team.GPUs += x.spec.GPUs
+			}
+			if x.spec.ID == t.spec.ID && o.zone == k.zone {
+				inZone++
 			}
 			if x.spec.ID == t.spec.ID && t.spec.OneZone && o.zone != k.zone {
 				w.breaks("wrong_place: %s in %s and %s", t.spec.ID, o.zone, k.zone)
 			}
 		}
 	}
-	if l := w.cfg.Limits[t.spec.Team]; l > 0 && team+t.spec.CPUs > l+1e-6 {
-		w.breaks("quota: %s uses %v of %v", t.spec.Team, team+t.spec.CPUs, l)
+	if l := w.cfg.Limits[t.spec.Team]; (l.CPUs > 0 && team.CPUs > l.CPUs+1e-6) || (l.GPUs > 0 && team.GPUs > l.GPUs+1e-6) {
+		w.breaks("quota: %s uses %v of %v", t.spec.Team, team, l)
+	}
+	if t.spec.Spread && inZone > (t.spec.Tasks+1)/2 {
+		w.breaks("wrong_place: %d of %d tasks of %s in %s", inZone, t.spec.Tasks, t.spec.ID, k.zone)
 	}
 	if k.spot && !t.spec.Spot {
 		w.breaks("wrong_place: %s on a spot machine", t.name)
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -57,7 +57,8 @@
 	up      time.Time
 	gone    bool
 	hung    bool
-	sick    bool // fails every task
+	sick    bool          // fails every task
+	late    time.Duration // images take that much longer
 	session uint64
 	seq     uint64
 	token   uint64
@@ -125,24 +126,27 @@
 func (k *Worker) launch(id string, o wire.Order) {
 	jid, idx, _ := job.SplitTask(o.Task)
 	spec := k.w.spec(jid)
-	t := &task{name: o.Task, idx: idx, attempt: o.Attempt, spec: spec, phase: wire.Pulling, ready: time.Now().Add(k.w.cfg.Fetch)}
+	t := &task{name: o.Task, idx: idx, attempt: o.Attempt, spec: spec, phase: wire.Pulling, ready: time.Now().Add(k.w.cfg.Fetch + k.late)}
 	k.tasks[id] = t
 	k.change = true
 	switch {
 	case spec == nil:
 		t.exit(wire.CauseNoSuch)
-	case k.used() > k.w.kind(k.typ).CPUs+1e-9:
+	case k.full():
 		t.exit(wire.CauseFull)
 	}
 }
 
-func (k *Worker) used() (sum float64) {
+// full reports whether the tasks take more than the machine has.
+func (k *Worker) full() bool {
+	typ := k.w.kind(k.typ)
+	cpus, gpus, mem := typ.CPUs+1e-9, typ.GPUs+1e-9, typ.MemGB+1e-9
 	for _, t := range k.tasks {
 		if t.phase != wire.Exited && t.spec != nil {
-			sum += t.spec.CPUs
+			cpus, gpus, mem = cpus-t.spec.CPUs, gpus-t.spec.GPUs, mem-t.spec.MemGB
 		}
 	}
-	return sum
+	return cpus < 0 || gpus < 0 || mem < 0
 }
 
 // on reports whether the task holds its machine, as the rules count it.
@@ -311,6 +315,9 @@
 	}
 	w.mu.Lock()
 	node := k.node
+	if w.copying && len(w.copies) < mostCopies {
+		w.copies = append(w.copies, Copy{k.Host(), b})
+	}
 	w.mu.Unlock()
 	res, err := hc.Post("http://"+w.cfg.Controllers[node].Addr+"/checkin", wire.ContentType, bytes.NewReader(b))
 	var body []byte
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -20,8 +20,10 @@
 	Store   *Store
 	// Types is the cloud's price list.
 	Types []wire.MachineType
-	// Most is how many machines the cloud has.
-	Most int
+	// Most is how many machines the cloud has, and Zones how many of them in a zone; a
+	// zone that is not named has no bound of its own.
+	Most  int
+	Zones map[string]int
 	// Controllers are the nodes' addresses for workers, by their members' names.
 	Controllers []Controller
 	// Lease is how long a worker keeps its tasks without an answer, Cancel how long
@@ -32,11 +34,14 @@
 	// Fetch is how long an image takes to come, and ListLag how long a new machine
 	// is missing from the list.
 	Fetch, ListLag time.Duration
-	// Limits are the teams' CPUs; 0 or none: unlimited.
-	Limits map[string]float64
+	// Limits are the teams'; 0 or none: unlimited.
+	Limits map[string]Limit
 	Log    *slog.Logger
 }
 
+// Limit is what a team may use at a time.
+type Limit struct{ CPUs, GPUs float64 }
+
 // Controller is a node as workers know it.
 type Controller struct{ Member, Addr string }
 
@@ -55,7 +60,10 @@
 	cold    int  // rented machines that are yet to come up late, by late
 	late    time.Duration
 	count   int
+	short   map[string]int // machines that are left to a zone in a shortage
 	judge   judge
+	copying bool // reports are kept for Copies
+	copies  []Copy
 	wg      sync.WaitGroup
 	end     chan struct{}
 }
@@ -65,7 +73,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &World{cfg: cfg, specs: map[string]*job.Spec{}, workers: map[string]*Worker{}, hires: map[string][]string{}, images: map[string]Image{},
+	return &World{cfg: cfg, specs: map[string]*job.Spec{}, workers: map[string]*Worker{}, hires: map[string][]string{}, images: map[string]Image{}, short: map[string]int{},
 		judge: newJudge(), end: make(chan struct{})}
 }
 
@@ -86,6 +94,9 @@
 func (w *World) Describe(spec *job.Spec) {
 	w.mu.Lock()
 	w.specs[spec.ID] = spec
+	if _, ok := w.judge.users.asked[spec.ID]; !ok {
+		w.judge.users.asked[spec.ID] = time.Now()
+	}
 	w.mu.Unlock()
 }
 
@@ -233,6 +244,45 @@
 	w.mu.Unlock()
 }
 
+// Reboot ends workers and starts them again at once, with nothing on them and without
+// memory of their sessions, messages and tokens. The protocol does not say what such
+// a worker calls its session; it is the first one here, as of a new machine.
+func (w *World) Reboot(ks []*Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range ks {
+		k.lose(time.Now())
+		k.tasks, k.session, k.seq, k.token = map[string]*task{}, 1, 0, 0
+		k.leased, k.change = time.Now(), true
+	}
+}
+
+// Copy is a report as its worker sent it.
+type Copy struct {
+	Host string // of the worker, on the network
+	Body []byte
+}
+
+// mostCopies bounds what is kept.
+const mostCopies = 2000
+
+// Copying lets the world keep copies of the reports that are sent from now on, or
+// stops it.
+func (w *World) Copying(on bool) {
+	w.mu.Lock()
+	w.copying = on
+	w.mu.Unlock()
+}
+
+// Copies takes the copies that were kept.
+func (w *World) Copies() []Copy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cs := w.copies
+	w.copies = nil
+	return cs
+}
+
 // Sicken lets machines fail every task.
 func (w *World) Sicken(ks []*Worker) {
 	w.mu.Lock()
@@ -304,7 +354,7 @@
 			encode(rw, 200, wire.HostNames{Hosts: old})
 			return
 		}
-		n := min(in.Count, w.cfg.Most-len(w.workers))
+		n := min(in.Count, w.cfg.Most-len(w.workers), w.left(in.Zone))
 		if n <= 0 {
 			encode(rw, 503, wire.Error{Error: "no capacity"})
 			return
@@ -325,6 +375,43 @@
 	}
 }
 
+// left is how many more machines a zone has; the caller holds the lock.
+func (w *World) left(zone string) int {
+	most, bound := w.cfg.Zones[zone]
+	if n, ok := w.short[zone]; ok {
+		most, bound = n, true
+	}
+	if !bound {
+		return w.cfg.Most
+	}
+	for _, k := range w.workers {
+		if k.zone == zone {
+			most--
+		}
+	}
+	return most
+}
+
+// Shorten leaves a zone that many machines to rent; below 0: as many as before.
+func (w *World) Shorten(zone string, most int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if most < 0 {
+		delete(w.short, zone)
+	} else {
+		w.short[zone] = most
+	}
+}
+
+// SlowFetch makes images that machines do not have come that much later.
+func (w *World) SlowFetch(ks []*Worker, by time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range ks {
+		k.late = by
+	}
+}
+
 // list is the machine list, which lags.
 func (w *World) list(after string) wire.CloudHosts {
 	out := []wire.CloudHost{}
--- /dev/null
+++ b/internal/node/accel_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// accelTypes are machines with accelerators: one type in both zones, the other in the
+// large one alone.
+var accelTypes = []wire.MachineType{
+	{Name: "half", CPUs: 32, GPUs: 4, MemGB: 256, CacheGB: 30, FetchRate: 1, Price: 13, SpotPrice: 3, BootS: 4, Zones: []string{"b"}},
+	{Name: "whole", CPUs: 64, GPUs: 8, MemGB: 512, CacheGB: 30, FetchRate: 1, Price: 20, SpotPrice: 5, BootS: 4, Zones: []string{"a", "b"}},
+}
+
+// accelerated is a site whose teams are guaranteed and limited in accelerators alone,
+// with a small zone and a large one. Replicas are kept apart, gangs take whole machines.
+func accelerated(scale int) site {
+	return site{nodes: 5, scale: scale,
+		tune: func(set *config.Settings, tun *config.Tuning) {
+			shared(set, tun)
+			n := float64(scale)
+			set.Facts.Zones = []string{"a", "b"}
+			set.Facts.Teams = []config.Team{{Name: "red", GPUs: 12 * n, GPUsMax: 24 * n}, {Name: "blue", GPUs: 16 * n, GPUsMax: 48 * n}}
+		},
+		edit: func(c *emulate.Config) {
+			n := float64(scale)
+			c.Types, c.Most, c.Zones = accelTypes, 14*scale, map[string]int{"a": 2 * scale}
+			c.Limits = map[string]emulate.Limit{"red": {GPUs: 24 * n}, "blue": {GPUs: 48 * n}}
+		},
+		begin: func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+			for range scale {
+				s.Boot("whole", "a", false, 0)
+				s.Boot("whole", "b", false, 0)
+				s.Boot("half", "b", false, 0)
+				s.Boot("half", "b", true, 0)
+			}
+			hand := func(shape, rank, team string, tasks int, gpus, secs, at float64, edit func(*job.Spec)) {
+				sp := &job.Spec{Team: team, ShapeName: shape, RankName: rank, Tasks: tasks, CPUs: 6 * gpus, GPUs: gpus, MemGB: 40 * gpus, EstimateS: secs}
+				if edit != nil {
+					edit(sp)
+				}
+				abort := time.Duration(0)
+				if shape == "daemon" {
+					abort = 80 * time.Second
+				}
+				add(sp, time.Duration(at*float64(time.Second)), abort)
+			}
+			whole := func(j *job.Spec) { j.OneZone, j.Checkpoint, j.SaveS = true, 4, 1 }
+			for i := range 4 {
+				at := float64(1 + 11*i)
+				hand("daemon", "production", "blue", 2+2*(i%2), 1, 0, at, func(j *job.Spec) { j.Spread = true })
+				hand("array", "standard", "red", 20*scale, 1, 5, at, func(j *job.Spec) { j.Spot = true })
+				hand("ensemble", "standard", "blue", 2, 4, 9, at+1, whole)
+				hand("ensemble", "standard", "red", 2, 2, 12, at+2, whole)
+				hand("array", "standard", "blue", 12*scale, 1, 6, at+3, func(j *job.Spec) { j.Spot = true })
+			}
+		}}
+}
+
+// shorten takes the room of a zone away from the cloud, and its machines with it.
+func shorten(zone string, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		s.Shorten(zone, 0)
+		s.Kill(s.Zone(zone))
+		time.Sleep(d)
+		s.Shorten(zone, -1)
+	}
+}
+
+// TestAccelerated plays days on which accelerators are what is scarce: limits and
+// guarantees in them, replicas apart in two zones of which one is short, gangs that
+// take whole machines.
+func TestAccelerated(t *testing.T) {
+	sec := time.Second
+	playOn(t, accelerated(1), nil, []day{
+		{"quiet", nil},
+		{"the small zone is short, over a takeover", []fault{{14 * sec, shorten("a", 30*sec)}, {18 * sec, crash(1)}}},
+		{"replicas lose their machines, then two controllers end together", []fault{{16 * sec, die(rng(51), 2)}, {30 * sec, crash(2)}}},
+		{"images that come for longer than a gang waits", []fault{{time.Second, func(s *sim) { s.SlowFetch(s.Any(rng(52), 2), 26*sec) }}}},
+		{"all end while replicas are being replaced", []fault{{16 * sec, die(rng(53), 2)}, {17 * sec, crash(5)}}},
+	})
+	playOn(t, accelerated(4), nil, []day{
+		{"three of five cut, the small zone short, at four times the size", []fault{{14 * sec, shorten("a", 30*sec)}, {16 * sec, cutThree(15 * sec)}}},
+	})
+}
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -25,10 +25,10 @@
 
 func newRollBed(t *testing.T, limit float64) (*rollBed, func()) {
 	s, closeAll := newSim(t, 1, func(c *emulate.Config) {
-		c.Most, c.Limits = 30, map[string]float64{}
+		c.Most, c.Limits = 30, map[string]emulate.Limit{}
 		c.Types = []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 64, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: []string{"a", "b", "c"}}}
 		if limit > 0 {
-			c.Limits["red"] = 14
+			c.Limits["red"] = emulate.Limit{CPUs: 14}
 		}
 	}, func(_ *config.Settings, tun *config.Tuning) { tun.Rollouts.Enabled = true })
 	s.Keep()
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 // share.
 func crashOther(d time.Duration) func(*sim) {
 	return func(s *sim) {
-		i := (s.leader() + 1) % 3
+		i := (s.leader() + 1) % len(s.nodes)
 		s.kill(i)
 		time.Sleep(d)
 		s.startNode(i)
@@ -29,7 +30,7 @@
 // cutOther cuts a controller that does not lead off from some others.
 func cutOther(from func(other string) bool, d time.Duration) func(*sim) {
 	return func(s *sim) {
-		other := controllers[(s.leader()+1)%3].Member
+		other := fmt.Sprintf("n%d", (s.leader()+1)%len(s.nodes))
 		s.cutLinks("other", func(a, b string) bool { return a == other && from(b) })
 		time.Sleep(d)
 		s.cutLinks("other", nil)
@@ -40,7 +41,7 @@
 // controllers, and not what they send to it.
 func muteOther(d time.Duration) func(*sim) {
 	return func(s *sim) {
-		other := controllers[(s.leader()+1)%3].Member
+		other := fmt.Sprintf("n%d", (s.leader()+1)%len(s.nodes))
 		s.net.Mute(func(a, b string) bool { return a == other && isNode(b) })
 		time.Sleep(d)
 		s.net.Mute(func(string, string) bool { return false })
@@ -97,7 +98,7 @@
 		{"a holder ends each time that a job is cancelled", []fault{{12900 * time.Millisecond, crashOther(2 * sec)}, {21900 * time.Millisecond, crashOther(2 * sec)}, {30900 * time.Millisecond, crashOther(2 * sec)}}},
 		{"a zone with machines of every holder cut while one comes back", []fault{{12 * sec, cutZone("a", 16*sec)}, {14 * sec, crashOther(6 * sec)}}},
 		{"a holder cut from its workers alone, held", []fault{{14 * sec, cutOther(isWorker, 25*sec)}}},
-		{"a holder stands still past its grant, then the leader", []fault{{14 * sec, func(s *sim) { s.still[(s.leader()+1)%3].shut(5 * sec) }}, {30 * sec, freeze(1, 3500*time.Millisecond)}}},
+		{"a holder stands still past its grant, then the leader", []fault{{14 * sec, func(s *sim) { s.still[(s.leader()+1)%len(s.nodes)].shut(5 * sec) }}, {30 * sec, freeze(1, 3500*time.Millisecond)}}},
 		{"peers cut from each other, then the leader from the workers", []fault{{10 * sec, func(s *sim) {
 			s.cutLinks("peers", func(a, b string) bool { return isNode(a) && isNode(b) })
 			time.Sleep(15 * sec)
@@ -119,7 +120,7 @@
 	sec := time.Second
 	playDays(t, scale, shared, also{"a holder of a third ends": answers(6 * sec)}, []day{
 		{"the only holder ends, then the leader", []fault{
-			{3 * sec, func(s *sim) { i := (s.leader() + 2) % 3; s.kill(i); time.Sleep(40 * sec); s.startNode(i) }},
+			{3 * sec, func(s *sim) { i := (s.leader() + 2) % len(s.nodes); s.kill(i); time.Sleep(40 * sec); s.startNode(i) }},
 			{18 * sec, crashOther(6 * sec)}, {50 * sec, crash(1)}}},
 		{"a holder of a third ends", []fault{{25 * sec, crashOther(8 * sec)}}},
 		{"workers cut while the leader changes, then all crash", []fault{
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -23,10 +23,10 @@
 	"vetchstream/internal/wire"
 )
 
-func settings(t *testing.T, i, scale int) *config.Settings {
+func settings(t *testing.T, i, nodes, scale int) *config.Settings {
 	t.Helper()
 	text := fmt.Sprintf("member = \"n%d\"\nsite = \"a\"\nlisten = \"n%d:80\"\npeer_listen = \"n%d:81\"\n", i, i, i)
-	for j := range 3 {
+	for j := range nodes {
 		if j != i {
 			text += fmt.Sprintf("[[siblings]]\nmember = \"n%d\"\nsite = \"b\"\naddress = \"n%d:81\"\n", j, j)
 		}
@@ -36,7 +36,7 @@
 cloud = "cloud:1"
 state = "state:1"
 [facts]
-nodes = 3
+nodes = ` + fmt.Sprint(nodes) + `
 zones = ["a", "b", "c"]
 skew_ms = 100.0
 [[facts.teams]]
@@ -69,7 +69,14 @@
 	return s
 }
 
-var controllers = []emulate.Controller{{Member: "n0", Addr: "n0:80"}, {Member: "n1", Addr: "n1:80"}, {Member: "n2", Addr: "n2:80"}}
+var controllers = members(3)
+
+func members(n int) (cs []emulate.Controller) {
+	for i := range n {
+		cs = append(cs, emulate.Controller{Member: fmt.Sprintf("n%d", i), Addr: fmt.Sprintf("n%d:80", i)})
+	}
+	return cs
+}
 
 var simTypes = []wire.MachineType{
 	{Name: "small", CPUs: 4, MemGB: 16, CacheGB: 10, FetchRate: 1, Price: 0.2, SpotPrice: 0.05, BootS: 4, Zones: []string{"a", "b", "c"}},
@@ -81,9 +88,9 @@
 	t     *testing.T
 	net   *emulate.Memory
 	store *emulate.Store
-	nodes [3]context.CancelFunc
-	ended [3]chan struct{}
-	still [3]gate
+	nodes []context.CancelFunc
+	ended []chan struct{}
+	still []gate
 	scale int // machines, tasks and limits are that many times as many
 	cuts  map[string]func(from, to string) bool
 	tune  func(*config.Settings, *config.Tuning)
@@ -154,7 +161,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	set := settings(s.t, i, s.scale)
+	set := settings(s.t, i, len(s.nodes), s.scale)
 	if s.tune != nil {
 		s.tune(set, tun)
 	}
@@ -218,15 +225,19 @@
 	})
 }
 
+// door is where the i-th try of a user goes.
+func (s *sim) door(i int) string { return fmt.Sprintf("n%d:80", i%len(s.nodes)) }
+
 // user repeats a request until it has a clear answer, and judges the answers.
 func (s *sim) user(hc *http.Client, method, path string, body []byte, want func(status int, st wire.Status) bool) bool {
+	id, _, _ := strings.Cut(strings.TrimPrefix(path, "/api/jobs/"), "/")
 	for try := range 90 {
 		select {
 		case <-s.Ended():
 			return false
 		default:
 		}
-		req, err := http.NewRequest(method, "http://"+controllers[try%3].Addr+path, bytes.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+s.door(try)+path, bytes.NewReader(body))
 		if err != nil {
 			panic(err)
 		}
@@ -239,6 +250,7 @@
 				return true
 			}
 		}
+		s.Asked(id)
 		time.Sleep(time.Second)
 	}
 	return false
@@ -246,8 +258,25 @@
 
 // submit hands in a job until it is accepted, and judges the answers.
 func (s *sim) submit(hc *http.Client, spec *job.Spec) bool {
+	return s.user(hc, "POST", "/api/jobs", submission(spec), func(status int, _ wire.Status) bool {
+		if status == 400 || status == 422 || status == 404 {
+			s.Fail("refused: %s got %d", spec.ID, status)
+		}
+		return status == 200 || status == 201
+	})
+}
+
+// again repeats the submission of a job that is over, as a user whose retry comes late.
+func (s *sim) again(hc *http.Client, spec *job.Spec, final string) {
+	s.user(hc, "POST", "/api/jobs", submission(spec), func(status int, st wire.Status) bool {
+		s.Repeated(spec, status, st.Phase, final)
+		return status < 429
+	})
+}
+
+func submission(spec *job.Spec) []byte {
 	m := map[string]any{"uid": spec.ID, "breed": "c", "owner": spec.Team, "shape": spec.ShapeName, "rank": spec.RankName, "pieces": spec.Tasks,
-		"cpus": spec.CPUs, "accelerators": 0.0, "mem_gb": spec.MemGB, "reel": "i", "image_gb": 0.5, "same_place": spec.OneZone, "apart": false,
+		"cpus": spec.CPUs, "accelerators": spec.GPUs, "mem_gb": spec.MemGB, "reel": "i", "image_gb": 0.5, "same_place": spec.OneZone, "apart": spec.Spread,
 		"loaners": spec.Spot, "guess_s": spec.EstimateS, "mark_s": spec.Checkpoint, "stash_s": spec.SaveS}
 	if spec.Booking != "" {
 		m["booking"] = spec.Booking
@@ -256,12 +285,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return s.user(hc, "POST", "/api/jobs", body, func(status int, _ wire.Status) bool {
-		if status == 400 || status == 422 || status == 404 {
-			s.Fail("refused: %s got %d", spec.ID, status)
-		}
-		return status == 200 || status == 201
-	})
+	return body
 }
 
 func (s *sim) live(spec *job.Spec, at, abort time.Duration) {
@@ -289,8 +313,12 @@
 			return true
 		})
 	}
-	final := ""
+	final, repeated := "", false
 	for range 200 {
+		if final != "" && !repeated {
+			s.again(hc, spec, final)
+			repeated = true
+		}
 		if !s.user(hc, "GET", "/api/jobs/"+spec.ID, nil, func(status int, st wire.Status) bool {
 			final = s.Polled(spec, status, st.Phase, final, abort > 0)
 			if status != 200 {
@@ -333,11 +361,11 @@
 	return func(s *sim) {
 		first := s.leader()
 		for i := range n {
-			s.kill((first + i) % 3)
+			s.kill((first + i) % len(s.nodes))
 		}
 		time.Sleep(5 * time.Second)
 		for i := range n {
-			s.startNode((first + i) % 3)
+			s.startNode((first + i) % len(s.nodes))
 		}
 	}
 }
@@ -420,7 +448,7 @@
 		first := s.leader()
 		var wg sync.WaitGroup
 		for i := range n {
-			wg.Go(func() { s.still[(first+i)%3].shut(d) })
+			wg.Go(func() { s.still[(first+i)%len(s.nodes)].shut(d) })
 		}
 		wg.Wait()
 	}
@@ -476,10 +504,22 @@
 type also map[string]func(*sim)
 
 func playDays(t *testing.T, scale int, tune func(*config.Settings, *config.Tuning), al also, days []day) {
+	playOn(t, plain(3, scale, tune), al, days)
+}
+
+// site is where a day is played: how many controllers, which machines, what work.
+type site struct {
+	nodes, scale int
+	tune         func(*config.Settings, *config.Tuning)
+	edit         func(*emulate.Config)
+	begin        func(s *sim, add func(sp *job.Spec, at, abort time.Duration))
+}
+
+func playOn(t *testing.T, st site, al also, days []day) {
 	for _, d := range days {
 		t.Run(d.name, func(t *testing.T) {
 			t.Parallel() // each has a time of its own
-			synctest.Test(t, func(t *testing.T) { playDay(t, scale, tune, d.faults, al[d.name]) })
+			synctest.Test(t, func(t *testing.T) { playDay(t, st, d.faults, al[d.name]) })
 		})
 	}
 }
@@ -572,10 +612,11 @@
 	store.Page(7) // small pages, so that paging is in use
 	cfg := emulate.Config{Network: n, Store: store, Types: simTypes, Most: 12 * scale, Controllers: controllers,
 		Lease: 10 * time.Second, Cancel: 25 * time.Second, Report: 2 * time.Second, GangWait: 20 * time.Second,
-		Fetch: time.Second, ListLag: 4 * time.Second, Limits: map[string]float64{"red": 14 * float64(scale)}}
+		Fetch: time.Second, ListLag: 4 * time.Second, Limits: map[string]emulate.Limit{"red": {CPUs: 14 * float64(scale)}}}
 	edit(&cfg)
 	w := emulate.New(cfg)
-	s := &sim{World: w, t: t, net: n, store: store, cuts: map[string]func(string, string) bool{}, scale: scale, tune: tune}
+	s := &sim{World: w, t: t, net: n, store: store, cuts: map[string]func(string, string) bool{}, scale: scale, tune: tune,
+		nodes: make([]context.CancelFunc, len(cfg.Controllers)), ended: make([]chan struct{}, len(cfg.Controllers)), still: make([]gate, len(cfg.Controllers))}
 	var servers []*http.Server
 	for addr, h := range map[string]http.Handler{"state:1": store, "cloud:1": w} {
 		l, err := n.Listen(addr)
@@ -586,13 +627,13 @@
 		servers = append(servers, srv)
 		go func() { _ = srv.Serve(l) }()
 	}
-	for i := range 3 {
+	for i := range s.nodes {
 		s.startNode(i)
 	}
 	return s, func() {
 		ended := make(chan struct{})
 		go func() { defer close(ended); w.Close() }()
-		for i := range 3 {
+		for i := range s.nodes {
 			s.kill(i)
 		}
 		for _, srv := range servers {
@@ -604,32 +645,70 @@
 	}
 }
 
-func playDay(t *testing.T, scale int, tune func(*config.Settings, *config.Tuning), faults []fault, also func(*sim)) {
-	s, closeAll := newSim(t, scale, func(*emulate.Config) {}, tune)
-	w := s.World
-	for range scale {
-		w.Boot("large", "a", false, 0)
-		w.Boot("small", "b", false, 0)
-		w.Boot("small", "c", true, 0)
+// nobody asks about jobs that nobody has submitted.
+func (s *sim) nobody() {
+	hc := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	for i := 0; ; i++ {
+		select {
+		case <-s.Ended():
+			return
+		case <-time.After(7 * time.Second):
+		}
+		res, err := hc.Get(fmt.Sprintf("http://%s/api/jobs/run-77%05d", s.door(i), i))
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			s.Fail("invented: a job that nobody has submitted")
+		}
 	}
+}
+
+// plain is a site of three types of jobs, with CPUs only.
+func plain(nodes, scale int, tune func(*config.Settings, *config.Tuning)) site {
+	return site{nodes: nodes, scale: scale, tune: tune, edit: func(*emulate.Config) {}, begin: func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+		for range scale {
+			s.Boot("large", "a", false, 0)
+			s.Boot("small", "b", false, 0)
+			s.Boot("small", "c", true, 0)
+		}
+		hand := func(shape, team string, tasks int, cpus, secs float64, at, abort time.Duration, edit func(*job.Spec)) {
+			sp := &job.Spec{Team: team, ShapeName: shape, RankName: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, EstimateS: secs, Spot: true}
+			if edit != nil {
+				edit(sp)
+			}
+			add(sp, at, abort)
+		}
+		sec := time.Second
+		for i := range 5 {
+			at := time.Duration(1+9*i) * sec
+			hand("array", "red", 12*scale, 1, 5, at, 0, nil)
+			hand("array", "blue", 10*scale, 2, 8, at+sec, 0, func(j *job.Spec) { j.Checkpoint, j.SaveS, j.Spot = 2, 1, false })
+			hand("ensemble", "blue", min(3*scale, 24), 2, 10, at+2*sec, 0, func(j *job.Spec) { j.OneZone, j.RankName = true, "urgent" })
+			hand("array", "red", 8*scale, 2, 30, at+3*sec, 9*sec, nil)
+		}
+		hand("daemon", "blue", 3, 1, 0, 2*sec, 60*sec, nil)
+	}}
+}
+
+func playDay(t *testing.T, st site, faults []fault, also func(*sim)) {
+	s, closeAll := newSim(t, st.scale, func(c *emulate.Config) {
+		c.Controllers = members(st.nodes)
+		st.edit(c)
+	}, st.tune)
+	w := s.World
+	w.Go(s.nobody)
 	id := 0
-	add := func(shape, team string, tasks int, cpus, secs float64, at, abort time.Duration, edit func(*job.Spec)) {
+	st.begin(s, func(sp *job.Spec, at, abort time.Duration) {
 		id++
-		sp := &job.Spec{ID: fmt.Sprintf("run-%06d", id), Team: team, ShapeName: shape, RankName: "standard", Tasks: tasks, CPUs: cpus, MemGB: 1, EstimateS: secs, Spot: true}
-		if edit != nil {
-			edit(sp)
+		sp.ID = fmt.Sprintf("run-%06d", id)
+		if sp.Class == "" {
+			sp.Class = sp.ShapeName + " of " + sp.Team
 		}
 		w.Go(func() { s.live(sp, at, abort) })
-	}
+	})
 	sec := time.Second
-	for i := range 5 {
-		at := time.Duration(1+9*i) * sec
-		add("array", "red", 12*scale, 1, 5, at, 0, nil)
-		add("array", "blue", 10*scale, 2, 8, at+sec, 0, func(j *job.Spec) { j.Checkpoint, j.SaveS, j.Spot = 2, 1, false })
-		add("ensemble", "blue", min(3*scale, 24), 2, 10, at+2*sec, 0, func(j *job.Spec) { j.OneZone, j.RankName = true, "urgent" })
-		add("array", "red", 8*scale, 2, 30, at+3*sec, 9*sec, nil)
-	}
-	add("daemon", "blue", 3, 1, 0, 2*sec, 60*sec, nil)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -653,6 +732,7 @@
 	}()
 	time.Sleep(100 * sec)
 	<-done
+	w.Calm()
 	for range 150 {
 		time.Sleep(2 * sec)
 		if len(s.Open()) == 0 {
@@ -660,6 +740,7 @@
 		}
 	}
 	left := s.Open()
+	w.EndDay(nil)
 	closeAll()
 	if also != nil {
 		also(s)
@@ -670,7 +751,7 @@
 	if len(left) > 0 {
 		t.Errorf("%d jobs are not over: %v", len(left), left)
 	}
-	if w.Starts() < 100*scale {
+	if w.Starts() < 100*st.scale {
 		t.Errorf("only %d tasks were started", w.Starts())
 	}
 }
