--- a/cmd/vetchstream/client.go
+++ b/cmd/vetchstream/client.go
@@ -67,12 +67,16 @@
 	check := &cobra.Command{
 		Use: "check FILE", Short: "Check a platform settings file, and the operators' settings of --tuning", Args: one,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := config.Load(args[0]); err != nil {
+			set, err := config.Load(args[0])
+			if err != nil {
 				return err
 			}
 			if _, err := config.LoadTuning(*tuning); err != nil {
 				return err
 			}
+			for _, line := range set.Doubts() {
+				fmt.Fprintln(cmd.OutOrStdout(), "doubtful:", line)
+			}
 			fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 			return nil
 		},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"math"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -190,6 +191,26 @@
 	return nil
 }
 
+// Doubts are contradictions in the settings that a controller can live with, each in a
+// line: it starts all the same, because a cluster that does not start for the name of a
+// zone is the worse outcome.
+func (s *Settings) Doubts() (lines []string) {
+	f := &s.Facts
+	if n := len(s.Siblings) + 1; f.Nodes != 0 && f.Nodes != n {
+		lines = append(lines, fmt.Sprintf("facts.nodes: %d, but %d controllers are named; those count", f.Nodes, n))
+	}
+	zone := func(field, name string) {
+		if name != "" && !slices.Contains(f.Zones, name) {
+			lines = append(lines, fmt.Sprintf("%s: %q is not among facts.zones; its machines are as far as any others", field, name))
+		}
+	}
+	zone("site", s.Site)
+	for i := range s.Siblings {
+		zone(fmt.Sprintf("siblings[%d].site", i), s.Siblings[i].Site)
+	}
+	return lines
+}
+
 // Calendar holds the operators' settings for reservations and maintenance windows.
 type Calendar struct {
 	Enabled bool `json:"enabled"`
@@ -272,6 +293,7 @@
 		SameZone   float64 `json:"same_zone"`
 		Unreliable float64 `json:"unreliable"`
 		Empty      float64 `json:"empty"`
+		Whole      float64 `json:"whole"`
 	} `json:"weights"`
 	Hosts struct {
 		// IdleBoots is how long an idle machine is kept, in boot times of its type.
@@ -295,7 +317,7 @@
 	t := &Tuning{LeaderLeaseMs: 3000}
 	w := &t.Weights
 	w.Queue, w.Jobs, w.CPU, w.Price = 13, 7, 1, 30
-	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
+	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty, w.Whole = 150, 100, 100, 400, 300, 200
 	t.Rollouts.Most, t.Rollouts.Checks = 1000, 16
 	t.Calendar = Calendar{Hold: true, Drain: true, Backfill: true, HoldS: 900, Days: 100, Most: 2000, PerTeam: 500, Windows: 100, Occurrences: 400}
 	t.Shares = Shares{Least: 200, GrantMs: 2000, JoinS: 3, RestS: 5, RestMostS: 120, Own: 0.45}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -52,6 +52,8 @@
 		{"a lease below the reports", `lease_s = 14.0`, `lease_s = 1.0`, "settings: facts.workers.lease_s: "},
 		{"a cancellation below the lease", `cancel_s = 34.0`, `cancel_s = 10.0`, "settings: facts.workers.cancel_s: "},
 		{"a limit below the guarantee", `cpus_max = 8.0`, `cpus_max = 2.0`, "settings: facts.teams[0].cpus_max: "},
+		{"a limit of accelerators below the guarantee", `cpus = 4.0`, "gpus = 4.0\ngpus_max = 2.0", "settings: facts.teams[0].gpus_max: "},
+		{"a team without any limit", `cpus_max = 8.0`, ``, ""},
 		{"text for a number", `rps = 3.0`, `rps = "many"`, "facts.cloud.rps"},
 		{"no zones", `zones = ["austin"]`, ``, "settings: facts.zones: "},
 		{"transactions that are too small", `txn_ops = 12`, `txn_ops = 1`, "settings: facts.state.txn_ops: "},
@@ -98,3 +100,25 @@
 		})
 	}
 }
+
+// TestDoubts: contradictions that a controller starts with, each told in a line.
+func TestDoubts(t *testing.T) {
+	tests := []struct{ name, old, new, want string }{
+		{"none", "", "", ""},
+		{"more nodes than siblings", `zones = ["austin"]`, "nodes = 3\nzones = [\"austin\"]", "facts.nodes: 3, but 2 controllers"},
+		{"as many as siblings", `zones = ["austin"]`, "nodes = 2\nzones = [\"austin\"]", ""},
+		{"a site that is no zone", `site = "austin"`, `site = "houston"`, "site: \"houston\""},
+		{"a sibling's site that is no zone", `member = "drover-1"`, "member = \"drover-1\"\nsite = \"houston\"", "siblings[0].site: \"houston\""},
+	}
+	for _, tt := range tests {
+		s, err := Parse([]byte(strings.Replace(good, tt.old, tt.new, 1)))
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		got := strings.Join(s.Doubts(), "\n")
+		if (tt.want == "") != (got == "") || !strings.Contains(got, tt.want) {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulate/users_test.go
@@ -0,0 +1,105 @@
+package emulate
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// TestJudge: what the judge holds against a day, each of which a day must not have.
+func TestJudge(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	at := func(w *World, name, zone string, sp *job.Spec) {
+		k := &Worker{w: w, name: name, zone: zone, typ: "x", leased: now, tasks: map[string]*task{}}
+		w.workers[name] = k
+		tk := &task{name: job.TaskName(sp.ID, int32(len(w.workers))), spec: sp, phase: wire.Running}
+		k.tasks[tk.name] = tk
+		w.started(k, tk)
+	}
+	accept := func(w *World, sp *job.Spec, asked time.Duration) {
+		w.specs[sp.ID] = sp
+		w.judge.users.asked[sp.ID], w.judge.users.accepted[sp.ID] = ago(asked), ago(asked)
+	}
+	tests := []struct {
+		name string
+		do   func(w *World)
+		want string // the broken rule; empty: none
+	}{
+		{"forgotten: no answer for 80 s since the last trouble", func(w *World) {
+			accept(w, &job.Spec{ID: "run-1", Tasks: 1}, 200*time.Second)
+			w.judge.users.calm = ago(80 * time.Second)
+			w.Asked("run-1")
+		}, "forgotten"},
+		{"answered a minute ago", func(w *World) {
+			accept(w, &job.Spec{ID: "run-1", Tasks: 1}, 200*time.Second)
+			w.judge.users.calm, w.judge.users.answered["run-1"] = ago(80*time.Second), ago(time.Minute)
+			w.Asked("run-1")
+		}, ""},
+		{"the troubles are not over", func(w *World) {
+			accept(w, &job.Spec{ID: "run-1", Tasks: 1}, 200*time.Second)
+			w.Asked("run-1")
+		}, ""},
+		{"a repeated submission is refused", func(w *World) {
+			w.Repeated(&job.Spec{ID: "run-1"}, 422, "", wire.JobDone)
+		}, "forgotten"},
+		{"a repeated submission begins anew", func(w *World) {
+			w.Repeated(&job.Spec{ID: "run-1"}, 201, "pending", wire.JobDone)
+		}, "went_back"},
+		{"a repeated submission finds the end", func(w *World) {
+			w.Repeated(&job.Spec{ID: "run-1"}, 200, wire.JobDone, wire.JobDone)
+		}, ""},
+		{"three of four replicas in a zone", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Tasks: 4, Spread: true}
+			at(w, "a", "x", sp)
+			at(w, "b", "x", sp)
+			at(w, "c", "x", sp)
+		}, "wrong_place"},
+		{"three of five replicas in a zone", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Tasks: 5, Spread: true}
+			at(w, "a", "x", sp)
+			at(w, "b", "x", sp)
+			at(w, "c", "x", sp)
+		}, ""},
+		{"more accelerators than the limit", func(w *World) {
+			w.cfg.Limits = map[string]Limit{"red": {GPUs: 3}}
+			sp := &job.Spec{ID: "run-1", Team: "red", Tasks: 2, GPUs: 2}
+			at(w, "a", "x", sp)
+			at(w, "b", "x", sp)
+		}, "quota"},
+		{"less than half of a class", func(w *World) {
+			for _, id := range []string{"run-1", "run-2", "run-3"} {
+				accept(w, &job.Spec{ID: id, Class: "c", Team: id, ShapeName: "array", Tasks: 1}, time.Minute)
+				w.judge.users.begun[id] = now
+			}
+			w.judge.done["run-1"] = map[int32]bool{0: true}
+			w.EndDay(nil)
+		}, "served: 1.0 of 3 jobs of class c"},
+		{"the largest began too late", func(w *World) {
+			for _, id := range []string{"run-1", "run-2", "run-3"} {
+				sp := &job.Spec{ID: id, Class: "c", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1}
+				if id == "run-3" {
+					sp.CPUs = 4
+				}
+				accept(w, sp, 300*time.Second)
+				w.judge.users.begun[id], w.judge.done[id] = ago(100*time.Second), map[int32]bool{0: true}
+			}
+			w.judge.users.begun["run-3"] = ago(30 * time.Second)
+			w.EndDay(nil)
+		}, "largest: run-3"},
+		{"it could not run on the day's machines", func(w *World) {
+			accept(w, &job.Spec{ID: "run-1", Class: "c", ShapeName: "array", Tasks: 1}, 300*time.Second)
+			w.EndDay(func(*job.Spec) bool { return false })
+		}, ""},
+	}
+	for _, tt := range tests {
+		w := New(Config{Cancel: time.Minute, Lease: time.Hour})
+		tt.do(w)
+		if got := strings.Join(w.Broken(), "; "); (tt.want == "") != (got == "") || !strings.Contains(got, tt.want) {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/node/accel_test.go
+++ b/internal/node/accel_test.go
@@ -25,12 +25,12 @@
 			shared(set, tun)
 			n := float64(scale)
 			set.Facts.Zones = []string{"a", "b"}
-			set.Facts.Teams = []config.Team{{Name: "red", GPUs: 12 * n, GPUsMax: 24 * n}, {Name: "blue", GPUs: 16 * n, GPUsMax: 48 * n}}
+			set.Facts.Teams = []config.Team{{Name: "red", GPUs: 12 * n, GPUsMax: 14 * n}, {Name: "blue", GPUs: 16 * n, GPUsMax: 48 * n}}
 		},
 		edit: func(c *emulate.Config) {
 			n := float64(scale)
 			c.Types, c.Most, c.Zones = accelTypes, 14*scale, map[string]int{"a": 2 * scale}
-			c.Limits = map[string]emulate.Limit{"red": {GPUs: 24 * n}, "blue": {GPUs: 48 * n}}
+			c.Limits = map[string]emulate.Limit{"red": {GPUs: 14 * n}, "blue": {GPUs: 48 * n}}
 		},
 		begin: func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
 			for range scale {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,9 @@
 			cancel(fmt.Errorf("listen: %w", err))
 		}
 	})
+	for _, line := range set.Doubts() {
+		log.Warn("settings: " + line)
+	}
 	log.Info("started", "site", set.Site, "listen", set.Listen)
 	<-ctx.Done()
 	_ = srv.Close()
@@ -187,12 +190,20 @@
 	n.mu.Lock()
 	n.served = time.Now()
 	n.mu.Unlock()
+	if q.Kind == peer.KindStatus {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, pollTime)
+		defer cancel()
+	}
 	if p := n.ctl.Answer(ctx, q); p != nil {
 		return p
 	}
 	// A leader that does not answer pings would only use up the user's patience.
 	if l := n.Leader(); l != "" && n.mesh.Reached(l) {
 		limit := forwardTime
+		if q.Kind == peer.KindStatus {
+			limit = pollForwardTime
+		}
 		if q.Kind == peer.KindSubmit {
 			limit = submitForwardTime
 			if n.route.direct(time.Now()) {
@@ -246,8 +257,13 @@
 const (
 	forwardTime       = 1200 * time.Millisecond
 	submitForwardTime = 400 * time.Millisecond
+	pollForwardTime   = 900 * time.Millisecond
 )
 
+// pollTime bounds a poll: its user waits for two seconds, and one that hangs in a
+// commit, a loading or a read is no answer.
+const pollTime = 1500 * time.Millisecond
+
 // Promise implements peer.Handler.
 func (n *Node) Promise(ctx context.Context, q *peer.Plea) *peer.Promise {
 	return &peer.Promise{Given: n.elector.Promise(ctx, q.Term)}
