Placement: room where the image is, arrays that can wait for theirs, whole places, overdue work first

Nothing made the largest jobs begin. Change: a fetch under way counts as cached. An array with time left leaves a machine without its image to one that has its image there, and takes what is left. Work is stopped, and machines reserved, where the image is first. A service that a fetch would make late has room made where its image is; a gang waits for one of many such machines until its aim is past. Room for replicas that are kept apart is made in each zone. A load for places of the largest tasks that are broken up. What has not begun for two minutes goes first; a gang that waits keeps room that comes later. TestImages, TestOverdue and TestReserve hold it.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -151,7 +152,7 @@
 			continue
 		}
 		wants = append(wants, hosts.Want{Demand: d, Count: plan.Short[i], TaskS: estimate(j), Image: j.ImageGB,
-			Waited: now.Sub(j.WaitFrom).Seconds(), Urgent: j.Shape == job.Gang})
+			Waited: d.Waited, Urgent: j.Shape == job.Gang})
 	}
 	sort.SliceStable(wants, func(a, b int) bool { return wants[a].Demand.LatestStart < wants[b].Demand.LatestStart })
 	pl.machines.want(wants)
@@ -184,7 +185,7 @@
 func (pl *planner) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
 	w := pl.c.Tuning.Weights
 	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
-		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price}
+		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price, Whole: w.Whole}
 	for _, t := range pl.c.Settings.Facts.Teams {
 		in.Teams = append(in.Teams, place.Team{
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
@@ -208,7 +209,12 @@
 		t.Leaving.CPUs, t.Leaving.GPUs = t.Leaving.CPUs+leaving*j.CPUs, t.Leaving.GPUs+leaving*j.GPUs
 	}
 	blocked := pl.takeover.blocked(in.Teams)
-	preempts := false
+	preempts, slowest := false, math.Inf(1) // GB a second at which images come
+	for i := range pl.names.list() {
+		if r := pl.names.list()[i].FetchRate; r > 0 {
+			slowest = min(slowest, r)
+		}
+	}
 	for _, j := range pl.book.all() {
 		if j.Phase != "" || j.Closing != "" || pl.book.stranger(j) || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] || pl.agenda.waits(j, now) {
 			continue
@@ -218,9 +224,14 @@
 		}
 		d := place.Demand{ID: pl.book.index(j), Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
 			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
-			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, LastMachine: j.LastHost,
+			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, ImageGB: j.ImageGB, LastMachine: j.LastHost,
 			Total: j.Tasks, Waiting: j.Waiting(), InZone: pl.inZone(j), LatestStart: pl.book.latestStart(j)}
+		d.Waited = now.Sub(j.WaitFrom).Seconds()
+		d.Overdue = now.Sub(j.Submitted) > overdueAfter && j.DoneCount == 0 && len(j.Live) == 0
 		limit := maxPending
+		if d.Overdue {
+			limit = 1 + j.Tasks/overduePart // to begin, not to pass the others with all it has
+		}
 		if !j.Worked && j.Backoff > 0 {
 			limit = 2 // a job that has only failed so far is tried with little
 		}
@@ -249,14 +260,23 @@
 			d.HeldOnly = j.Booking != "" && pl.holds.enough(j, len(d.Pending))
 		}
 		waited := now.Sub(j.WaitFrom)
-		late := d.LatestStart-now.Sub(pl.since).Seconds() < 5
-		if waited > 300*time.Millisecond && (j.Shape != job.Array || late) && now.Sub(pl.preempted[j]) >= preemptEvery {
+		left := d.LatestStart - now.Sub(pl.since).Seconds()
+		late := left < 5
+		d.Hurry = j.Shape != job.Array && left > 0 && left < j.ImageGB/slowest
+		d.Patient = j.Shape == job.Array && left > patience
+		if (waited > 300*time.Millisecond || (d.Hurry && j.Shape == job.Service)) && (j.Shape != job.Array || late) && now.Sub(pl.preempted[j]) >= preemptEvery {
 			d.Preempts = true
 			preempts = true
 			pl.preempted[j] = now
 		}
 		in.Demands = append(in.Demands, d)
 	}
+	large, largeSpot := pl.largest()
+	for i := range in.Demands {
+		if d := &in.Demands[i]; d.Need.Less(large) {
+			d.Large, d.LargeSpot = large, largeSpot
+		}
+	}
 	sort.Slice(in.Demands, func(a, b int) bool { return in.Demands[a].ID < in.Demands[b].ID })
 	if len(in.Demands) == 0 {
 		return in, nil, nil
@@ -276,10 +296,17 @@
 			Total: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemGB: t.MemGB},
 			Free:  place.Amount{CPUs: t.CPUs - h.CPUs, GPUs: t.GPUs - h.GPUs, MemGB: t.MemGB - h.MemGB},
 			Queue: h.Queue, Jobs: h.Jobs, Unreliable: h.Errors > 0, Exits: pl.exits(h),
-			Scale: smallest / t.CPUs, Price: cpuPrice(t, h.Spot) / cheapest}
+			FetchRate: t.FetchRate, Scale: smallest / t.CPUs, Price: cpuPrice(t, h.Spot) / cheapest}
 		for _, im := range h.Images {
 			m.Images = append(m.Images, im.Idx)
 		}
+		if h.Queue > 0 {
+			for _, s := range h.Slots {
+				if s.On() && (s.Phase == "" || s.Phase == wire.Pulling) && !slices.Contains(m.Images, s.Job.ImageIdx) {
+					m.Images = append(m.Images, s.Job.ImageIdx) // one fetch serves all that wait for it
+				}
+			}
+		}
 		if k, ok := pl.keeps[h]; ok {
 			m.KeptFor, m.Reserved = pl.book.index(k.job), k.reserved
 			m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
@@ -311,6 +338,33 @@
 	return in, ms, slots
 }
 
+// overdueAfter is for how long nothing of a job may have begun before it goes first:
+// users expect the largest jobs to begin within four minutes, also beside a steady
+// stream of what is small or of a higher rank. An array gets one part in overduePart
+// of its tasks that way.
+const (
+	overdueAfter = 2 * time.Minute
+	overduePart  = 20
+)
+
+// largest is the largest task of the jobs that are not over, and whether it may run on
+// spot machines.
+func (pl *planner) largest() (need place.Amount, spot bool) {
+	for _, j := range pl.book.all() {
+		if j.Phase+j.Closing != "" || j.Shape == job.Service || pl.book.stranger(j) {
+			continue
+		}
+		if n := (place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}); need.Less(n) {
+			need, spot = n, j.Spot
+		}
+	}
+	return need, spot
+}
+
+// patience is how much time an array must have left, in seconds, to wait for machines
+// that have its image while others with theirs could use what is free.
+const patience = 15
+
 // preemptEvery is how often a waiting job looks for work to stop: the look is at
 // every task of the fleet.
 const preemptEvery = 500 * time.Millisecond
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -16,12 +16,10 @@
 			zones = append(zones, z)
 		}
 	}
-	var best []Assignment
-	length := math.Inf(1)
-	for _, z := range zones {
-		if set, l, ok := p.tryGang(i, z); ok && l < length {
-			best, length = set, l
-		}
+	hurry := d.Hurry && p.common(d)
+	best := p.shortest(i, zones, hurry)
+	if best == nil && hurry && p.shortest(i, zones, false) != nil {
+		return // there is room, and its image would come too late there
 	}
 	if best == nil {
 		if d.Team >= 0 {
@@ -44,6 +42,33 @@
 	p.plan.Assign = append(p.plan.Assign, best...)
 }
 
+// shortest is the shortest placement of a gang in one of the zones; nil: there is none.
+func (p *planner) shortest(i int, zones []int, cached bool) (best []Assignment) {
+	length := math.Inf(1)
+	for _, z := range zones {
+		if set, l, ok := p.tryGang(i, z, cached); ok && l < length {
+			best, length = set, l
+		}
+	}
+	return best
+}
+
+// commonPlaces is for how many times a gang there must be machines with its image for
+// it to wait until one of them has room.
+const commonPlaces = 8
+
+// common reports whether a gang's image is on so many machines that room on some of
+// them comes soon.
+func (p *planner) common(d *Demand) bool {
+	n := 0
+	for i := range p.Machines {
+		if m := &p.Machines[i]; slices.Contains(m.Images, d.Image) && p.allowed(m, d) {
+			n += m.Total.Times(d.Need)
+		}
+	}
+	return n >= commonPlaces*len(d.Pending)
+}
+
 // mark remembers what placing tasks of a demand changes, to take it back.
 type mark struct {
 	p      *planner
@@ -75,9 +100,9 @@
 	}
 }
 
-func (p *planner) tryGang(i, zone int) (set []Assignment, length float64, ok bool) {
+func (p *planner) tryGang(i, zone int, cached bool) (set []Assignment, length float64, ok bool) {
 	d := &p.Demands[i]
-	q := p.queue(d, zone)
+	q := p.queue(d, zone, cached)
 	if q.room < len(d.Pending) {
 		return nil, 0, false
 	}
@@ -115,26 +140,31 @@
 			best, soonest = machines, after
 		}
 	}
-	if soonest > mostReserved {
+	d := &p.Demands[i]
+	if soonest > max(leastReserved, min(d.Waited, mostReserved)) {
 		return
 	}
-	d := &p.Demands[i]
 	for _, m := range best {
 		p.Machines[m].KeptFor, p.Machines[m].Kept, p.Machines[m].Reserved = d.ID, d.Need, true
 		p.plan.Reserve = append(p.plan.Reserve, Reservation{i, m})
 	}
 }
 
-// mostReserved is how long machines may be kept from others for a gang, in
-// seconds: room that comes later is better used until then.
-const mostReserved = 60
+// leastReserved is how long machines may be kept from others for a gang, in seconds:
+// room that comes later is better used until then. A wide gang beside long tasks finds
+// no such machines, so that the longer it has waited the longer it may be, up to
+// mostReserved: one that cannot be placed now does not hold room for ever.
+const (
+	leastReserved = 60
+	mostReserved  = 180
+)
 
 // makeRoomIn makes room in a zone by stopping work, or else returns the machines
 // whose work leaves room for the gang soonest, and in how many seconds.
 func (p *planner) makeRoomIn(i, zone int) (done bool, machines []int, after float64) {
 	d := &p.Demands[i]
 	k, planned := p.mark(d), len(p.plan.Preempt)
-	q, need := p.queue(d, zone), len(d.Pending)
+	q, need := p.queue(d, zone, false), len(d.Pending)
 	for need > 0 {
 		m := q.next(-1)
 		if m < 0 {
@@ -146,7 +176,7 @@
 		need--
 		machines = append(machines, m)
 	}
-	if p.preempt(i, zone, need) == need {
+	if p.preempt(i, zone, need, math.Inf(1)) == need {
 		return true, nil, 0
 	}
 	for _, e := range p.plan.Preempt[planned:] {
@@ -163,7 +193,7 @@
 			return
 		}
 		if at := p.roomAfter(m, d); !math.IsInf(at, 1) {
-			all = append(all, room{mi, at})
+			all = append(all, room{mi, at + m.fetch(d)})
 		}
 	})
 	k.undo()
--- /dev/null
+++ b/internal/place/images_test.go
@@ -0,0 +1,102 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"vetchstream/internal/job"
+)
+
+// TestImages: who takes which room when an image takes as long as a start may. "a" to
+// "d" are machines; image 0 is the first demand's.
+func TestImages(t *testing.T) {
+	has := func(id int, free float64, images ...int) Machine {
+		m := machine(id, 0, 8)
+		m.Free.CPUs, m.Images, m.FetchRate = free, images, 0.5
+		if free < 8 {
+			m.Jobs = 1
+		}
+		return m
+	}
+	full := func(id int, loss float64, images ...int) Machine {
+		m := has(id, 0, images...)
+		m.Victims = []Victim{{ID: id, Rank: job.Idle, Team: -1, Need: Amount{CPUs: 8}, Loss: loss, Left: 5}}
+		return m
+	}
+	array := func(id, image int, edit func(*Demand)) Demand {
+		d := demand(id, job.Array, 8, 0)
+		d.Rank, d.Image, d.ImageGB, d.Team = job.Standard, image, 5, -1
+		if edit != nil {
+			edit(&d)
+		}
+		return d
+	}
+	patient := func(d *Demand) { d.Patient = true }
+	hurried := func(shape job.Shape) func(*Demand) {
+		return func(d *Demand) { d.Shape, d.Hurry, d.Preempts = shape, true, true }
+	}
+	tests := []struct {
+		name string
+		in   Input
+		want string // demand>machine, demand!machine where work is stopped
+	}{
+		{"an array with time left leaves room to one that has its image there", Input{
+			Machines: []Machine{has(0, 8, 1)}, Demands: []Demand{array(1, 0, patient), array(2, 1, patient)}}, "1>a"},
+		{"and takes what is left", Input{
+			Machines: []Machine{has(0, 8, 1), has(1, 8, 1)}, Demands: []Demand{array(1, 0, patient), array(2, 1, patient)}}, "1>a 0>b"},
+		{"one without does not wait", Input{
+			Machines: []Machine{has(0, 8, 1)}, Demands: []Demand{array(1, 0, nil), array(2, 1, patient)}}, "0>a"},
+		{"nor does one inside its guarantee", Input{Teams: []Team{{Guarantee: Amount{CPUs: 8}}}, Machines: []Machine{has(0, 8, 1)},
+			Demands: []Demand{array(1, 0, func(d *Demand) { d.Patient, d.Team = true, 0 }), array(2, 1, patient)}}, "0>a"},
+		{"a service in a hurry has room made where its image is", Input{
+			Machines: []Machine{has(0, 8), full(1, 100, 0)}, Demands: []Demand{array(1, 0, hurried(job.Service))}}, "0!b"},
+		{"and waits for that room", Input{
+			Machines: []Machine{has(0, 8), func() Machine {
+				m := full(1, 100, 0)
+				m.KeptFor, m.Kept, m.Victims = 1, Amount{CPUs: 8}, nil
+				return m
+			}(), full(2, 1)}, Demands: []Demand{array(1, 0, hurried(job.Service))}}, ""},
+		{"without any such machine it takes another", Input{
+			Machines: []Machine{has(0, 8), full(1, 100, 1)}, Demands: []Demand{array(1, 0, hurried(job.Service))}}, "0>a"},
+		{"work is stopped where the image is, though more is lost", Input{
+			Machines: []Machine{full(0, 1), full(1, 100, 0)}, Demands: []Demand{array(1, 0, func(d *Demand) { d.Shape, d.Preempts = job.Service, true })}}, "0!b"},
+		{"a gang in a hurry waits for one of many machines with its image", Input{
+			Machines: slices.Concat([]Machine{has(0, 8)}, slices.Repeat([]Machine{has(1, 0, 0)}, commonPlaces)), Demands: []Demand{array(1, 0, hurried(job.Gang))}}, ""},
+		{"not if there are few", Input{
+			Machines: []Machine{has(0, 8), has(1, 0, 0)}, Demands: []Demand{array(1, 0, hurried(job.Gang))}}, "0>a"},
+		{"room for replicas that are kept apart is made in each zone", Input{
+			Machines: func() []Machine {
+				ms := []Machine{full(0, 1), full(1, 2), full(2, 100)}
+				ms[2].Zone = 1
+				return ms
+			}(), Demands: []Demand{array(1, 0, func(d *Demand) {
+				d.Shape, d.Preempts, d.Spread, d.Total, d.Pending = job.Service, true, true, 2, []int32{0, 1}
+			})}}, "0!a 0!c"},
+		{"a small task goes where it breaks up no place of a large one", Input{
+			Machines: []Machine{has(0, 7, 0), has(1, 3)}, Demands: []Demand{array(1, 0, func(d *Demand) {
+				d.Need, d.Large = Amount{CPUs: 1}, Amount{CPUs: 7}
+			})}}, "0>b"},
+	}
+	for _, tt := range tests {
+		tt.in.Weights = paper
+		tt.in.Weights.Whole = 200
+		for i := range tt.in.Machines {
+			tt.in.Machines[i].ID = i
+		}
+		p := Make(tt.in)
+		got := ""
+		for _, a := range p.Assign {
+			got += fmt.Sprintf(" %d>%c", a.Demand, 'a'+a.Machine)
+		}
+		for _, e := range p.Preempt {
+			got += fmt.Sprintf(" %d!%c", e.Demand, 'a'+e.Machine)
+		}
+		if got != "" {
+			got = got[1:]
+		}
+		if got != tt.want {
+			t.Errorf("%s: %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -18,6 +18,8 @@
 type Weights struct {
 	Queue, Jobs, CPU, Price                    float64
 	Image, Sticky, SameZone, Unreliable, Empty float64
+	// Whole is the load of a place for a large task that is broken up.
+	Whole float64
 }
 
 // Amount is what a task takes, or a machine has.
@@ -35,6 +37,15 @@
 	return Amount{a.CPUs + k*b.CPUs, a.GPUs + k*b.GPUs, a.MemGB + k*b.MemGB}
 }
 
+// Less reports whether a is the smaller: by accelerators, where they are scarce they
+// bind, then by CPUs.
+func (a Amount) Less(b Amount) bool {
+	if a.GPUs != b.GPUs {
+		return a.GPUs < b.GPUs
+	}
+	return a.CPUs < b.CPUs
+}
+
 // Times is how many of b fit into a.
 func (a Amount) Times(b Amount) int {
 	n := math.Inf(1)
@@ -73,8 +84,11 @@
 	// machine over those of this one. The paper's hosts are alike, ours are not.
 	Scale float64
 	// Price is what a CPU costs here, in multiples of the cheapest.
-	Price  float64
-	Images []int
+	Price float64
+	// Images are those that are cached here or on their way, and FetchRate is how fast
+	// others come, in GB a second.
+	Images    []int
+	FetchRate float64
 	// Unreliable: a task failed here recently.
 	Unreliable bool
 	// Kept is the room that is kept for the demand KeptFor (0: none). Reserved:
@@ -119,6 +133,7 @@
 	Spread      bool
 	Spot        bool
 	Image       int
+	ImageGB     float64
 	LastMachine int
 	Total       int
 	Pending     []int32
@@ -131,11 +146,25 @@
 	LatestStart float64
 	// Preempts: the demand may stop others' work now.
 	Preempts bool
+	// Waited is how long it has waited, in seconds. Overdue: nothing of it has begun for
+	// so long that it goes first, whatever its rank.
+	Waited  float64
+	Overdue bool
 	// EndsIn is in how many seconds a task that starts now is sure to have ended; it
 	// matters where machines are held or leave. Movable: it can be stopped and go on
 	// elsewhere.
 	EndsIn  float64
 	Movable bool
+	// Hurry: a fetch would make it late, so that room is made where its image is rather
+	// than taken where it is not.
+	Hurry bool
+	// Patient: there is time to leave a machine without its image to a demand behind
+	// it that has its own there.
+	Patient bool
+	// Large is the largest task that the machines have to have room for; zero: the
+	// demand's own are as large. LargeSpot: it may run on spot machines.
+	Large     Amount
+	LargeSpot bool
 	// HeldOnly: the machines that are held for the demand are enough for it.
 	HeldOnly bool
 }
@@ -269,9 +298,20 @@
 	if m.Jobs == 0 {
 		l += sq(w.Empty)
 	}
+	if d.Large != (Amount{}) && (d.LargeSpot || !m.Spot) {
+		l += sq(w.Whole * float64(m.Free.Times(d.Large)-m.Free.plus(d.Need, -1).Times(d.Large)))
+	}
 	return l
 }
 
+// fetch is how long the demand's image takes to come to the machine, in seconds.
+func (m *Machine) fetch(d *Demand) float64 {
+	if m.FetchRate <= 0 || slices.Contains(m.Images, d.Image) {
+		return 0
+	}
+	return d.ImageGB / m.FetchRate
+}
+
 type planner struct {
 	Input
 	plan Plan
@@ -348,6 +388,9 @@
 	}
 	sort.SliceStable(order, func(a, b int) bool {
 		x, y := &in.Demands[order[a]], &in.Demands[order[b]]
+		if x.Overdue != y.Overdue {
+			return x.Overdue
+		}
 		if x.Rank != y.Rank {
 			return x.Rank > y.Rank
 		}
@@ -364,8 +407,18 @@
 		if in.Demands[i].Shape == job.Gang {
 			p.gang(i)
 			p.last = nil // it may have reserved machines, or made room on them
+		} else if in.Demands[i].Hurry && p.mayStop(&in.Demands[i]) {
+			p.hurried(i)
 		} else {
-			p.tasks(i)
+			// What is inside a guarantee need not wait for others.
+			in.Demands[i].Patient = in.Demands[i].Patient && !inside[i]
+			p.tasks(i, in.Demands[i].Patient)
+		}
+	}
+	// What is left goes to those that have waited for a machine with their image.
+	for _, i := range order {
+		if in.Demands[i].Patient && len(in.Demands[i].Pending) > 0 {
+			p.tasks(i, false)
 		}
 	}
 	return p.plan
@@ -441,23 +494,50 @@
 	}
 }
 
-func (p *planner) tasks(i int) {
+// hurried places a demand that a fetch would make late: where its image is, also by
+// making room there, and only what is left anywhere.
+func (p *planner) hurried(i int) {
+	d := &p.Demands[i]
+	p.tasks(i, true)
+	if len(d.Pending) == 0 || p.plan.Limited[i] {
+		return
+	}
+	n := len(d.Pending)
+	made := min(n, p.making(d))
+	if d.Preempts {
+		if more := p.preempt(i, -1, n-made, 0); more > 0 {
+			made += more
+			p.last = nil
+		}
+	}
+	d.Pending, d.Waiting = d.Pending[:n-made], d.Waiting-made
+	if made < n {
+		p.tasks(i, false)
+	}
+}
+
+// tasks places what fits of an array or a service; cached: only where its image is.
+func (p *planner) tasks(i int, cached bool) {
 	d := &p.Demands[i]
 	zone := d.Zone
 	if d.OneZone && zone < 0 {
 		zone = p.roomiest(d)
 	}
-	q := p.queueAgain(d, zone)
+	q := p.queueAgain(d, zone, cached)
 	p.last = q
-	for n, t := range d.Pending {
+	pending := d.Pending
+	for n, t := range pending {
 		if d.Team >= 0 && !p.Teams[d.Team].room(d.Need) {
 			p.plan.Limited[i] = true
 			return
 		}
 		m := q.next(t)
 		if m < 0 {
-			p.plan.Short[i] = p.within(d, max(d.Waiting, len(d.Pending))-n)
-			if d.Preempts && p.preempt(i, -1, p.plan.Short[i]-p.making(d)) > 0 {
+			if cached {
+				return
+			}
+			p.plan.Short[i] = p.within(d, max(d.Waiting, len(pending)-n))
+			if d.Preempts && p.preempt(i, -1, p.plan.Short[i]-p.making(d), math.Inf(1)) > 0 {
 				p.last = nil
 			}
 			return
@@ -465,6 +545,7 @@
 		p.take(d, m)
 		q.taken(m)
 		p.plan.Assign = append(p.plan.Assign, Assignment{i, t, m})
+		d.Pending, d.Waiting = pending[n+1:], d.Waiting-1
 	}
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// TestOverdue: a job of which nothing has begun for long goes before work of a higher
+// rank, within its team's limit.
+func TestOverdue(t *testing.T) {
+	tests := []struct {
+		name    string
+		overdue bool
+		limit   float64 // of its team
+		want    int     // the demand that gets the room
+	}{
+		{"the higher rank", false, 0, 2},
+		{"what is overdue", true, 0, 1},
+		{"not beyond its team's limit", true, 0.5, 2},
+	}
+	for _, tt := range tests {
+		m := machine(0, 0, 1)
+		a, b := demand(1, job.Array, 1, 0), demand(2, job.Array, 1, 0)
+		a.Rank, a.Overdue, b.Rank, b.Team = job.Idle, tt.overdue, job.Urgent, 1
+		p := Make(Input{Machines: []Machine{m}, Demands: []Demand{a, b}, Teams: []Team{{Limit: Amount{CPUs: tt.limit}}, {}}, Weights: paper})
+		if len(p.Assign) != 1 || p.Assign[0].Demand+1 != tt.want {
+			t.Errorf("%s: %v, want demand %d", tt.name, p.Assign, tt.want)
+		}
+	}
+}
+
 // TestGuarantee: what a team is guaranteed, borrows and yields is counted in the
 // resource that is guaranteed; 0 of the other says nothing.
 func TestGuarantee(t *testing.T) {
@@ -253,6 +277,22 @@
 				}
 			}
 		}, nil, 0},
+		{"unless the gang has waited for longer than that", func(in *Input) {
+			for i := range in.Machines {
+				for v := range in.Machines[i].Victims {
+					in.Machines[i].Victims[v].Left = 100
+				}
+			}
+			in.Demands[0].Waited = 110
+		}, []int{0, 1}, 0},
+		{"but not for ever", func(in *Input) {
+			for i := range in.Machines {
+				for v := range in.Machines[i].Victims {
+					in.Machines[i].Victims[v].Left = 500
+				}
+			}
+			in.Demands[0].Waited = 1000
+		}, nil, 0},
 		{"work of a lower rank is stopped at once", func(in *Input) { in.Demands[0].Rank = job.Urgent }, nil, 2},
 		{"only where it is the last that is in the way", func(in *Input) {
 			for i := range in.Machines {
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -34,10 +34,11 @@
 		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows() && p.Teams[v.Team].spares(v.whole())
 }
 
-// making counts the machines on which room is being made for the demand.
+// making counts the machines on which room is being made for the demand. One in a
+// zone that has been closed to it meanwhile is of no use.
 func (p *planner) making(d *Demand) (n int) {
 	for i := range p.Machines {
-		if p.Machines[i].KeptFor == d.ID && !p.Machines[i].Reserved {
+		if m := &p.Machines[i]; m.KeptFor == d.ID && !m.Reserved && p.allowed(m, d) {
 			n++
 		}
 	}
@@ -45,22 +46,23 @@
 }
 
 // preempt keeps room for up to n tasks of the demand, each on another machine,
-// where that throws away the least work, and returns for how many it did.
-func (p *planner) preempt(i, zone, n int) int {
+// where that throws away the least work, and returns for how many it did. The image
+// takes no longer there than fetch, in seconds.
+func (p *planner) preempt(i, zone, n int, fetch float64) int {
 	d := &p.Demands[i]
 	if n <= 0 || !p.mayStop(d) {
 		return 0
 	}
 	type choice struct {
 		machine, victims int
-		loss             float64
+		fetch, loss      float64
 	}
 	var all []choice
 	p.each(zone, func(mi int, m *Machine) {
-		if p.kept(m, d) || m.Unreliable || len(m.Victims) == 0 || !m.Total.Fits(d.Need) || !p.allowed(m, d) {
+		if m.fetch(d) > fetch || p.kept(m, d) || m.Unreliable || len(m.Victims) == 0 || !m.Total.Fits(d.Need) || !p.allowed(m, d) {
 			return
 		}
-		room, c := m.Free, choice{machine: mi}
+		room, c := m.Free, choice{machine: mi, fetch: m.fetch(d)}
 		for v := range p.victims(mi) {
 			if room.Fits(d.Need) {
 				break
@@ -76,14 +78,19 @@
 		}
 	})
 	slices.SortFunc(all, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.machine, b.machine))
+		// What is stopped makes the demand start now, not after a fetch.
+		return cmp.Or(cmp.Compare(a.fetch, b.fetch), cmp.Compare(a.loss, b.loss), cmp.Compare(a.machine, b.machine))
 	})
-	made := 0
+	made, inZone := 0, make([]int, len(d.InZone))
 	for _, c := range all {
 		if made == n {
 			break
 		}
 		m := &p.Machines[c.machine]
+		// Replicas that are kept apart need room in each zone, not twice in one.
+		if d.Spread && d.InZone[m.Zone]+inZone[m.Zone] >= (d.Total+1)/2 {
+			continue
+		}
 		var ids []int
 		room, teams := m.Free, slices.Clone(p.Teams)
 		for v := range m.Victims {
@@ -106,6 +113,7 @@
 		}
 		m.KeptFor, m.Kept, m.Reserved = d.ID, d.Need, false
 		p.plan.Preempt = append(p.plan.Preempt, Preemption{i, c.machine, ids})
+		inZone[m.Zone]++
 		made++
 	}
 	return made
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -16,8 +16,10 @@
 	p    *planner
 	d    *Demand
 	zone int
-	at   []candidate
-	room int // tasks that fit, at least
+	// cached: only machines that have the image, or fetch it.
+	cached bool
+	at     []candidate
+	room   int // tasks that fit, at least
 }
 
 type candidate struct {
@@ -42,8 +44,8 @@
 	return c
 }
 
-func (p *planner) queue(d *Demand, zone int) *queue {
-	q := &queue{p: p, d: d, zone: zone}
+func (p *planner) queue(d *Demand, zone int, cached bool) *queue {
+	q := &queue{p: p, d: d, zone: zone, cached: cached}
 	q.fill()
 	return q
 }
@@ -51,12 +53,12 @@
 // queueAgain is queue, taken over from the demand before if that one asks for the
 // same of its machines: a swarm of thousands of small jobs must not cost a look
 // at every machine for each of them.
-func (p *planner) queueAgain(d *Demand, zone int) *queue {
-	if q := p.last; q != nil && q.zone == zone && (!p.promised || (q.d.EndsIn == d.EndsIn && q.d.Movable == d.Movable)) && alike(q.d, d) && !p.keptFor[q.d.ID] && !p.keptFor[d.ID] {
+func (p *planner) queueAgain(d *Demand, zone int, cached bool) *queue {
+	if q := p.last; q != nil && q.zone == zone && q.cached == cached && (!p.promised || (q.d.EndsIn == d.EndsIn && q.d.Movable == d.Movable)) && alike(q.d, d) && !p.keptFor[q.d.ID] && !p.keptFor[d.ID] {
 		q.d = d
 		return q
 	}
-	return p.queue(d, zone)
+	return p.queue(d, zone, cached)
 }
 
 // alike reports whether two demands see the same length on every machine, and may
@@ -70,7 +72,8 @@
 func (q *queue) fill() {
 	q.at, q.room = q.at[:0], 0
 	q.p.each(q.zone, func(i int, m *Machine) {
-		if m.Free.CPUs+slack < q.d.Need.CPUs || !free(m, q.d).Fits(q.d.Need) || !q.p.allowed(m, q.d) {
+		if m.Free.CPUs+slack < q.d.Need.CPUs || !free(m, q.d).Fits(q.d.Need) || !q.p.allowed(m, q.d) ||
+			(q.cached && !slices.Contains(m.Images, q.d.Image)) {
 			return
 		}
 		q.room += free(m, q.d).Times(q.d.Need)
