--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -293,7 +293,6 @@
 		SameZone   float64 `json:"same_zone"`
 		Unreliable float64 `json:"unreliable"`
 		Empty      float64 `json:"empty"`
-		Whole      float64 `json:"whole"`
 	} `json:"weights"`
 	Hosts struct {
 		// IdleBoots is how long an idle machine is kept, in boot times of its type.
@@ -317,7 +316,7 @@
 	t := &Tuning{LeaderLeaseMs: 3000}
 	w := &t.Weights
 	w.Queue, w.Jobs, w.CPU, w.Price = 13, 7, 1, 30
-	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty, w.Whole = 150, 100, 100, 400, 300, 200
+	w.Image, w.Sticky, w.SameZone, w.Unreliable, w.Empty = 150, 100, 100, 400, 300
 	t.Rollouts.Most, t.Rollouts.Checks = 1000, 16
 	t.Calendar = Calendar{Hold: true, Drain: true, Backfill: true, HoldS: 900, Days: 100, Most: 2000, PerTeam: 500, Windows: 100, Occurrences: 400}
 	t.Shares = Shares{Least: 200, GrantMs: 2000, JoinS: 3, RestS: 5, RestMostS: 120, Own: 0.45}
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -62,15 +62,17 @@
 // the leader.
 func (ad *admission) follow(epoch uint64) {
 	take := func(key string) { ad.ahead(func() { ad.admitted(key[len(job.ActivePrefix):]) }) }
+	listed := time.Now()
 	for ad.ctx.Err() == nil {
 		events, next, err := ad.c.State.Watch(ad.ctx, job.ActivePrefix, epoch, 10*time.Second)
 		switch {
-		case errors.Is(err, state.ErrGone):
+		case errors.Is(err, state.ErrGone) || time.Since(listed) > auditEvery:
 			entries, at, err := ad.c.State.List(ad.ctx, job.ActivePrefix)
 			if err != nil {
 				ad.pause(300 * time.Millisecond)
 				continue
 			}
+			listed = time.Now()
 			for _, e := range entries {
 				take(e.Key)
 			}
@@ -88,6 +90,10 @@
 	}
 }
 
+// auditEvery is how often the records of active jobs are read once more: a job whose
+// event was lost would be known to its users and to nobody else.
+const auditEvery = time.Minute
+
 // has reports whether a job is known here, over, being stored or being read.
 func (ad *admission) has(id string) bool {
 	return ad.endings.over(id) || ad.pending[id] != nil || ad.book.get(id) != nil
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -185,7 +185,7 @@
 func (pl *planner) input(now time.Time) (in place.Input, ms []*fleet.Host, slots []*fleet.Slot) {
 	w := pl.c.Tuning.Weights
 	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
-		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price, Whole: w.Whole}
+		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price}
 	for _, t := range pl.c.Settings.Facts.Teams {
 		in.Teams = append(in.Teams, place.Team{
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
@@ -271,12 +271,6 @@
 		}
 		in.Demands = append(in.Demands, d)
 	}
-	large, largeSpot := pl.largest()
-	for i := range in.Demands {
-		if d := &in.Demands[i]; d.Need.Less(large) {
-			d.Large, d.LargeSpot = large, largeSpot
-		}
-	}
 	sort.Slice(in.Demands, func(a, b int) bool { return in.Demands[a].ID < in.Demands[b].ID })
 	if len(in.Demands) == 0 {
 		return in, nil, nil
@@ -347,20 +341,6 @@
 	overduePart  = 20
 )
 
-// largest is the largest task of the jobs that are not over, and whether it may run on
-// spot machines.
-func (pl *planner) largest() (need place.Amount, spot bool) {
-	for _, j := range pl.book.all() {
-		if j.Phase+j.Closing != "" || j.Shape == job.Service || pl.book.stranger(j) {
-			continue
-		}
-		if n := (place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}); need.Less(n) {
-			need, spot = n, j.Spot
-		}
-	}
-	return need, spot
-}
-
 // patience is how much time an array must have left, in seconds, to wait for machines
 // that have its image while others with theirs could use what is free.
 const patience = 15
--- a/internal/place/gang.go
+++ b/internal/place/gang.go
@@ -19,7 +19,11 @@
 	hurry := d.Hurry && p.common(d)
 	best := p.shortest(i, zones, hurry)
 	if best == nil && hurry && p.shortest(i, zones, false) != nil {
-		return // there is room, and its image would come too late there
+		// There is room, and its image would come too late there.
+		if d.Preempts && p.stops && p.making(d) == 0 {
+			p.makeRoom(i, zones, 0)
+		}
+		return
 	}
 	if best == nil {
 		if d.Team >= 0 {
@@ -32,7 +36,7 @@
 		}
 		p.plan.Short[i] = len(d.Pending)
 		if d.Preempts && p.stops && p.making(d) == 0 {
-			p.makeRoom(i, zones)
+			p.makeRoom(i, zones, math.Inf(1))
 		}
 		return
 	}
@@ -128,11 +132,12 @@
 // makeRoom makes room for a whole gang in one of the zones: at once where that
 // needs nothing but what the gang may stop, and otherwise where it comes soonest
 // by itself. There the machines are reserved, because arrays would fill up each
-// CPU as it comes free and the gang would wait for as long as they come.
-func (p *planner) makeRoom(i int, zones []int) {
+// CPU as it comes free and the gang would wait for as long as they come. Its image
+// takes no longer on them than fetch, in seconds.
+func (p *planner) makeRoom(i int, zones []int, fetch float64) {
 	best, soonest := []int(nil), math.Inf(1)
 	for _, z := range zones {
-		done, machines, after := p.makeRoomIn(i, z)
+		done, machines, after := p.makeRoomIn(i, z, fetch)
 		if done {
 			return
 		}
@@ -161,10 +166,10 @@
 
 // makeRoomIn makes room in a zone by stopping work, or else returns the machines
 // whose work leaves room for the gang soonest, and in how many seconds.
-func (p *planner) makeRoomIn(i, zone int) (done bool, machines []int, after float64) {
+func (p *planner) makeRoomIn(i, zone int, fetch float64) (done bool, machines []int, after float64) {
 	d := &p.Demands[i]
 	k, planned := p.mark(d), len(p.plan.Preempt)
-	q, need := p.queue(d, zone, false), len(d.Pending)
+	q, need := p.queue(d, zone, fetch == 0), len(d.Pending)
 	for need > 0 {
 		m := q.next(-1)
 		if m < 0 {
@@ -176,7 +181,7 @@
 		need--
 		machines = append(machines, m)
 	}
-	if p.preempt(i, zone, need, math.Inf(1)) == need {
+	if p.preempt(i, zone, need, fetch) == need {
 		return true, nil, 0
 	}
 	for _, e := range p.plan.Preempt[planned:] {
@@ -189,7 +194,7 @@
 	}
 	var all []room
 	p.each(zone, func(mi int, m *Machine) {
-		if p.kept(m, d) || m.Unreliable || !m.Total.Fits(d.Need) || !p.allowed(m, d) || m.Free.Fits(d.Need) {
+		if m.fetch(d) > fetch || p.kept(m, d) || m.Unreliable || !m.Total.Fits(d.Need) || !p.allowed(m, d) || m.Free.Fits(d.Need) {
 			return
 		}
 		if at := p.roomAfter(m, d); !math.IsInf(at, 1) {
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -18,8 +18,6 @@
 type Weights struct {
 	Queue, Jobs, CPU, Price                    float64
 	Image, Sticky, SameZone, Unreliable, Empty float64
-	// Whole is the load of a place for a large task that is broken up.
-	Whole float64
 }
 
 // Amount is what a task takes, or a machine has.
@@ -37,15 +35,6 @@
 	return Amount{a.CPUs + k*b.CPUs, a.GPUs + k*b.GPUs, a.MemGB + k*b.MemGB}
 }
 
-// Less reports whether a is the smaller: by accelerators, where they are scarce they
-// bind, then by CPUs.
-func (a Amount) Less(b Amount) bool {
-	if a.GPUs != b.GPUs {
-		return a.GPUs < b.GPUs
-	}
-	return a.CPUs < b.CPUs
-}
-
 // Times is how many of b fit into a.
 func (a Amount) Times(b Amount) int {
 	n := math.Inf(1)
@@ -161,10 +150,6 @@
 	// Patient: there is time to leave a machine without its image to a demand behind
 	// it that has its own there.
 	Patient bool
-	// Large is the largest task that the machines have to have room for; zero: the
-	// demand's own are as large. LargeSpot: it may run on spot machines.
-	Large     Amount
-	LargeSpot bool
 	// HeldOnly: the machines that are held for the demand are enough for it.
 	HeldOnly bool
 }
@@ -298,9 +283,6 @@
 	if m.Jobs == 0 {
 		l += sq(w.Empty)
 	}
-	if d.Large != (Amount{}) && (d.LargeSpot || !m.Spot) {
-		l += sq(w.Whole * float64(m.Free.Times(d.Large)-m.Free.plus(d.Need, -1).Times(d.Large)))
-	}
 	return l
 }
 
