Tests: what can never run, in accelerators

Cause: submissions were tested by CPUs alone; the further deployment limits accelerators. Change: rows for types without enough of them, limits of a task, an array, a gang and a service, no price list yet. Conclusion: nothing had to be mended.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -319,7 +319,7 @@
 func TestNever(t *testing.T) {
 	types := []wire.MachineType{
 		{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}},
-		{Name: "large", CPUs: 64, MemGB: 128, Zones: []string{"b"}},
+		{Name: "large", CPUs: 64, GPUs: 8, MemGB: 128, Zones: []string{"b"}},
 	}
 	tests := []struct {
 		name  string
@@ -340,10 +340,17 @@
 		{"a service over the limit", func(s *job.Spec) { s.ShapeName, s.Tasks = "daemon", 11 }, false, true, true},
 		{"a gang at the limit", func(s *job.Spec) { s.ShapeName, s.Tasks = "ensemble", 10 }, false, false, true},
 		{"a task over the limit", func(s *job.Spec) { s.CPUs = 11 }, false, true, true},
+		{"more accelerators than any type has", func(s *job.Spec) { s.GPUs = 9 }, false, true, true},
+		{"accelerators that the allowed type has not", func(s *job.Spec) { s.GPUs, s.Types = 1, []string{"small"} }, false, true, true},
+		{"accelerators, no price list yet", func(s *job.Spec) { s.GPUs = 1 }, true, false, false},
+		{"a task over the limit of accelerators", func(s *job.Spec) { s.GPUs = 7 }, false, true, true},
+		{"an array over the limit of accelerators in all", func(s *job.Spec) { s.GPUs, s.Tasks = 2, 100 }, false, false, true},
+		{"a gang over the limit of accelerators", func(s *job.Spec) { s.ShapeName, s.GPUs, s.Tasks = "ensemble", 2, 4 }, false, true, true},
+		{"a service at the limit of accelerators", func(s *job.Spec) { s.ShapeName, s.GPUs, s.Tasks = "daemon", 2, 3 }, false, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := bench(t, config.Team{Name: "red", CPUsMax: 10})
+			r := bench(t, config.Team{Name: "red", CPUsMax: 10, GPUsMax: 6})
 			if !tt.bare {
 				r.learn(types)
 			}
