--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -254,11 +254,14 @@
 		if err := wire.Unmarshal(e.Report, m); err != nil || m.Host != e.Host {
 			return // it was read once by the holder
 		}
-		if fresh, ok := sh.work.observe(h, m, true, now); ok {
-			b.asked = append(b.asked, asked{h, m.Session, m.Seq, fresh})
+		fresh, ok := sh.work.observe(h, m, true, now)
+		if !ok {
+			return
 		}
-		return
+		b.asked = append(b.asked, asked{h, m.Session, m.Seq, fresh})
 	}
+	// The holder may have answered a later report that said the same, also when the
+	// one above was told before and its telling was not acknowledged.
 	deaf := h.Deaf()
 	ev := sh.fleet.Renew(h, e.Session, e.Seq, now.Add(-time.Duration(max(0, e.AgeMs))*time.Millisecond))
 	sh.work.hearing(h, deaf)
--- a/internal/fleet/deaf_test.go
+++ b/internal/fleet/deaf_test.go
@@ -123,6 +123,19 @@
 			b.f.Expire(b.now)
 			b.live(1, "14 s after the first report, 5 s after the one that was overtaken")
 		}},
+		{"21: what was sent directly to a machine that began anew is on it for a lease", func(b *bed) {
+			b.msg(true, 1, 40, term, nil)
+			b.now = b.now.Add(6 * time.Second)
+			b.assign(1)
+			b.compose(0, true)
+			b.msg(false, 1, 1, term, run) // its answer counts as old
+			b.now = b.now.Add(6 * time.Second)
+			b.f.Expire(b.now)
+			b.live(1, "12 s after the last report, 6 s after the launch")
+			b.now = b.now.Add(5 * time.Second)
+			b.f.Expire(b.now)
+			b.live(0, "11 s after the launch")
+		}},
 		{"19: a copy takes nothing of a machine that began anew", func(b *bed) {
 			b.msg(true, 1, 40, term, run)
 			b.now = b.now.Add(time.Second)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,6 +128,9 @@
 	// heard is the last moment from which an answer of ours, of a holder of ours or of
 	// an earlier leader, may have renewed the worker's lease.
 	heard time.Time
+	// called is when a launch was last sent directly. A worker that has begun anew, and
+	// whose messages count as old, may have it for a lease from then.
+	called time.Time
 	// holder is the controller that answers the machine's reports; nil: the leader.
 	holder *Holder
 	// Lost: the lease has run out without a message; nothing is on the machine.
@@ -669,6 +672,9 @@
 				continue
 			}
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
+			if seq == 0 {
+				h.called = now
+			}
 			sent = append(sent, s)
 			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
 		case (seq != 0 || h.holder != nil) && launches && h.Fenced && s.doubtful(now):
@@ -737,7 +743,7 @@
 // these machines.
 func (f *Fleet) Expire(now time.Time) (ev []Event, lost int) {
 	for _, h := range f.order {
-		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease {
+		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease || now.Sub(h.called) < f.Lease {
 			continue
 		}
 		h.Lost, h.LostAt, h.Fenced = true, now, false
