--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -113,6 +113,9 @@
 	go func() {
 		for ad.ctx.Err() == nil {
 			now, v, err := lookup(ad.ctx, ad.c.State, id)
+			if errors.Is(err, errUnreadable) {
+				return // the next audit looks again
+			}
 			if err != nil {
 				ad.pause(300 * time.Millisecond)
 				continue
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -593,3 +593,48 @@
 		}
 	})
 }
+
+// TestUnreadable: a record that does not decode holds back its own job only.
+func TestUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStateService(t)
+		s.put(job.ActivePrefix+"run-4", "no record")
+		s.put(job.DonePrefix+"run-4/0", job.Chunk{})
+		s.put(job.ActivePrefix+"run-5", &job.Record{Spec: job.Spec{ID: "run-5", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}})
+		st := sit(t, s, 7)
+		if p := st.ask(peer.KindStatus, "run-5", nil); p.Status != 200 {
+			t.Errorf("another job's status: %d", p.Status)
+		}
+		if p := st.ask(peer.KindStatus, "run-4", nil); p.Status != 503 {
+			t.Errorf("its own: %d, want 503", p.Status)
+		}
+		if p := st.ask(peer.KindSubmit, "run-6", body("run-6", nil)); p.Status/100 != 2 {
+			t.Errorf("a new job: %d", p.Status)
+		}
+		time.Sleep(2 * auditEvery)
+		if s.absent(job.ActivePrefix+"run-4") || s.absent(job.DonePrefix+"run-4/0") {
+			t.Error("the record, or a result, is gone")
+		}
+		tasks := make(chan int, 1)
+		r := st.current()
+		r.ahead(func() {
+			h := r.fleet.Add("host-1", time.Now())
+			h.Session, h.Known, h.Type, h.Zone = 1, true, 0, 0
+			r.work.handle(r.fleet.Observe(h, &wire.Report{Host: "host-1", Session: 1, Seq: 5, Token: 7,
+				Tasks: []wire.TaskReport{{Task: "run-4/0", Attempt: 1, Phase: wire.Running}}}, true, time.Now(), r.book.find).Events, time.Now())
+		})
+		time.Sleep(time.Second)
+		r.ahead(func() {
+			stopping := 0
+			for _, sl := range r.fleet.Hosts["host-1"].Slots {
+				if sl.Stopping {
+					stopping++
+				}
+			}
+			tasks <- stopping
+		})
+		if <-tasks != 1 {
+			t.Error("its task goes on")
+		}
+	})
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"math"
 	"time"
 
@@ -123,6 +124,15 @@
 func (bk *book) identify(j *job.Job, id string) {
 	for bk.ctx.Err() == nil {
 		rec, version, err := lookup(bk.ctx, bk.c.State, id)
+		if errors.Is(err, errUnreadable) {
+			// What its tasks take of a team's limit will not be known: they stop, and
+			// nothing is placed until they are gone.
+			bk.post(func() {
+				bk.log.Error("a machine runs a task of a job whose record cannot be read, stopping it", "job", id, "error", err)
+				bk.work.stopAll(j)
+			})
+			return
+		}
 		if err != nil {
 			bk.pause(300 * time.Millisecond)
 			continue
--- a/internal/control/shelf.go
+++ b/internal/control/shelf.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -28,13 +29,17 @@
 		}
 		rec := &job.Record{}
 		if err := wire.Unmarshal(e.Value, rec); err != nil {
-			return nil, 0, err
+			return nil, 0, fmt.Errorf("%w: %s: %w", errUnreadable, e.Key, err)
 		}
 		return rec, e.Version, nil
 	}
 	return nil, 0, nil
 }
 
+// errUnreadable is a record that does not decode. It is kept as it is and holds back its
+// own job only; nothing is told of that job, since its end may stand there.
+var errUnreadable = errors.New("record cannot be read")
+
 // find reads a job's record afresh for a node that does not lead. Groups come
 // first: an entry moves from its group to the job's own key, never back.
 func (c *Controller) find(ctx context.Context, id string) (*job.Record, error) {
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -325,10 +325,13 @@
 	}); err != nil {
 		return err
 	}
+	unreadable := map[string]bool{}
 	for _, e := range js {
 		var rec job.Record
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
-			return fmt.Errorf("job %s: %w", e.Key, err)
+			tk.log.Error("a job's record cannot be read, it is kept and the job waits", "key", e.Key, "error", err)
+			unreadable[e.Key[len(job.ActivePrefix):]] = true
+			continue
 		}
 		if tk.groups.has(rec.Spec.ID) {
 			// Another node has admitted the job once more: one record is enough.
@@ -356,6 +359,9 @@
 			}
 		}
 		j := tk.book.get(id)
+		if unreadable[id] {
+			continue
+		}
 		if j == nil {
 			tk.results.drop(e.Key)
 			continue
