--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -201,7 +201,7 @@
 	}
 	zone := func(field, name string) {
 		if name != "" && !slices.Contains(f.Zones, name) {
-			lines = append(lines, fmt.Sprintf("%s: %q is not among facts.zones; its machines are as far as any others", field, name))
+			lines = append(lines, fmt.Sprintf("%s: %q is not among facts.zones; no machine counts as near it", field, name))
 		}
 	}
 	zone("site", s.Site)
