Lead: promises prolong an entitlement, they do not bring a lapsed one back

Cause, by reading: a leader whose entitlement had lapsed went on asking for promises. If another had led meanwhile, cancelled jobs, and ended, siblings that were started anew in the outage knew no term and promised, and the old term answered reports again. Only the state service's word restores it now. A member that keeps up a lapsed reign learns of the later term from the new leader's own question for a promise. The explorer gets terms and a fresh sibling; without the guard it finds 'entitled by term 1 after 2'.

--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -43,18 +43,18 @@
 	Settle func(w W) string
 }
 
-// From plays from each of several starts and returns how many states were seen in
-// all, and the first order that breaks something.
+// From plays from each of several starts, up to the first order that breaks something,
+// and returns how many states were seen in all.
 func (g *Game[W]) From(starts ...[]Step) (states int, broken string) {
 	for _, start := range starts {
 		g.Start = start
 		n, b := g.Play()
 		states += n
-		if broken == "" {
-			broken = b
+		if b != "" {
+			return states, b
 		}
 	}
-	return states, broken
+	return states, ""
 }
 
 // Play explores and returns how many states it has seen, and the first order that
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -73,7 +73,7 @@
 }
 
 // Ask asks a sibling to promise that it does not campaign for a while.
-type Ask func(ctx context.Context, member string, term uint64) (promised bool, err error)
+type Ask func(ctx context.Context, sibling string, term uint64) (promised bool, err error)
 
 // Pledge lets a leader that the state service does not answer go on for as long as
 // every sibling promises not to campaign; length 0: off.
@@ -103,11 +103,16 @@
 	if e.reigning != term || term == 0 {
 		return 0
 	}
-	until := e.until
-	if t := e.pledge.until(); !until.IsZero() && t.After(until) {
-		until = t
+	return max(0, e.entitledUntil().Sub(now))
+}
+
+// entitledUntil is when the entitlement ends without another renewal, by the state
+// service or by the siblings; the caller holds the lock.
+func (e *Elector) entitledUntil() time.Time {
+	if t := e.pledge.until(); !e.until.IsZero() && t.After(e.until) {
+		return t
 	}
-	return max(0, until.Sub(now))
+	return e.until
 }
 
 // probeTime bounds the look whether the state service answers this member.
@@ -115,7 +120,10 @@
 
 // Promise answers a leader that asks whether this member campaigns. It does not for
 // the length of a promise if the state service refuses it as well.
-func (e *Elector) Promise(ctx context.Context, term uint64) bool {
+func (e *Elector) Promise(ctx context.Context, leader string, term uint64) bool {
+	// A member that keeps up a lapsed reign does not promise: if it did not learn here
+	// that it is over, nobody would be entitled while the state service is out.
+	e.Heard(leader, term)
 	e.mu.Lock()
 	off := e.pledge.length == 0 || term < e.view.Term
 	e.mu.Unlock()
@@ -177,7 +185,7 @@
 			}
 			e.mu.Lock()
 			if e.reigning == term {
-				e.pledge.take(m, asked)
+				e.pledge.take(m, asked, time.Now(), e.entitledUntil())
 			}
 			e.mu.Unlock()
 		})
@@ -400,8 +408,9 @@
 }
 
 // renew keeps the lease until it is gone or a later term was heard of. In an
-// outage the entitlement lapses but the reign goes on: leases have their full
-// time again afterwards, so the same term may resume.
+// outage without promises the entitlement lapses but the reign goes on: leases have
+// their full time again afterwards, so the same term may resume once the state
+// service says that the lease is still there. Nobody else's word brings it back.
 func (e *Elector) renew(ctx context.Context, term, lease uint64, deposed <-chan struct{}) {
 	tick := time.NewTimer(e.ttl / 4)
 	defer tick.Stop()
@@ -433,7 +442,9 @@
 			return
 		default:
 			e.log.Debug("lease renewal failed", "error", err)
-			e.askAll(ctx, term)
+			if e.Entitled(term) {
+				e.askAll(ctx, term)
+			}
 			wait = askEvery
 		}
 		tick.Reset(wait)
--- a/internal/lead/pledge.go
+++ b/internal/lead/pledge.go
@@ -72,9 +72,14 @@
 	return true
 }
 
-// take notes a sibling's promise, which was asked for at the time given.
-func (p *pledge) take(member string, asked time.Time) {
-	p.got[member] = asked.Add(p.length)
+// take notes a sibling's promise, which was asked for at the time given. It only
+// prolongs an entitlement: after a lapse another may have led, and ended, and told
+// users what this leader does not know. A sibling that was started anew since knows
+// nothing of that and would promise.
+func (p *pledge) take(member string, asked, now, entitled time.Time) {
+	if now.Before(entitled) {
+		p.got[member] = asked.Add(p.length)
+	}
 }
 
 // until is when the first of the promises ends; zero: one is missing.
--- a/internal/lead/pledge_test.go
+++ b/internal/lead/pledge_test.go
@@ -20,6 +20,7 @@
 	fromAsking        // a promise counts from when it was asked for, not from its answer
 	all               // every sibling has to have promised
 	notMeantime       // a member that campaigns does not promise
+	unbroken          // a promise does not bring a lapsed entitlement back
 )
 
 const (
@@ -32,6 +33,7 @@
 type member struct {
 	p       *pledge
 	reigns  bool
+	term    int // of its last reign
 	until   time.Time
 	trying  bool // an election that has begun and is not settled
 	refused bool // by the state service alone
@@ -47,6 +49,7 @@
 	down    bool
 	holder  int // -1: none
 	expires time.Time
+	term    int // the last one
 	m       [3]member
 }
 
@@ -67,6 +70,10 @@
 func (w *world) served(i int) bool { return !w.down && !w.m[i].refused }
 
 func (w *world) entitled(i int) bool {
+	return w.m[i].reigns && w.now.Before(w.entitledUntil(i))
+}
+
+func (w *world) entitledUntil(i int) time.Time {
 	m := &w.m[i]
 	until := m.until
 	t := m.p.until()
@@ -80,7 +87,7 @@
 	if t.After(until) {
 		until = t
 	}
-	return m.reigns && w.now.Before(until)
+	return until
 }
 
 var actions = []explore.Action[*world]{
@@ -136,11 +143,12 @@
 			return true
 		}
 		w.holder, w.expires = i, w.now.Add(ttl)
-		m.reigns, m.until = true, w.now.Add(ttl-50*time.Millisecond)
+		w.term++
+		m.reigns, m.term, m.until = true, w.term, w.now.Add(ttl-50*time.Millisecond)
 		return true
 	}},
 	// The leader, member 0 in most plays, asks a sibling, which answers at once; the
-	// answer may come late.
+	// answer may come late. No sibling knows of a later term than the leader's.
 	{Name: "ask", Each: 2, Do: func(w *world, i int) bool {
 		m, s := &w.m[0], &w.m[1+i]
 		if !m.reigns || w.served(0) {
@@ -164,7 +172,11 @@
 		if w.out == fromAsking {
 			asked = w.now
 		}
-		m.p.take(fmt.Sprint(1+i), asked)
+		entitled := w.entitledUntil(0)
+		if w.out == unbroken {
+			entitled = w.now.Add(ttl)
+		}
+		m.p.take(fmt.Sprint(1+i), asked, w.now, entitled)
 		return true
 	}},
 	{Name: "end", Each: 2, Do: func(w *world, i int) bool { w.start(i); return true }},
@@ -179,8 +191,12 @@
 func (w *world) Broken() string {
 	var leads []string
 	for i := range w.m {
-		if w.entitled(i) {
-			leads = append(leads, fmt.Sprint(i))
+		if !w.entitled(i) {
+			continue
+		}
+		leads = append(leads, fmt.Sprint(i))
+		if w.m[i].term < w.term {
+			return fmt.Sprintf("%d is entitled by term %d after %d", i, w.m[i].term, w.term)
 		}
 	}
 	if len(leads) > 1 {
@@ -195,7 +211,7 @@
 	p.At(w.expires)
 	for i := range w.m {
 		m := &w.m[i]
-		p.Say("|", m.reigns, m.trying, m.refused, m.p.campaigns, len(m.p.idle))
+		p.Say("|", m.reigns, w.term-m.term, m.trying, m.refused, m.p.campaigns, len(m.p.idle))
 		p.At(m.until, m.p.given, m.p.born.Add(length+m.p.slip()))
 		for j := range 3 {
 			p.At(m.p.got[fmt.Sprint(j)], m.answers[j])
@@ -217,18 +233,24 @@
 		{"a promise counted from its answer", fromAsking},
 		{"not every sibling has promised", all},
 		{"a promise during an election", notMeantime},
+		{"a promise after a lapse", unbroken},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			g := &explore.Game[*world]{New: func() *world { return newWorld(tt.out) }, Actions: actions, Most: 2000}
-			one := func(name string) []explore.Step { return g.Steps(2, name)[1:] }
+			one := func(name string) []explore.Step { return g.Steps(2, name)[1:] } // for the second thing alone
 			leads := slices.Concat(g.Steps(1, "campaign", "elected"))
 			refused := slices.Concat(leads, g.Steps(3, "refuse"), g.Steps(1, "tick", "tick", "tick"))
 			asked := slices.Concat(refused, g.Steps(2, "ask"))
-			states, broken := g.From(leads, refused, asked, slices.Concat(asked, g.Steps(2, "answer")),
-				slices.Concat(asked, g.Steps(1, "tick"), g.Steps(2, "answer")), // late
-				// A sibling is in an election, and is refused again, when it is asked.
-				slices.Concat(refused, g.Steps(1, "tick"), one("refuse"), one("campaign"), one("refuse"), g.Steps(2, "ask")))
+			// The leader's entitlement lapses, another leads, and the state service is out
+			// for all. The other may end and begin anew.
+			led := slices.Concat(refused, g.Steps(1, "tick"), one("refuse"), one("campaign"), one("elected"), g.Steps(1, "outage"))
+			// Asked while the lease lasts, answered when it has nearly ended.
+			late := slices.Concat(leads, g.Steps(3, "refuse"), g.Steps(1, "tick"), g.Steps(2, "ask"), g.Steps(1, "tick", "tick"), g.Steps(2, "answer"))
+			// A sibling has been in an election since before the leader won it.
+			trying := slices.Concat(one("campaign"), refused, g.Steps(2, "ask", "answer"))
+			states, broken := g.From(leads, refused, asked, slices.Concat(asked, g.Steps(2, "answer")), late,
+				slices.Concat(refused, one("ask"), one("answer")), trying, led, slices.Concat(led, one("end"), g.Steps(2, "ask")))
 			t.Logf("%d states: %s", states, broken)
 			if (broken != "") != (tt.out != none) {
 				t.Errorf("after %d states: %q", states, broken)
@@ -262,11 +284,16 @@
 			return p.campaign(now)
 		}, false},
 		{"the leader counts from the first promise that ends", func(p *pledge) bool {
-			p.take("a", late)
+			p.take("a", late, late, late.Add(time.Second))
 			missing := p.until().IsZero()
-			p.take("b", late.Add(time.Second))
+			p.take("b", late.Add(time.Second), late, late.Add(time.Second))
 			return missing && p.until().Equal(late.Add(length))
 		}, true},
+		{"the last of them comes after the entitlement has lapsed", func(p *pledge) bool {
+			p.take("a", late, late, late.Add(time.Second))
+			p.take("b", late, late.Add(time.Second), late.Add(time.Second))
+			return !p.until().IsZero()
+		}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,8 +71,8 @@
 	for i := range set.Siblings {
 		siblings[i] = set.Siblings[i].Member
 	}
-	n.elector.Pledge(time.Duration(tun.PromiseMs)*time.Millisecond, siblings, func(ctx context.Context, member string, term uint64) (bool, error) {
-		p, err := n.mesh.Promise(ctx, member, &peer.Plea{Term: term})
+	n.elector.Pledge(time.Duration(tun.PromiseMs)*time.Millisecond, siblings, func(ctx context.Context, sibling string, term uint64) (bool, error) {
+		p, err := n.mesh.Promise(ctx, sibling, &peer.Plea{Leader: set.Member, Term: term})
 		return err == nil && p.Given, err
 	})
 	mesh, err := peer.Dial(set.Siblings, nw.Dial)
@@ -266,7 +266,7 @@
 
 // Promise implements peer.Handler.
 func (n *Node) Promise(ctx context.Context, q *peer.Plea) *peer.Promise {
-	return &peer.Promise{Given: n.elector.Promise(ctx, q.Term)}
+	return &peer.Promise{Given: n.elector.Promise(ctx, q.Leader, q.Term)}
 }
 
 // Sync implements peer.Handler: only a leader gives shares.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -118,7 +118,8 @@
 
 // Plea is what a leader says that the state service does not answer.
 type Plea struct {
-	Term uint64 `codec:"term"`
+	Leader string `codec:"leader"`
+	Term   uint64 `codec:"term"`
 }
 
 // Promise is the answer to a plea.
