Cancellation: tasks of jobs that a leader has not loaded are stopped at once, not when their record is read

Cause, by reading the gap: a machine that a leader meets late (cut, hung, or with the old leader until then) shows a task of a job that was cancelled and has left the book. It was stopped only once its record was read; in an outage that never came, while each answer renewed the lease for longer than cancel_s. All active jobs are loaded before the first answer, so what is not known is over. TestStranger, seen to fail before.

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -44,6 +44,7 @@
 	most  int    // writes in a transaction
 	txns  int    // that wrote jobs
 	mute  bool   // watches tell of nothing
+	out   bool   // an outage: nothing is executed
 	conns chan net.Conn
 	ended chan struct{} // a dial may still come when the service has ended
 }
@@ -150,6 +151,8 @@
 	defer s.mu.Unlock()
 	path := q.URL.Path
 	switch {
+	case s.out:
+		answer(503, map[string]any{})
 	case path == "/commit":
 		b, _ := io.ReadAll(q.Body)
 		var t state.Txn
@@ -616,24 +619,61 @@
 			t.Error("the record, or a result, is gone")
 		}
 		// A task of it is stopped, and so is one that another machine shows later.
-		for _, name := range []string{"host-1", "host-2"} {
-			stops := make(chan bool, 1)
-			r := st.current()
-			r.ahead(func() {
-				h := r.fleet.Add(name, time.Now())
-				h.Known, h.Type, h.Zone = true, 0, 0
-				r.work.observe(h, &wire.Report{Host: name, Session: 1, Seq: 5, Token: 7,
-					Tasks: []wire.TaskReport{{Task: "run-4/0", Attempt: 1, Phase: wire.Running}}}, true, time.Now())
-			})
-			time.Sleep(time.Second)
-			r.ahead(func() {
-				for _, sl := range r.fleet.Hosts[name].Slots {
-					stops <- sl.Stopping
-				}
-			})
-			if !<-stops {
-				t.Errorf("its task on %s goes on", name)
+		for _, host := range []string{"host-1", "host-2"} {
+			if !st.stops(host, "run-4/0") {
+				t.Errorf("its task on %s goes on", host)
 			}
 		}
 	})
 }
+
+// stops reports whether the leader stops a task that a machine shows running.
+func (st *seat) stops(host, task string) bool {
+	stopping := make(chan bool, 1)
+	r := st.current()
+	r.ahead(func() {
+		h := r.fleet.Add(host, time.Now())
+		h.Known, h.Type, h.Zone = true, 0, 0
+		r.work.observe(h, &wire.Report{Host: host, Session: 1, Seq: 5, Token: st.term,
+			Tasks: []wire.TaskReport{{Task: task, Attempt: 1, Phase: wire.Running}}}, true, time.Now())
+	})
+	time.Sleep(time.Second)
+	r.ahead(func() {
+		for _, sl := range r.fleet.Hosts[host].Slots {
+			stopping <- sl.Stopping
+		}
+	})
+	return <-stopping
+}
+
+// TestStranger: a machine that is met late shows a task of a job that is over and that
+// this leader has not loaded, or has let go of, while the state service is out. It is
+// stopped all the same: its user may have been told that it is cancelled, and each
+// answer renews the machine's lease.
+func TestStranger(t *testing.T) {
+	tests := []struct {
+		name  string
+		phase string // of its record; empty: there is none
+	}{
+		{"cancelled through the leader before", wire.JobAborted},
+		{"done", wire.JobDone},
+		{"never heard of", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStateService(t)
+				if tt.phase != "" {
+					s.put(job.FinalPrefix+"run-4", &job.Record{Spec: job.Spec{ID: "run-4", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}, Phase: tt.phase})
+				}
+				st := sit(t, s, 7)
+				s.mu.Lock()
+				s.out = true
+				s.mu.Unlock()
+				if !st.stops("host-1", "run-4/0") {
+					t.Error("the task goes on, and its machine's lease is renewed")
+				}
+			})
+		})
+	}
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -25,12 +25,10 @@
 	// strangers are jobs that a report named and no record was loaded for: what
 	// they take of a machine is not known until their record is read.
 	strangers map[*job.Job]bool
-	// unreadable are the strangers whose records do not decode.
-	unreadable map[*job.Job]bool
 }
 
 func newBook(co *core) *book {
-	bk := &book{core: co, strangers: map[*job.Job]bool{}, unreadable: map[*job.Job]bool{}}
+	bk := &book{core: co, strangers: map[*job.Job]bool{}}
 	bk.reset()
 	return bk
 }
@@ -63,10 +61,6 @@
 // stranger reports whether a job's record is not known yet.
 func (bk *book) stranger(j *job.Job) bool { return bk.strangers[j] }
 
-// hopeless reports whether a job's record cannot be read: what its tasks take will not
-// be known, so that they have to go.
-func (bk *book) hopeless(j *job.Job) bool { return bk.unreadable[j] }
-
 // strange are the jobs whose records are not known yet.
 func (bk *book) strange() map[*job.Job]bool { return bk.strangers }
 
@@ -131,13 +125,9 @@
 	for bk.ctx.Err() == nil {
 		rec, version, err := lookup(bk.ctx, bk.c.State, id)
 		if errors.Is(err, errUnreadable) {
-			// What its tasks take of a team's limit will not be known: they stop, now and
-			// wherever one is met later, and nothing is placed until they are gone.
-			bk.post(func() {
-				bk.log.Error("a machine runs a task of a job whose record cannot be read, stopping it", "job", id, "error", err)
-				bk.unreadable[j] = true
-				bk.work.stopAll(j)
-			})
+			// What its tasks take of a team's limit will not be known: nothing is placed
+			// until they are gone.
+			bk.log.Error("a machine runs a task of a job whose record cannot be read", "job", id, "error", err)
 			return
 		}
 		if err != nil {
@@ -156,9 +146,6 @@
 			for _, h := range bk.fleet.All() {
 				h.Recount()
 			}
-			if j.Phase != "" {
-				bk.work.stopAll(j)
-			}
 			bk.changed()
 		})
 		return
@@ -217,7 +204,6 @@
 			delete(bk.byID, bk.ids[j])
 			delete(bk.ids, j)
 			delete(bk.strangers, j)
-			delete(bk.unreadable, j)
 		}
 	}
 }
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -43,7 +43,11 @@
 		wk.changed()
 	}
 	for _, s := range h.Slots {
-		if s.On() && s.Job.Phase+s.Job.Closing != "" && (!wk.book.stranger(s.Job) || wk.book.hopeless(s.Job)) && !s.Stopping {
+		// Also of a job that is not known here. All that was active is loaded, so it is
+		// over, or its record cannot be read. Its record is read to know what it takes; in
+		// an outage that takes long, and its lease must not be renewed meanwhile for a task
+		// whose user may have been told that it is cancelled.
+		if s.On() && s.Job.Phase+s.Job.Closing != "" && !s.Stopping {
 			wk.handle(wk.fleet.Stop(s, 0), now)
 		}
 		if s.Job.Shape == job.Gang && s.On() {
