Late transactions: results are written on their version; a halt without grace is repeated while a task saves

A write of results had the term alone as its condition. One without an answer that the service carried out 2 to 12 s later, after a newer one, took results back: after a change of leader their tasks ran again (TestLate, 2 results known of 4 before, 4 now). A lost halt to a cancelled task that was saving was not repeated: it went on for as long as it saved (TestLedger 15).

--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
@@ -31,6 +32,7 @@
 	served  fate = iota
 	unheard      // applied, and the answer is lost
 	late         // the answer is lost, and it is applied a second later
+	latest       // and eight seconds later, after newer ones
 	never        // never applied, no answer
 )
 
@@ -176,8 +178,8 @@
 			return
 		case unheard:
 			s.apply(t)
-		case late:
-			time.AfterFunc(time.Second, func() {
+		case late, latest:
+			time.AfterFunc(map[fate]time.Duration{late: time.Second, latest: 8 * time.Second}[f], func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.apply(t)
@@ -627,23 +629,30 @@
 	})
 }
 
-// stops reports whether the leader stops a task that a machine shows running.
-func (st *seat) stops(host, task string) bool {
-	stopping := make(chan bool, 1)
+// shows lets a machine report, and returns what the leader then has of it.
+func (st *seat) shows(host string, seq uint64, tasks ...wire.TaskReport) (slots []fleet.Slot) {
 	r := st.current()
 	r.ahead(func() {
 		h := r.fleet.Add(host, time.Now())
 		h.Known, h.Type, h.Zone = true, 0, 0
-		r.work.observe(h, &wire.Report{Host: host, Session: 1, Seq: 5, Token: st.term,
-			Tasks: []wire.TaskReport{{Task: task, Attempt: 1, Phase: wire.Running}}}, true, time.Now())
+		r.work.observe(h, &wire.Report{Host: host, Session: 1, Seq: seq, Token: st.term, Tasks: tasks}, true, time.Now())
 	})
 	time.Sleep(time.Second)
+	done := make(chan struct{})
 	r.ahead(func() {
+		defer close(done)
 		for _, sl := range r.fleet.Hosts[host].Slots {
-			stopping <- sl.Stopping
+			slots = append(slots, *sl)
 		}
 	})
-	return <-stopping
+	<-done
+	return slots
+}
+
+// stops reports whether the leader stops a task that a machine shows running.
+func (st *seat) stops(host, task string) bool {
+	slots := st.shows(host, 5, wire.TaskReport{Task: task, Attempt: 1, Phase: wire.Running})
+	return len(slots) == 1 && slots[0].Stopping
 }
 
 // TestStranger: a machine that is met late shows a task of a job that is over and that
@@ -677,3 +686,41 @@
 		})
 	}
 }
+
+// TestLate: a write of results has no answer and is carried out after a newer one. What
+// the newer one says stands, also for the next leader.
+func TestLate(t *testing.T) {
+	tests := []struct {
+		name  string
+		fates []fate // of the writes of results
+	}{
+		{"the first", []fate{latest}},
+		{"the second", []fate{served, latest}},
+		{"two in a row", []fate{served, latest, latest}},
+		{"applied, its answer lost", []fate{served, unheard}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStateService(t)
+				s.put(job.ActivePrefix+"run-4", &job.Record{Spec: job.Spec{ID: "run-4", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 5, CPUs: 1}})
+				st := sit(t, s, 7)
+				s.will(job.DonePrefix[:1], tt.fates...)
+				for i := range 4 {
+					st.shows("host-1", uint64(1+i), wire.TaskReport{Task: fmt.Sprintf("run-4/%d", i), Attempt: 1, Phase: wire.Exited, Cause: wire.CauseDone})
+					time.Sleep(2 * time.Second)
+				}
+				time.Sleep(20 * time.Second)
+				if _, left := s.seen(); left > 0 {
+					t.Errorf("%d writes did not come", left)
+				}
+				st.stop()
+				next := sit(t, s, 8)
+				var got wire.Status
+				if p := next.ask(peer.KindStatus, "run-4", nil); wire.Unmarshal(p.Body, &got) != nil || got.Done != 4 {
+					t.Errorf("the next leader knows %d results of 4", got.Done)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"errors"
 	"time"
 
 	"vetchstream/internal/fleet"
@@ -81,14 +82,14 @@
 		c int
 	}
 	var parts []part
-	var writes []state.Write
+	txn := state.Txn{If: []state.Cond{rs.fence}}
 	settle := map[*job.Job][]*fleet.Slot{}
 	for j := range rs.unstored {
 		if j.Closing != "" || j.Phase != "" {
 			continue
 		}
 		dirty := j.Dirty()
-		if len(dirty) == 0 || (len(writes) > 0 && len(writes)+len(dirty) > rs.writer.size()) {
+		if n := len(txn.Writes); len(dirty) == 0 || (n > 0 && n+len(dirty) > rs.writer.size()) {
 			continue
 		}
 		for _, c := range dirty {
@@ -96,32 +97,59 @@
 			if err != nil {
 				continue
 			}
-			j.MarkSaved(c) // it may exist from the moment the commit is sent
-			parts, writes = append(parts, part{j, c}), append(writes, w)
+			v := j.ChunkVersion(c)
+			j.MarkSaved(c, v) // it may exist from the moment the commit is sent
+			parts, txn.Writes = append(parts, part{j, c}), append(txn.Writes, w)
+			txn.If = append(txn.If, state.Cond{Key: w.Put, Version: v})
 		}
 		settle[j] = rs.unstored[j]
 		delete(rs.unstored, j)
 	}
-	if len(writes) == 0 {
+	if len(parts) == 0 {
 		return
 	}
+	// On each chunk's version: a try without an answer that is carried out after a newer
+	// one would take results back, and their tasks would run again after a change of
+	// leader.
 	rs.flushing, rs.flushAt = true, now.Add(time.Second)
-	rs.writer.write(writes, func(err error) {
-		rs.flushing = false
-		rs.writer.smaller(err)
+	go func() {
+		version, err := rs.c.State.Commit(rs.ctx, txn)
+		found := map[part]uint64{}
+		if err != nil {
+			rs.pause(200 * time.Millisecond)
+		}
 		for _, p := range parts {
-			if err != nil {
-				p.j.MarkDirty(p.c)
+			if err == nil {
+				found[p] = version
+				continue
 			}
-		}
-		for j, ss := range settle {
-			if err != nil {
-				rs.unstored[j] = append(rs.unstored[j], ss...)
+			if !errors.Is(err, state.ErrConflict) {
 				continue
 			}
-			for _, s := range ss {
-				s.Settled = true
+			if e, gerr := rs.c.State.Get(rs.ctx, p.j.ChunkKey(p.c)); gerr == nil || errors.Is(gerr, state.ErrNotFound) {
+				found[p] = e.Version
 			}
 		}
-	})
+		rs.post(func() {
+			rs.flushing = false
+			rs.writer.smaller(err)
+			for p, v := range found {
+				p.j.MarkSaved(p.c, v)
+			}
+			for _, p := range parts {
+				if err != nil {
+					p.j.MarkDirty(p.c)
+				}
+			}
+			for j, ss := range settle {
+				if err != nil {
+					rs.unstored[j] = append(rs.unstored[j], ss...)
+					continue
+				}
+				for _, s := range ss {
+					s.Settled = true
+				}
+			}
+		})
+	}()
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -370,7 +370,7 @@
 		if err := wire.Unmarshal(e.Value, &ch); err != nil {
 			return fmt.Errorf("key %s: %w", e.Key, err)
 		}
-		if err := j.LoadChunk(c, ch); err != nil {
+		if err := j.LoadChunk(c, ch, e.Version); err != nil {
 			return err
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -636,6 +636,13 @@
 // haltEvery is how often a halt is repeated while its task is still there.
 const haltEvery = 1500 * time.Millisecond
 
+// haltDue reports whether a halt is to be sent, again or for the first time. One that
+// is saving is left to it, unless it has no time to save: its job is cancelled, and a
+// lost halt would let it save for as long as it likes.
+func (s *Slot) haltDue(now time.Time) bool {
+	return s.Stopping && s.On() && (s.Halted.IsZero() || now.Sub(s.Halted) >= haltEvery && (s.Phase != wire.Saving || s.Grace == 0))
+}
+
 // doubtTime is how old a direct launch must be, that nothing has settled, before
 // it is sent once more. A direct command ends sooner.
 const doubtTime = 4 * time.Second
@@ -686,7 +693,7 @@
 				s.Halted = now
 				orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
 			}
-		case s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)):
+		case s.haltDue(now):
 			s.Halted = now
 			orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
 		case seq != 0 && !s.On() && s.Settled && s.again.IsZero():
@@ -720,7 +727,7 @@
 		if h.holder != nil && s.doubtful(now) {
 			return true // its reports are answered without us
 		}
-		if s.Stopping && s.On() && (s.Halted.IsZero() || (now.Sub(s.Halted) >= haltEvery && s.Phase != wire.Saving)) {
+		if s.haltDue(now) {
 			return true
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -119,6 +119,21 @@
 			b.msg(true, 1, 2, term, nil)
 			b.live(0, "after the next report")
 		}},
+		{"15: a halt without grace is repeated also while the task saves, one with grace is not", func(b *bed) {
+			b.msg(true, 1, 1, term, run)
+			for s := range b.f.On(b.j) {
+				b.f.Stop(s, 5)
+				b.orders(b.compose(1, true), "halt 1;")
+				b.msg(true, 1, 2, term, map[uint64]string{1: wire.Saving})
+				b.now = b.now.Add(haltEvery)
+				b.orders(b.compose(2, true), "")
+				b.f.Stop(s, 0) // its job is cancelled
+			}
+			for range 2 {
+				b.orders(b.compose(2, true), "halt 1;")
+				b.now = b.now.Add(haltEvery)
+			}
+		}},
 		{"8: the answer to a direct command does not settle it", func(b *bed) {
 			b.msg(true, 1, 1, term, nil)
 			b.assign(1)
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -68,7 +68,7 @@
 	done      []uint64
 	DoneCount int
 	dirty     map[int]bool
-	saved     map[int]bool // chunks that exist as keys
+	saved     map[int]uint64 // versions of the chunks that may exist as keys
 
 	// Quota is which replicas of a service may run while it is rolled out; nil: all.
 	Quota *Quota
@@ -122,7 +122,7 @@
 		Spec: r.Spec, Shape: shapes[r.Spec.ShapeName], Rank: ranks[r.Spec.RankName],
 		TeamIdx: -1, ZoneIdx: -1, ImageIdx: -1, LastHost: -1,
 		At: r.At, Phase: r.Phase, Submitted: submitted, WaitFrom: submitted,
-		done: make([]uint64, (r.Spec.Tasks+63)/64), dirty: map[int]bool{}, saved: map[int]bool{},
+		done: make([]uint64, (r.Spec.Tasks+63)/64), dirty: map[int]bool{}, saved: map[int]uint64{},
 		Live: map[int32]int{}, ErrorHosts: map[string]bool{}, RunsOn: map[string]Runs{},
 	}
 }
@@ -293,8 +293,12 @@
 // MarkDirty notes that a chunk has to be stored.
 func (j *Job) MarkDirty(c int) { j.dirty[c] = true }
 
-// MarkSaved notes that a chunk exists as a key.
-func (j *Job) MarkSaved(c int) { j.saved[c] = true }
+// MarkSaved notes that a chunk may exist as a key, and its version; 0: it did not when
+// it was last read.
+func (j *Job) MarkSaved(c int, version uint64) { j.saved[c] = version }
+
+// ChunkVersion is the version of a chunk's key as far as it is known; 0: none.
+func (j *Job) ChunkVersion(c int) uint64 { return j.saved[c] }
 
 // SavedChunks returns the chunks that may exist as keys.
 func (j *Job) SavedChunks() []int {
@@ -306,7 +310,7 @@
 }
 
 // LoadChunk takes in a stored chunk.
-func (j *Job) LoadChunk(c int, ch Chunk) error {
+func (j *Job) LoadChunk(c int, ch Chunk, version uint64) error {
 	b, err := base64.StdEncoding.DecodeString(ch.Bits)
 	if err != nil {
 		return fmt.Errorf("job %s: chunk %d: %w", j.ID, c, err)
@@ -321,7 +325,7 @@
 		j.done[len(j.done)-1] &= 1<<r - 1
 	}
 	j.recount()
-	j.saved[c] = true
+	j.saved[c] = version
 	return nil
 }
 
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -82,7 +82,7 @@
 		if b, err := wire.Marshal(ch); err != nil || len(b) > 16<<10 {
 			t.Fatalf("chunk %d: %d bytes, %v", c, len(b), err)
 		}
-		if err := k.LoadChunk(c, ch); err != nil {
+		if err := k.LoadChunk(c, ch, 1); err != nil {
 			t.Fatal(err)
 		}
 	}
