--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -115,7 +115,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.judge.told[id] = phase
-	if phase == wire.JobAborted {
+	w.cancelled(id, phase)
+}
+
+// cancelled notes when a user was first told that a job is cancelled, by whichever
+// controller and in answer to whatever; the caller holds the lock.
+func (w *World) cancelled(id, phase string) {
+	if _, known := w.judge.aborted[id]; phase == wire.JobAborted && !known {
 		w.judge.aborted[id] = time.Now()
 	}
 }
@@ -143,6 +149,7 @@
 	}
 	if phase == wire.JobDone || phase == wire.JobAborted {
 		w.judge.told[spec.ID] = phase
+		w.cancelled(spec.ID, phase)
 		return phase
 	}
 	return before
--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -27,7 +27,8 @@
 	refuse  func(from string) bool
 	ops     int // the most writes in a transaction
 	slow    time.Duration
-	page    int // entries in a listing
+	late    func() time.Duration // what becomes of a transaction; 0: it is served
+	page    int                  // entries in a listing
 	changed chan struct{}
 }
 
@@ -58,6 +59,14 @@
 	s.mu.Unlock()
 }
 
+// Late lets transactions go without an answer for as long as f says, each time that it
+// is asked, and carries them out then; nil: all are served.
+func (s *Store) Late(f func() time.Duration) {
+	s.mu.Lock()
+	s.late = f
+	s.mu.Unlock()
+}
+
 // Slow makes every answer but those of watches take that much longer.
 func (s *Store) Slow(d time.Duration) {
 	s.mu.Lock()
@@ -171,6 +180,20 @@
 	}
 	s.expire()
 	path := q.URL.Path
+	var t state.Txn
+	if path == "/commit" && (!decode(q, &t) || len(t.Writes) > s.ops) {
+		encode(w, 400, wire.Error{Error: "malformed"})
+		return
+	}
+	if path == "/commit" && s.late != nil {
+		if d := s.late(); d > 0 {
+			// Its sender gives up long before. What it says is carried out all the same.
+			s.mu.Unlock()
+			time.Sleep(d)
+			s.mu.Lock()
+			s.expire()
+		}
+	}
 	switch {
 	case path == "/kv":
 		under, after := q.URL.Query().Get("under"), q.URL.Query().Get("after")
@@ -190,11 +213,6 @@
 		}
 		encode(w, 200, e)
 	case path == "/commit":
-		var t state.Txn
-		if !decode(q, &t) || len(t.Writes) > s.ops {
-			encode(w, 400, wire.Error{Error: "malformed"})
-			return
-		}
 		var failed []string
 		for _, c := range t.If {
 			if s.kv[c.Key].Version != c.Version {
--- /dev/null
+++ b/internal/node/meetings_test.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"vetchstream/internal/job"
+)
+
+// Meetings of two troubles. Each day is judged by the rules; a cancellation counts from
+// the first answer of any controller that says so.
+
+// cancelling adds long jobs to a site, cancelled one after the other over a time.
+func cancelling(st site, from, every time.Duration) site {
+	begin := st.begin
+	st.begin = func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+		begin(s, add)
+		for i := range 16 {
+			add(&job.Spec{Team: "blue", Class: "cancelled", ShapeName: "array", RankName: "urgent", Tasks: 2 * st.scale, CPUs: 1, MemGB: 1, EstimateS: 90, Spot: true},
+				2*time.Second, from+time.Duration(i)*every-2*time.Second)
+		}
+	}
+	return st
+}
+
+// refuseThenOut lets the state service refuse the leader alone, and then everybody for a
+// while.
+func refuseThenOut(shift, out time.Duration) func(*sim) {
+	return func(s *sim) {
+		l := fmt.Sprintf("n%d", s.leader())
+		s.store.Refuse(func(from string) bool { return from == l })
+		time.Sleep(shift)
+		outage(out)(s)
+	}
+}
+
+// together lets troubles begin at their times and overlap.
+func together(fs ...fault) []fault {
+	return []fault{{0, func(s *sim) {
+		var wg sync.WaitGroup
+		for _, f := range fs {
+			wg.Go(func() {
+				time.Sleep(f.at)
+				f.do(s)
+			})
+		}
+		wg.Wait()
+	}}}
+}
+
+// TestGap: the state service refuses the leader alone, another may take the lead and
+// confirm cancellations, and then it is out for all for longer than cancel_s.
+func TestGap(t *testing.T) {
+	sec := time.Second
+	const out = 32 * time.Second
+	at := 16 * sec
+	st := func(nodes int) site {
+		if nodes == 3 {
+			return cancelling(plain(3, 1, nil), 15*sec, 600*time.Millisecond)
+		}
+		return cancelling(plain(nodes, 1, shared), 15*sec, 600*time.Millisecond)
+	}
+	var days []day
+	for _, shift := range []time.Duration{500, 2000, 3300, 3800, 4500, 6000, 8000} {
+		days = append(days, day{fmt.Sprintf("the outage %d ms after the refusal", shift), together(fault{at, refuseThenOut(shift*time.Millisecond, out)})})
+	}
+	playOn(t, st(3), nil, days)
+	playOn(t, st(5), nil, []day{
+		{"five controllers with shares", together(fault{at, refuseThenOut(5*sec, out)})},
+		{"machines that hang over it", together(fault{at, refuseThenOut(5*sec, out)}, fault{at - 2*sec, hang(rng(70), 4, 9*sec)})},
+		{"machines that hear nothing", together(fault{at, refuseThenOut(5*sec, out)}, fault{at, deafen(71, 4, everybody, 15*sec)})},
+	})
+	playOn(t, st(3), nil, []day{
+		{"a zone cut over it", together(fault{at, refuseThenOut(4500*time.Millisecond, out)}, fault{at - 2*sec, cutZone("a", 9*sec)})},
+		{"machines that hang over it, three controllers", together(fault{at, refuseThenOut(5*sec, out)}, fault{at - 2*sec, hang(rng(70), 4, 9*sec)})},
+		{"the new leader and another begin anew in the outage", together(fault{at, refuseThenOut(5*sec, out)}, fault{at + 9*sec, func(s *sim) {
+			flick(0, 300*time.Millisecond)(s)
+			flick(1, 300*time.Millisecond)(s)
+			flick(2, 300*time.Millisecond)(s)
+		}})},
+	})
+}
+
+// lateWrites lets a share of the transactions go unanswered for a while; each is carried
+// out 2 to 12 s later.
+func lateWrites(seed uint64, share float64, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		var mu sync.Mutex
+		r := rng(seed)
+		s.store.Late(func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Float64() >= share {
+				return 0
+			}
+			return 2*time.Second + time.Duration(r.Int64N(int64(10*time.Second)))
+		})
+		time.Sleep(d)
+		s.store.Late(nil)
+	}
+}
+
+// TestMeetings plays the other meetings of two troubles.
+func TestMeetings(t *testing.T) {
+	sec := time.Second
+	few := func(st site) site { // jobs of two and three tasks that end far apart
+		begin := st.begin
+		st.begin = func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+			begin(s, add)
+			for i := range 12 {
+				sp := &job.Spec{Team: "blue", Class: "few", ShapeName: "array", RankName: "standard", Tasks: 2 + i%2, CPUs: 1, MemGB: 1, EstimateS: float64(4 + 3*i), Spot: true}
+				add(sp, time.Duration(4+2*i)*sec, 0)
+			}
+		}
+		return st
+	}
+	playOn(t, cancelling(plain(3, 1, nil), 12*sec, sec), nil, []day{
+		{"1: hand-over and back, all end, one returns at once", together(fault{12 * sec, func(s *sim) {
+			refuseLeader(4 * sec)(s)
+			refuseLeader(4 * sec)(s)
+			for i := range s.nodes {
+				s.kill(i)
+			}
+			time.Sleep(400 * time.Millisecond)
+			s.startNode(1)
+			time.Sleep(6 * sec)
+			s.startNode(0)
+			s.startNode(2)
+		}})},
+		{"2: old reports after newer ones, over a change of leader and a return", together(fault{8 * sec, lateCopies(12*sec, 9*sec)}, fault{14 * sec, die(rng(72), 2)}, fault{25 * sec, crash(1)})},
+		{"3: the leader ends while machines with long tasks hang or do not hear the next", together(fault{13 * sec, hang(rng(73), 3, 8*sec)}, fault{14 * sec, crash(1)}, fault{14500 * time.Millisecond, deafen(74, 3, everybody, 8*sec)})},
+		{"4: the leader alone with workers and users while jobs are cancelled", together(fault{12 * sec, alone(0, 18*sec)})},
+		{"6: the state service slow, then out", together(fault{11 * sec, func(s *sim) {
+			s.store.Slow(900 * time.Millisecond)
+			time.Sleep(9 * sec)
+			s.store.Slow(0)
+			outage(28 * sec)(s)
+		}})},
+		{"8: late transactions, and the leader ends twice", together(fault{5 * sec, lateWrites(75, 0.25, 35*sec)}, fault{16 * sec, crash(1)}, fault{30 * sec, crash(1)})},
+		{"8: late transactions and all end", together(fault{5 * sec, lateWrites(76, 0.25, 30*sec)}, fault{18 * sec, crash(3)})},
+	})
+	playOn(t, few(plain(3, 1, nil)), nil, []day{
+		{"7: jobs of two and three tasks over changes of leader, late transactions", together(fault{5 * sec, lateWrites(77, 0.2, 40*sec)}, fault{12 * sec, flick(0, 300*time.Millisecond)}, fault{21 * sec, crash(1)}, fault{33 * sec, refuseLeader(6 * sec)})},
+	})
+	playOn(t, cancelling(plain(5, 1, shared), 12*sec, sec), nil, []day{
+		{"4 and 5: a holder alone, one stands still, five controllers", together(fault{12 * sec, alone(1, 18*sec)}, fault{15 * sec, freeze(1, 4*sec)})},
+		{"1 and 8: late transactions while any of five comes back at once", together(fault{6 * sec, lateWrites(78, 0.2, 30*sec)}, fault{10 * sec, flicks(79, 8)})},
+	})
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -302,6 +302,11 @@
 	s.Accepted(spec.ID)
 	if abort > 0 {
 		time.Sleep(abort)
+		// Somebody looks at other controllers meanwhile: what one of them reads counts as
+		// told, though the answer to the cancellation itself may be lost.
+		told := make(chan struct{})
+		defer close(told)
+		s.Go(func() { s.looks(spec, told) })
 		s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
 			if status == 404 {
 				s.Fail("forgotten: abort of %s got 404", spec.ID)
@@ -336,6 +341,31 @@
 	}
 }
 
+// looks polls a job that is being cancelled, until its user stops.
+func (s *sim) looks(spec *job.Spec, until <-chan struct{}) {
+	hc := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	before := ""
+	for i := 1; before == ""; i++ {
+		select {
+		case <-until:
+			return
+		case <-s.Ended():
+			return
+		case <-time.After(700 * time.Millisecond):
+		}
+		res, err := hc.Get("http://" + s.door(i) + "/api/jobs/" + spec.ID)
+		if err != nil {
+			continue
+		}
+		b, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		var st wire.Status
+		if err == nil && res.StatusCode == http.StatusOK && wire.Unmarshal(b, &st) == nil {
+			before = s.Polled(spec, res.StatusCode, st.Phase, before, true)
+		}
+	}
+}
+
 type fault struct {
 	at time.Duration
 	do func(s *sim)
