Copies: a machine that a late report has brought back is settled by the cloud's list, not by a lease

Known and open: a late copy from a machine that an earlier leader had returned brought it into the next leader's ledger, and the jobs that it named waited for a full lease. An adopted machine that the list lacks, although it has later ones, is returned once more, which settles it.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -13,6 +13,7 @@
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/job"
 	"vetchstream/internal/lead"
+	"vetchstream/internal/peer"
 	"vetchstream/internal/place"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -259,6 +260,45 @@
 	}
 }
 
+// TestStray: a late report of a machine that an earlier leader has returned brings it
+// into the ledger with its jobs; the cloud's list shows that it is gone.
+func TestStray(t *testing.T) {
+	tests := []struct {
+		name  string
+		lists [][]string
+		want  string // returned, of h2 alone
+	}{
+		{"listed", [][]string{{"h1", "h2", "h3"}}, ""},
+		{"missing behind later ones", [][]string{{"h1", "h3"}}, "h2"},
+		{"twice", [][]string{{"h1", "h3"}, {"h3"}}, "h2"},
+		{"it may be too new for the list", [][]string{{"h1"}}, ""},
+		{"first too new, then missing", [][]string{{"h1"}, {"h1", "h3"}}, "h2"},
+		{"once listed it is left to its lease", [][]string{{"h2"}, {"h1", "h3"}}, ""},
+		{"an empty list says nothing", [][]string{nil}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := bench(t)
+			r.report(&wire.Report{Host: "h2", Type: "small", Zone: "a", Session: 1, Seq: 4, Tasks: []wire.TaskReport{{Task: "run-1/0", Attempt: 1, Phase: wire.Running}}},
+				"", func(*peer.Reply) {})
+			for _, names := range tt.lists {
+				var list []wire.CloudHost
+				for _, n := range names {
+					list = append(list, wire.CloudHost{Name: n})
+				}
+				r.machines.listed(list)
+			}
+			got := ""
+			for _, h := range r.machines.returns {
+				got += h.Name
+			}
+			if got != tt.want {
+				t.Errorf("returned %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestSilentTime: how long a takeover waits follows from how long the others took
 // to answer, and counts from the loading, which an outage can hold up.
 func TestSilentTime(t *testing.T) {
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -222,8 +222,7 @@
 	}
 	h := r.fleet.Hosts[m.Host]
 	if h == nil {
-		r.log.Info("adopting a machine that nobody expected", "host", m.Host, "type", m.Type, "zone", m.Zone)
-		h = r.fleet.Add(m.Host, now)
+		h = r.machines.adopt(m, now)
 	}
 	fresh, ok := r.work.observe(h, m, true, now)
 	if !ok {
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -31,6 +31,7 @@
 
 	wants     []hosts.Want // what the last plan found no room for
 	removed   map[string]bool
+	met       map[*fleet.Host]bool // by a report alone, no list has had them yet
 	renting   map[hosts.Offer]int
 	hires     uint64 // requests made in this term
 	backoff   *hosts.Backoff
@@ -46,7 +47,7 @@
 }
 
 func newMachines(co *core) *machines {
-	return &machines{core: co, removed: map[string]bool{}, renting: map[hosts.Offer]int{}, backoff: hosts.NewBackoff(),
+	return &machines{core: co, removed: map[string]bool{}, met: map[*fleet.Host]bool{}, renting: map[hosts.Offer]int{}, backoff: hosts.NewBackoff(),
 		noticed: map[*fleet.Host]time.Time{}}
 }
 
@@ -56,6 +57,36 @@
 // gone reports whether a machine of that name has been returned.
 func (mc *machines) gone(name string) bool { return mc.removed[name] }
 
+// adopt takes in a machine that nobody expected and that reports.
+func (mc *machines) adopt(m *wire.Report, now time.Time) *fleet.Host {
+	mc.log.Info("adopting a machine that nobody expected", "host", m.Host, "type", m.Type, "zone", m.Zone)
+	h := mc.fleet.Add(m.Host, now)
+	mc.met[h] = true
+	return h
+}
+
+// strays returns adopted machines that the cloud's list lacks although it has later
+// ones: they were gone when it was made (takeover.listed says why). A late copy of a
+// report has brought back a machine that an earlier leader has returned; until it is
+// settled, the jobs that it names would wait for a lease.
+func (mc *machines) strays(list []wire.CloudHost) {
+	if len(list) == 0 || len(mc.met) == 0 {
+		return
+	}
+	there := map[string]bool{}
+	for i := range list {
+		there[list[i].Name] = true
+	}
+	for h := range mc.met {
+		switch {
+		case there[h.Name]:
+			delete(mc.met, h)
+		case h.Name < list[len(list)-1].Name && !h.Releasing:
+			mc.release(h, "a late report has brought it back")
+		}
+	}
+}
+
 // cloud looks after the machines: the price list, the machine list, rentals and
 // returns.
 func (mc *machines) cloud(now time.Time) {
@@ -120,6 +151,7 @@
 func (mc *machines) listed(list []wire.CloudHost) {
 	now := time.Now()
 	mc.takeover.listed(list)
+	mc.strays(list)
 	for i := range list {
 		c := &list[i]
 		if mc.removed[c.Name] {
@@ -254,6 +286,7 @@
 	mc.holds.forget(h)
 	mc.shares.gone(h)
 	delete(mc.noticed, h)
+	delete(mc.met, h)
 	if mc.registry.leave(h) {
 		mc.fleet.Free(h.Idx)
 	}
