Takeover: a group's record that cannot be read does not hold up the loading

It held up every loading, so that nobody led for ever. It is kept; the jobs that are known go on and are answered. A job that is found nowhere else may be in it, with its end: nothing is told of it, and no new one is taken in while the record is there.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -216,6 +216,10 @@
 		ad.endings.readBack(id, p, recorded, back)
 		return
 	}
+	if ad.groups.doubtful() {
+		ad.endings.readBack(id, Later("a record cannot be read"), recorded, back)
+		return
+	}
 	now := time.Now()
 	if len(ad.queue) >= ad.most {
 		ad.turnstile.perS = ad.rate()
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -139,7 +139,7 @@
 		rec, err := en.c.find(ctx, id)
 		switch {
 		case err != nil:
-			back(Later("state service is not to be reached"))
+			back(Later("the job's record cannot be read now"))
 		case rec == nil:
 			back(absent)
 		case rec.Phase == "":
--- a/internal/control/groups.go
+++ b/internal/control/groups.go
@@ -28,6 +28,9 @@
 	// open are the groups that have something to store or to move.
 	open   map[*group]bool
 	moving bool // one group's entries are moved at a time
+	// doubt: a record cannot be read. A job that is found nowhere else may be in it, and
+	// its end with it: nothing is told of such a job, and none is taken in as new.
+	doubt bool
 }
 
 // group is one record.
@@ -54,7 +57,12 @@
 }
 
 // reset forgets what a load that failed half-way has found.
-func (gs *groups) reset() { gs.byJob, gs.open = map[string]*group{}, map[*group]bool{} }
+func (gs *groups) reset() {
+	gs.byJob, gs.open, gs.doubt = map[string]*group{}, map[*group]bool{}, false
+}
+
+// doubtful reports whether a job that is not known may be in a record that cannot be read.
+func (gs *groups) doubtful() bool { return gs.doubt }
 
 // name makes a key that no other term can make.
 func (gs *groups) name() string {
@@ -270,17 +278,18 @@
 }
 
 // load takes in the group records of earlier leaders, and calls take for each
-// entry.
-func (gs *groups) load(entries []state.Entry, take func(*job.Record)) error {
+// entry. One that cannot be read is kept as it is, and does not hold up the others.
+func (gs *groups) load(entries []state.Entry, take func(*job.Record)) {
 	for _, e := range entries {
 		var rec job.Group
 		if err := wire.Unmarshal(e.Value, &rec); err != nil {
-			return fmt.Errorf("group %s: %w", e.Key, err)
+			gs.log.Error("a group's record cannot be read, it is kept, its jobs wait and no new ones are taken in", "key", e.Key, "error", err)
+			gs.doubt = true
+			continue
 		}
 		gs.add(e.Key, e.Version, rec.Jobs)
 		for i := range rec.Jobs {
 			take(&rec.Jobs[i])
 		}
 	}
-	return nil
 }
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -629,6 +629,45 @@
 	})
 }
 
+// TestUnreadableGroup: a group's record that does not decode holds up neither the loading
+// nor the jobs that are known. What may be in it is neither denied nor taken for new.
+func TestUnreadableGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStateService(t)
+		s.put(job.GroupPrefix+"6-1", "no record")
+		s.put(job.DonePrefix+"run-4/0", job.Chunk{})
+		s.put(job.GroupPrefix+"6-2", job.Group{Jobs: []job.Record{{Spec: job.Spec{ID: "run-6", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}}})
+		s.put(job.ActivePrefix+"run-5", &job.Record{Spec: job.Spec{ID: "run-5", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}})
+		s.put(job.FinalPrefix+"run-7", &job.Record{Spec: job.Spec{ID: "run-7", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}, Phase: wire.JobDone})
+		st := sit(t, s, 7)
+		for _, tt := range []struct {
+			kind, id string
+			want     int
+		}{
+			{peer.KindStatus, "run-5", 200}, {peer.KindStatus, "run-6", 200}, {peer.KindStatus, "run-7", 200}, {peer.KindStatus, "run-4", 503},
+			{peer.KindSubmit, "run-5", 200}, {peer.KindSubmit, "run-6", 200}, {peer.KindSubmit, "run-7", 200}, {peer.KindSubmit, "run-4", 503},
+			{peer.KindAbort, "run-4", 503}, {peer.KindAbort, "run-6", 200},
+		} {
+			if p := st.ask(tt.kind, tt.id, body(tt.id, nil)); p.Status != tt.want {
+				t.Errorf("%s %s: %d, want %d", tt.kind, tt.id, p.Status, tt.want)
+			}
+			if p := st.Direct(context.Background(), tt.id); tt.kind == peer.KindStatus && p.Status != tt.want {
+				t.Errorf("%s at another controller: %d, want %d", tt.id, p.Status, tt.want)
+			}
+		}
+		if p := st.Admit(context.Background(), body("run-4", nil)); p.Status != 503 {
+			t.Errorf("admitted by another controller: %d", p.Status)
+		}
+		time.Sleep(2 * auditEvery)
+		if s.absent(job.GroupPrefix+"6-1") || s.absent(job.DonePrefix+"run-4/0") {
+			t.Error("the record, or a result, is gone")
+		}
+		if !st.stops("host-1", "run-4/0") {
+			t.Error("a task that may be of it goes on")
+		}
+	})
+}
+
 // shows lets a machine report, and returns what the leader then has of it.
 func (st *seat) shows(host string, seq uint64, tasks ...wire.TaskReport) (slots []fleet.Slot) {
 	r := st.current()
--- a/internal/control/shelf.go
+++ b/internal/control/shelf.go
@@ -43,11 +43,14 @@
 // find reads a job's record afresh for a node that does not lead. Groups come
 // first: an entry moves from its group to the job's own key, never back.
 func (c *Controller) find(ctx context.Context, id string) (*job.Record, error) {
-	rec, err := c.groups.find(ctx, id)
-	if rec != nil || err != nil {
-		return rec, err
+	rec, doubt := c.groups.find(ctx, id)
+	if rec != nil || (doubt != nil && !errors.Is(doubt, errUnreadable)) {
+		return rec, doubt
+	}
+	rec, _, err := lookup(ctx, c.State, id)
+	if rec == nil && err == nil {
+		return nil, doubt // it may be in the group that cannot be read
 	}
-	rec, _, err = lookup(ctx, c.State, id)
 	return rec, err
 }
 
@@ -73,7 +76,8 @@
 // listTime bounds a listing: its users have left by then.
 const listTime = 3 * time.Second
 
-// find returns a job's entry; nil: no group has it.
+// find returns a job's entry; nil: no group has it, and with errUnreadable: none that
+// can be read.
 func (s *groupShelf) find(ctx context.Context, id string) (*job.Record, error) {
 	s.mu.Lock()
 	l := s.next
@@ -88,7 +92,10 @@
 	s.mu.Unlock()
 	select {
 	case <-l.done:
-		return l.jobs[id], l.err
+		if rec := l.jobs[id]; rec != nil {
+			return rec, nil
+		}
+		return nil, l.err
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -120,14 +127,15 @@
 	jobs := map[string]*job.Record{}
 	for _, e := range entries {
 		var g job.Group
-		if err := wire.Unmarshal(e.Value, &g); err != nil {
-			return nil, err
+		if derr := wire.Unmarshal(e.Value, &g); derr != nil {
+			err = fmt.Errorf("%w: %s: %w", errUnreadable, e.Key, derr)
+			continue
 		}
 		for i := range g.Jobs {
 			jobs[g.Jobs[i].Spec.ID] = &g.Jobs[i]
 		}
 	}
-	return jobs, nil
+	return jobs, err
 }
 
 // Admit takes in a submission on a node that neither leads nor reaches the
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -316,15 +316,13 @@
 	submitted := func(rec *job.Record) time.Time {
 		return now.Add(-time.Duration(max(0, now.UnixMilli()-rec.At)) * time.Millisecond)
 	}
-	if err := tk.groups.load(gs, func(rec *job.Record) {
+	tk.groups.load(gs, func(rec *job.Record) {
 		if rec.Phase != "" {
 			tk.endings.remember(rec)
 			return
 		}
 		tk.book.add(rec, 0, submitted(rec))
-	}); err != nil {
-		return err
-	}
+	})
 	unreadable := map[string]bool{}
 	for _, e := range js {
 		var rec job.Record
@@ -359,7 +357,7 @@
 			}
 		}
 		j := tk.book.get(id)
-		if unreadable[id] {
+		if unreadable[id] || (j == nil && tk.groups.doubtful()) {
 			continue
 		}
 		if j == nil {
