--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -206,6 +206,10 @@
 		switch {
 		case h.Deaf() && now.Sub(h.DeafAt) > patience:
 			mc.release(h, "it reports and takes in nothing that is sent to it")
+		case h.Mute() && now.Sub(h.MuteAt) > patience:
+			// Its tasks die with each of its leases, and as long as it answers direct
+			// commands it is never lost.
+			mc.release(h, "it lives and reaches no controller")
 		case h.Booting:
 			if now.Sub(h.Born) > time.Duration(t.GiveUpBoots*float64(mc.boot(h)))+10*time.Second {
 				mc.release(h, "it does not come up")
--- a/internal/fleet/deaf_test.go
+++ b/internal/fleet/deaf_test.go
@@ -136,6 +136,26 @@
 			b.f.Expire(b.now)
 			b.live(0, "11 s after the launch")
 		}},
+		{"18: a new session that only a direct answer tells of: mute until a report comes", func(b *bed) {
+			b.msg(true, 1, 1, term, nil)
+			b.assign(1)
+			b.compose(0, true)
+			b.msg(false, 2, 2, term, nil)
+			b.live(0, "its lease has run out")
+			usable(b, false, "it lives and reaches nobody")
+			b.msg(false, 2, 3, term, nil)
+			b.msg(false, 3, 4, term, nil)
+			usable(b, false, "another lease later")
+			if b.now = b.now.Add(time.Second); !b.h.MuteAt.Equal(b.now.Add(-time.Second)) {
+				b.t.Error("counted from its second session")
+			}
+			b.msg(true, 3, 5, term, nil)
+			usable(b, true, "a report came")
+		}},
+		{"18: at a new leader that meets it by a direct answer it is used at once", func(b *bed) {
+			b.msg(false, 4, 9, term, nil)
+			usable(b, true, "its first message")
+		}},
 		{"19: a copy takes nothing of a machine that began anew", func(b *bed) {
 			b.msg(true, 1, 40, term, run)
 			b.now = b.now.Add(time.Second)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,6 +123,10 @@
 	DeafAt time.Time
 	// Unheard: a direct command had no answer, and nothing was heard since.
 	Unheard bool
+	// MuteAt is since when the worker is known to live and to reach no controller: its
+	// answer to a direct command tells of a new session, and no report has come since.
+	// Whatever is launched there dies with its lease. Zero: it is not.
+	MuteAt time.Time
 	// Fenced: the worker has sent a message with our own term.
 	Fenced bool
 	// heard is the last moment from which an answer of ours, of a holder of ours or of
@@ -222,7 +226,7 @@
 	if seq <= h.seq {
 		return nil
 	}
-	h.seq, h.Unheard = seq, false
+	h.seq, h.Unheard, h.MuteAt = seq, false, time.Time{}
 	for _, s := range h.Slots {
 		if s.Sent && !s.Seen && !s.Direct && seq > s.viaSeq {
 			ev = append(ev, f.remove(h, s, Never)...)
@@ -257,6 +261,9 @@
 	return ev
 }
 
+// Mute reports whether the worker is known to live and to reach no controller.
+func (h *Host) Mute() bool { return !h.MuteAt.IsZero() }
+
 // Deaf reports whether the worker is known not to take in what is sent to it.
 func (h *Host) Deaf() bool { return !h.DeafAt.IsZero() }
 
@@ -468,7 +475,7 @@
 
 // Usable reports whether the machine may get launches.
 func (h *Host) Usable() bool {
-	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() && !h.Deaf() && !h.Unheard
+	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() && !h.Deaf() && !h.Unheard && !h.Mute()
 }
 
 // Assign puts a placement into the ledger; its launch is sent by the next answer
@@ -537,8 +544,14 @@
 	}
 	r := Result{Fresh: true}
 	deaf, hears := false, !isReport
+	if isReport {
+		h.MuteAt = time.Time{}
+	}
 	if m.Session > h.Session {
 		if h.Session != 0 {
+			if !isReport && !h.Mute() {
+				h.MuteAt = now
+			}
 			// Its lease has run out although its reports were answered.
 			deaf = isReport && !h.Lost
 			r.Events = append(r.Events, f.drop(h)...)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -57,6 +57,9 @@
 	// Loss is the work that stopping it would throw away, in CPU seconds, and
 	// Left the time in which it is expected to end by itself, in seconds.
 	Loss, Left float64
+	// Late: its job has to start now to be in time, so that it looks for work to stop
+	// itself.
+	Late bool
 }
 
 // Machine is a machine that may get launches.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -179,6 +179,11 @@
 		d.Rank, d.Preempts = job.Urgent, true
 		return Input{Machines: []Machine{m}, Demands: []Demand{d}, Teams: []Team{{}, {Used: Amount{CPUs: 7}}}, Weights: paper}
 	}
+	late := func(in *Input) {
+		for v := range in.Machines[0].Victims {
+			in.Machines[0].Victims[v].Late = true
+		}
+	}
 	tests := []struct {
 		name string
 		edit func(*Input)
@@ -222,6 +227,40 @@
 			in.Teams[0].Guarantee = Amount{CPUs: 10}
 			in.Teams[1].Guarantee = Amount{CPUs: 7}
 		}, nil},
+		{"late work inside its guarantee does not yield to a higher rank that borrows", func(in *Input) {
+			in.Teams[0] = Team{Guarantee: Amount{CPUs: 2}, Used: Amount{CPUs: 5}}
+			in.Teams[1].Guarantee = Amount{CPUs: 10}
+			late(in)
+		}, nil},
+		{"nor to a gang that would borrow a part of it", func(in *Input) {
+			in.Teams[0].Guarantee = Amount{CPUs: 6}
+			in.Teams[1].Guarantee = Amount{CPUs: 10}
+			in.Demands[0].Pending, in.Demands[0].Total = []int32{0, 1}, 2
+			in.Machines = append(in.Machines, machine(1, 0, 4))
+			late(in)
+		}, nil},
+		{"it does while it has time, and does not claim the room back", func(in *Input) {
+			in.Teams[0] = Team{Guarantee: Amount{CPUs: 2}, Used: Amount{CPUs: 5}}
+			in.Teams[1].Guarantee = Amount{CPUs: 10}
+		}, []int{1}},
+		{"it does to a higher rank inside its own guarantee", func(in *Input) {
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 10}
+			late(in)
+		}, []int{1}},
+		{"late work beyond its guarantee yields", func(in *Input) {
+			in.Teams[0] = Team{Guarantee: Amount{CPUs: 2}, Used: Amount{CPUs: 5}}
+			in.Teams[1].Guarantee = Amount{CPUs: 4}
+			late(in)
+		}, []int{1}},
+		{"and the other way round: late work takes the room that a higher rank borrows", func(in *Input) {
+			in.Demands[0].Rank = job.Standard
+			in.Teams[0].Guarantee = Amount{CPUs: 10}
+			in.Teams[1].Guarantee = Amount{CPUs: 2}
+			for v := range in.Machines[0].Victims {
+				in.Machines[0].Victims[v].Rank = job.Urgent
+			}
+		}, []int{1}},
 		{"nothing is stopped twice for one demand", func(in *Input) {
 			in.Machines[0].KeptFor, in.Machines[0].Kept = 1, Amount{CPUs: 4}
 		}, nil},
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"vetchstream/internal/job"
 )
 
 // mayStop reports whether there can be anything at all that the demand may stop.
@@ -26,14 +28,28 @@
 
 // may reports whether a demand may stop a victim: lower rank, or borrowed work
 // of another team when the demand is within its own team's guarantee.
+//
+// Late work inside its team's guarantee is not stopped by rank for another team that
+// borrows: it would claim the room back at once, from that very work, and the two would
+// stop each other for as long as there is too little room for both.
 func (p *planner) may(d *Demand, v *Victim) bool {
 	if v.Rank < d.Rank {
-		return true
+		return !v.Late || v.Team < 0 || v.Team == d.Team || p.inside(d) || p.Teams[v.Team].spares(v.whole())
 	}
 	return d.Team >= 0 && v.Team >= 0 && v.Team != d.Team &&
 		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows() && p.Teams[v.Team].spares(v.whole())
 }
 
+// inside reports whether all that the demand waits for, of a gang, or its next task is
+// within its team's guarantee.
+func (p *planner) inside(d *Demand) bool {
+	need := d.Need
+	if d.Shape == job.Gang {
+		need = Amount{}.plus(need, float64(len(d.Pending)))
+	}
+	return d.Team >= 0 && p.Teams[d.Team].within(need)
+}
+
 // making counts the machines on which room is being made for the demand. One in a
 // zone that has been closed to it meanwhile is of no use.
 func (p *planner) making(d *Demand) (n int) {
