--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -424,6 +424,11 @@
 				return
 			case found.Phase != "":
 				ad.endings.remember(found)
+			case ad.endings.over(id):
+				// It has ended since the read: taken in once more it would run again, and its
+				// user would be told that it waits.
+				ad.done(in, ad.endings.past(id))
+				return
 			case ad.book.sound(id) == nil:
 				ad.book.add(found, version, time.Now())
 			}
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -763,3 +763,37 @@
 		})
 	}
 }
+
+// TestResolve: a submission meets the record of a job that another node has admitted, read
+// before the job ended. It is not taken in once more, and its user is told the end.
+func TestResolve(t *testing.T) {
+	for _, phase := range []string{"", wire.JobDone, wire.JobAborted} {
+		t.Run("ended: "+phase, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStateService(t)
+				s.mute = true
+				st := sit(t, s, 7)
+				rec := &job.Record{Spec: job.Spec{ID: "run-5", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}
+				s.put(job.ActivePrefix+"run-5", rec)
+				r, got := st.current(), make(chan *peer.Reply, 1)
+				r.ahead(func() {
+					if phase != "" {
+						r.endings.remember(&job.Record{Spec: rec.Spec, Phase: phase})
+					}
+					in := &arrival{rec: rec, backs: []func(*peer.Reply){func(p *peer.Reply) { got <- p }}}
+					r.admission.pending["run-5"] = in
+					go r.admission.resolve(in)
+				})
+				var told wire.Status
+				if p := <-got; p.Status != 200 || wire.Unmarshal(p.Body, &told) != nil || (phase != "" && told.Phase != phase) {
+					t.Errorf("answer %d %s", p.Status, told.Phase)
+				}
+				owned := make(chan bool, 1)
+				r.ahead(func() { owned <- r.book.get("run-5") != nil })
+				if has := <-owned; has != (phase == "") {
+					t.Errorf("looked after: %v", has)
+				}
+			})
+		})
+	}
+}
