Calendar: a late try of an entry's making does not bring a cancelled entry back

Cause, found by the directed cases that were missing: an entry is made on the condition that there is none of its name and deleted when it is cancelled; a try without an answer that is carried out after that made it anew, and the next leader held machines for it, or drained them. Every change now also writes one key on its version, so that older ones fail.

--- a/internal/control/agenda.go
+++ b/internal/control/agenda.go
@@ -17,6 +17,10 @@
 const (
 	bookingPrefix = "c/r/"
 	windowPrefix  = "c/w/"
+	// changesKey is written by every change of the calendar. An entry that is cancelled is
+	// deleted: a try of its making that had no answer, carried out after that, would make
+	// it anew, since there is none of its name any more.
+	changesKey = "c/changes"
 )
 
 // agenda keeps the calendar: it takes in reservations and maintenance windows,
@@ -38,6 +42,7 @@
 	claims  map[claim]*job.Job
 	writing bool     // a change of the calendar is being stored
 	queue   []func() // changes that wait for it
+	version uint64   // of changesKey
 	stepAt  time.Time
 	// near are the occurrences that room is to be held for, as of nearAt: the plans ask
 	// for them many times a second, and there can be thousands of reservations.
@@ -100,6 +105,11 @@
 	if !ag.on() {
 		return nil, nil, nil
 	}
+	e, err := ag.c.State.Get(ag.ctx, changesKey)
+	if err != nil && !errors.Is(err, state.ErrNotFound) {
+		return nil, nil, err
+	}
+	ag.version = e.Version
 	if bookings, _, err = ag.c.State.List(ag.ctx, bookingPrefix); err != nil {
 		return nil, nil, err
 	}
@@ -362,11 +372,8 @@
 			v, err := ag.c.State.Commit(ag.ctx, txn)
 			if errors.Is(err, state.ErrConflict) {
 				e, gerr := ag.c.State.Get(ag.ctx, key)
-				switch {
-				case gerr == nil && e.Version != was:
+				if gerr == nil && e.Version != was {
 					v, err = e.Version, nil
-				case errors.Is(gerr, state.ErrNotFound) && was != 0:
-					v, err = 0, nil
 				}
 			}
 			if err == nil || errors.Is(err, state.ErrRejected) {
@@ -378,6 +385,24 @@
 	}()
 }
 
+// store stores a change of the calendar, one at a time.
+func (ag *agenda) store(conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
+	put, err := state.Put(changesKey, struct{}{})
+	if err != nil {
+		then(0, err)
+		return
+	}
+	ag.writing = true
+	conds, writes = append(conds, state.Cond{Key: changesKey, Version: ag.version}), append(writes, put)
+	ag.commit(changesKey, ag.version, conds, writes, func(v uint64, err error) {
+		if err == nil {
+			ag.version = v
+		}
+		then(v, err)
+		ag.stored()
+	})
+}
+
 // change runs a change of the calendar, or lets it wait for the one before: what
 // fits is decided beside what is stored.
 func (ag *agenda) change(f func(), back func(*peer.Reply)) {
@@ -408,12 +433,10 @@
 
 // remove deletes a record.
 func (ag *agenda) remove(key string, version uint64, then func()) {
-	ag.writing = true
-	ag.commit(key, version, []state.Cond{{Key: key, Version: version}}, []state.Write{{Delete: key}}, func(_ uint64, err error) {
+	ag.store([]state.Cond{{Key: key, Version: version}}, []state.Write{{Delete: key}}, func(_ uint64, err error) {
 		if err == nil {
 			then()
 		}
-		ag.stored()
 	})
 }
 
--- a/internal/control/agenda_requests.go
+++ b/internal/control/agenda_requests.go
@@ -134,8 +134,7 @@
 		refuse(http.StatusRequestEntityTooLarge, "the reservation is too large to be stored")
 		return
 	}
-	ag.writing = true
-	ag.commit(key, 0, []state.Cond{{Key: key}}, []state.Write{put}, func(v uint64, err error) {
+	ag.store([]state.Cond{{Key: key}}, []state.Write{put}, func(v uint64, err error) {
 		if err != nil {
 			refuse(http.StatusRequestEntityTooLarge, err.Error())
 		} else {
@@ -143,7 +142,6 @@
 			ag.log.Info("reservation is taken in", "reservation", r.Name, "team", r.Team, "parts", r.Parts, "occurrences", len(r.Spans()), "machines", e.Shares)
 			back(reply(http.StatusCreated, ag.status(r.Name)))
 		}
-		ag.stored()
 	})
 }
 
@@ -185,7 +183,7 @@
 	// window over reservations that were never moved.
 	conds, writes := []state.Cond{{Key: key}}, []state.Write{put}
 	touched := slices.Concat(a.Moved, a.Lost)
-	if most := ag.c.Settings.Facts.State.TxnOps - 1; len(touched) > most {
+	if most := ag.c.Settings.Facts.State.TxnOps - 2; len(touched) > most {
 		refuse(http.StatusConflict, fmt.Sprintf("%d reservations would have to move, and at most %d can at once; plan smaller windows", len(touched), most))
 		return
 	}
@@ -204,8 +202,7 @@
 		}
 		conds, writes = append(conds, state.Cond{Key: p.Put, Version: b.version}), append(writes, p)
 	}
-	ag.writing = true
-	ag.commit(key, 0, conds, writes, func(v uint64, err error) {
+	ag.store(conds, writes, func(v uint64, err error) {
 		if err != nil {
 			refuse(http.StatusRequestEntityTooLarge, err.Error())
 		} else {
@@ -220,7 +217,6 @@
 				"moved", strings.Join(s.Moved, " "), "retired", strings.Join(s.Retired, " "))
 			back(reply(http.StatusCreated, s))
 		}
-		ag.stored()
 	})
 }
 
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -253,6 +253,11 @@
 }
 
 func sit(t *testing.T, s *stateService, term uint64) *seat {
+	t.Helper()
+	return sitWith(t, s, term, func(*config.Tuning) {})
+}
+
+func sitWith(t *testing.T, s *stateService, term uint64, tune func(*config.Tuning)) *seat {
 	t.Helper()
 	set := &config.Settings{Member: "n0"}
 	f := &set.Facts
@@ -265,6 +270,7 @@
 	c := New(Deps{Settings: set, Tuning: config.Defaults(), State: state.New("state:1", s.dial, StateBudget(set, false)),
 		Cloud: hosts.NewCloud("cloud:1", s.dial, 1), Dial: s.dial, Log: slog.New(slog.DiscardHandler),
 		Entitled: func(uint64) bool { return true }, Deposed: func(uint64) {}})
+	tune(c.Tuning)
 	c.types = []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}}}
 	s.put(lead.KeyTerm, map[string]uint64{"term": term})
 	s.mu.Lock()
@@ -797,3 +803,97 @@
 		})
 	}
 }
+
+// TestLateRecords: a change of a roll-out or of the calendar has no answer, and is carried
+// out at once or after newer ones. What operators were told last stands, also at the next
+// leader.
+func TestLateRecords(t *testing.T) {
+	type op struct {
+		peer.Operation
+		spec map[string]any
+	}
+	day := func(d, h int) string {
+		return time.Date(2000, 1, 1+d, h, 0, 0, 0, time.UTC).Format(time.RFC3339) // simulated time begins in 2000
+	}
+	named := func(verb string, window bool) op {
+		return op{peer.Operation{Verb: verb, Service: "x", Window: window}, nil}
+	}
+	records := []struct {
+		name, kind, doom string
+		ops              []op
+		want             string // in the state after the last of them; empty: it is not there
+	}{
+		{"a roll-out is started", peer.KindRollout, "r", []op{
+			{peer.Operation{Verb: peer.VerbStart}, map[string]any{"service": "x", "from": "run-1", "to": map[string]any{"uid": "run-2", "reel": "n"}}}}, "run-2"},
+		{"a roll-out is started and paused", peer.KindRollout, "r", []op{
+			{peer.Operation{Verb: peer.VerbStart}, map[string]any{"service": "x", "from": "run-1", "to": map[string]any{"uid": "run-2", "reel": "n"}}},
+			named(peer.VerbPause, false)}, "paused"},
+		{"a reservation is made", peer.KindCalendar, "c", []op{
+			{peer.Operation{Verb: peer.VerbStart}, map[string]any{"name": "x", "team": "red", "parts": 1, "cpus": 1.0, "mem_gb": 1.0, "start": day(2, 1), "end": day(2, 2)}}}, "booked"},
+		{"a reservation is made and cancelled", peer.KindCalendar, "c", []op{
+			{peer.Operation{Verb: peer.VerbStart}, map[string]any{"name": "x", "team": "red", "parts": 1, "cpus": 1.0, "mem_gb": 1.0, "start": day(2, 1), "end": day(2, 2)}},
+			named(peer.VerbCancel, false)}, ""},
+		{"a window is planned", peer.KindCalendar, "c", []op{
+			{peer.Operation{Verb: peer.VerbStart, Window: true}, map[string]any{"name": "x", "yard": "a", "start": day(3, 1), "end": day(3, 2), "force": true}}}, "2000-01-04"},
+		{"a window is planned and cancelled", peer.KindCalendar, "c", []op{
+			{peer.Operation{Verb: peer.VerbStart, Window: true}, map[string]any{"name": "x", "yard": "a", "start": day(3, 1), "end": day(3, 2), "force": true}},
+			named(peer.VerbCancel, true)}, ""},
+	}
+	for _, rec := range records {
+		for name, fates := range map[string][]fate{"carried out at once": {unheard}, "late": {late}, "after newer ones": {latest}, "twice": {latest, latest},
+			"the second at once": {served, unheard}, "the second late": {served, latest}} {
+			t.Run(rec.name+", "+name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					s := newStateService(t)
+					s.put(job.ActivePrefix+"run-1", &job.Record{Spec: job.Spec{ID: "run-1", Team: "red", ShapeName: "daemon", RankName: "idle", Tasks: 1, CPUs: 1, Image: "o"}})
+					on := func(tun *config.Tuning) { tun.Rollouts.Enabled, tun.Calendar.Enabled = true, true }
+					st := sitWith(t, s, 7, on)
+					ask := func(st *seat, o op) *peer.Reply {
+						if o.spec != nil {
+							b, err := wire.Marshal(o.spec)
+							if err != nil {
+								t.Fatal(err)
+							}
+							o.Spec = b
+						}
+						b, err := wire.Marshal(o.Operation)
+						if err != nil {
+							t.Fatal(err)
+						}
+						p := st.ask(rec.kind, "", b)
+						for range 30 {
+							if p.Status < 500 {
+								break
+							}
+							time.Sleep(time.Second)
+							p = st.ask(rec.kind, "", b)
+						}
+						return p
+					}
+					s.will(rec.doom, fates...)
+					for _, o := range rec.ops {
+						if p := ask(st, o); p.Status/100 != 2 {
+							t.Fatalf("%s: %d %s", o.Verb, p.Status, p.Body)
+						}
+					}
+					if _, left := s.seen(); left == len(fates) {
+						t.Error("no transaction met its fate")
+					}
+					look := named(peer.VerbStatus, strings.Contains(rec.name, "window"))
+					told := func(st *seat, who string) {
+						p := ask(st, look)
+						if (rec.want == "") != (p.Status == http.StatusNotFound) || !strings.Contains(string(p.Body), rec.want) {
+							t.Errorf("%s: %d %q, want %q", who, p.Status, p.Body, rec.want)
+						}
+					}
+					told(st, "the leader")
+					time.Sleep(20 * time.Second)
+					told(st, "the leader, later")
+					st.stop()
+					told(sitWith(t, s, 8, on), "the next one")
+				})
+			})
+		}
+	}
+}
