--- a/internal/emulate/memory.go
+++ b/internal/emulate/memory.go
@@ -18,12 +18,22 @@
 	conns     map[*memConn]bool
 	cut       func(from, to string) bool
 	mute      func(from, to string) bool
+	deny      func(from, to string) bool
 }
 
 // NewMemory makes a network without cuts.
 func NewMemory() *Memory {
 	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false },
-		mute: func(string, string) bool { return false }}
+		mute: func(string, string) bool { return false }, deny: func(string, string) bool { return false }}
+}
+
+// Deny lets no connection be opened from one host to another for which f is true, and
+// breaks those that are. The other may open one the other way round.
+func (n *Memory) Deny(f func(from, to string) bool) {
+	n.mu.Lock()
+	n.deny = f
+	n.mu.Unlock()
+	n.reset(f)
 }
 
 func (n *Memory) isCut(from, to string) bool {
@@ -120,6 +130,9 @@
 		}
 		n.mu.Lock()
 		l := n.listeners[addr]
+		if n.deny(from, to) {
+			l = nil
+		}
 		n.mu.Unlock()
 		if l == nil {
 			return nil, errors.New("connection refused")
@@ -198,12 +211,18 @@
 
 // Reset breaks every connection of a host, as when its process ends.
 func (n *Memory) Reset(match func(from, to string) bool) {
+	n.reset(func(f, t string) bool { return match(f, t) || match(t, f) })
+}
+
+// reset breaks the connections that were opened from one host to another for which match
+// is true.
+func (n *Memory) reset(match func(from, to string) bool) {
 	n.mu.Lock()
 	var hit []*memConn
 	for c := range n.conns {
 		f, _, _ := net.SplitHostPort(c.from)
 		t, _, _ := net.SplitHostPort(c.to)
-		if match(f, t) || match(t, f) {
+		if match(f, t) {
 			hit = append(hit, c)
 		}
 	}
--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -30,6 +30,20 @@
 	late    func() time.Duration // what becomes of a transaction; 0: it is served
 	page    int                  // entries in a listing
 	changed chan struct{}
+	lost    int // answers to transactions that were carried out at once
+}
+
+// unread answers nobody.
+type unread struct{ http.ResponseWriter }
+
+func (unread) WriteHeader(int)             {}
+func (unread) Write(b []byte) (int, error) { return len(b), nil }
+
+// Lost counts the transactions that were carried out at once and whose answers were lost.
+func (s *Store) Lost() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
 }
 
 // Page sets how many entries a listing may have.
@@ -60,7 +74,8 @@
 }
 
 // Late lets transactions go without an answer for as long as f says, each time that it
-// is asked, and carries them out then; nil: all are served.
+// is asked, and carries them out then; below 0: at once, and only the answer is lost.
+// nil: all are served.
 func (s *Store) Late(f func() time.Duration) {
 	s.mu.Lock()
 	s.late = f
@@ -186,7 +201,17 @@
 		return
 	}
 	if path == "/commit" && s.late != nil {
-		if d := s.late(); d > 0 {
+		switch d := s.late(); {
+		case d < 0:
+			w = unread{w}
+			s.lost++
+			defer func() {
+				s.mu.Unlock()
+				time.Sleep(-d)
+				s.mu.Lock()
+				panic(http.ErrAbortHandler)
+			}()
+		case d > 0:
 			// Its sender gives up long before. What it says is carried out all the same.
 			s.mu.Unlock()
 			time.Sleep(d)
--- a/internal/emulate/users.go
+++ b/internal/emulate/users.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,11 +20,13 @@
 	starts   map[string]bool      // tasks that did
 	calm     time.Time            // when the last trouble was over; zero: it is not
 	lost     map[string]bool      // jobs that are noted as forgotten
+	cancels  map[string]bool      // jobs that were called off beside what their own users do
+	idle     map[string]time.Time // job -> since when it waits beside room; not there: it does not
 }
 
 func newUsers() users {
 	return users{asked: map[string]time.Time{}, accepted: map[string]time.Time{}, answered: map[string]time.Time{},
-		begun: map[string]time.Time{}, starts: map[string]bool{}, lost: map[string]bool{}}
+		begun: map[string]time.Time{}, starts: map[string]bool{}, lost: map[string]bool{}, cancels: map[string]bool{}, idle: map[string]time.Time{}}
 }
 
 const (
@@ -32,6 +35,9 @@
 	forgottenAfter = 75 * time.Second
 	// largestWithin is how soon the largest jobs of a class have to begin.
 	largestWithin = 4 * time.Minute
+	// idleBeside is how long a job may wait beside a machine that fits and has room once
+	// all troubles are over.
+	idleBeside = 90 * time.Second
 	// largestPart: the largest jobs of a class are one in that many, at least one.
 	largestPart = 10
 )
@@ -74,14 +80,134 @@
 	}
 }
 
-// Repeated judges the answer to a submission that is repeated after the job's end.
+// Told is how a user was told that a job is over, by whichever controller, or empty. A
+// question that begins now must not get an older answer.
+func (w *World) Told(id string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.judge.told[id]; p == wire.JobDone || p == wire.JobAborted {
+		return p
+	}
+	return ""
+}
+
+// CallOff picks up to n accepted jobs that run and that nobody has called off, for users
+// who do so now.
+func (w *World) CallOff(r *rand.Rand, n int) (out []*job.Spec) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runs := map[string]*job.Spec{}
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.spec != nil && k.on(t) && w.judge.told[t.id()] == "accepted" && !w.judge.users.cancels[t.id()] {
+				runs[t.id()] = t.spec
+			}
+		}
+	}
+	ids := slices.Sorted(maps.Keys(runs))
+	r.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids[:min(n, len(ids))] {
+		w.judge.users.cancels[id] = true
+		out = append(out, runs[id])
+	}
+	return out
+}
+
+// With picks up to n machines that have a task of one of the jobs.
+func (w *World) With(jobs []*job.Spec, n int) (out []*Worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(w.workers)) {
+		k := w.workers[name]
+		if len(out) < n && slices.ContainsFunc(slices.Collect(maps.Values(k.tasks)), func(t *task) bool { return k.on(t) && slices.Contains(jobs, t.spec) }) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Confirmed counts the cancellations that were first told from one moment to another.
+func (w *World) Confirmed(from, to time.Time) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, at := range w.judge.aborted {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// Neglects judges the jobs that wait now: none does for long while machines that fit it have
+// room for one of its tasks, of a gang for all of them, and its team is under its limit. It
+// is called again and again once all troubles are over.
+func (w *World) Neglects() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u, now := &w.judge.users, time.Now()
+	placed, used := map[string]int{}, map[string]Limit{}
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.spec != nil && t.phase != wire.Exited {
+				placed[t.id()]++
+				l := used[t.spec.Team]
+				used[t.spec.Team] = Limit{l.CPUs + t.spec.CPUs, l.GPUs + t.spec.GPUs}
+			}
+		}
+	}
+	for id, s := range w.specs {
+		left := s.Tasks - placed[id] - len(w.judge.done[id])
+		least := 1
+		if s.ShapeName == gang {
+			least = left
+		}
+		lim, of := w.cfg.Limits[s.Team], used[s.Team]
+		over := (lim.CPUs > 0 && of.CPUs+float64(least)*s.CPUs > lim.CPUs+1e-6) || (lim.GPUs > 0 && of.GPUs+float64(least)*s.GPUs > lim.GPUs+1e-6)
+		if w.judge.told[id] != "accepted" || u.cancels[id] || left < 1 || over || w.fits(s) < least || placed[id] > 0 {
+			delete(u.idle, id)
+			continue
+		}
+		if _, ok := u.idle[id]; !ok {
+			u.idle[id] = now
+		}
+		if d := now.Sub(u.idle[id]); d > idleBeside {
+			w.breaks("idle: %s has waited for %v beside room that fits", id, d.Round(time.Second))
+			delete(u.idle, id)
+		}
+	}
+}
+
+// fits is how many more tasks of a job the machines that are up have room for, of one that
+// stays in a zone in the best of them; the caller holds the lock.
+func (w *World) fits(s *job.Spec) (most int) {
+	in := map[string]int{}
+	for _, k := range w.workers {
+		if time.Now().Before(k.up) || k.hung || k.sick || (k.spot && !s.Spot) || (s.Zone != "" && s.Zone != k.zone) || (s.Types != nil && !slices.Contains(s.Types, k.typ)) {
+			continue
+		}
+		n := 0
+		for k.spare(s, n+1) {
+			n++
+		}
+		zone := k.zone
+		if !s.OneZone {
+			zone = ""
+		}
+		in[zone] += n
+		most = max(most, in[zone])
+	}
+	return most
+}
+
+// Repeated judges the answer to a submission that is repeated; final is how its job had
+// ended as far as users knew when they asked, or empty.
 func (w *World) Repeated(spec *job.Spec, status int, phase, final string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case status == 400 || status == 404 || status == 422:
 		w.breaks("forgotten: a repeated submission of %s got %d", spec.ID, status)
-	case status == 201 || (status == 200 && phase != final):
+	case final != "" && (status == 201 || (status == 200 && phase != final)):
 		w.breaks("went_back: %s was %s, a repeated submission got %d %s", spec.ID, final, status, phase)
 	}
 }
--- a/internal/emulate/users_test.go
+++ b/internal/emulate/users_test.go
@@ -24,6 +24,16 @@
 		w.specs[sp.ID] = sp
 		w.judge.users.asked[sp.ID], w.judge.users.accepted[sp.ID] = ago(asked), ago(asked)
 	}
+	waits := func(w *World, sp *job.Spec) {
+		w.cfg.Types = []wire.MachineType{{Name: "x", CPUs: 5}}
+		w.workers["a"] = &Worker{w: w, name: "a", zone: "x", typ: "x", leased: now, tasks: map[string]*task{}}
+		w.specs[sp.ID], w.judge.told[sp.ID] = sp, "accepted"
+		w.Neglects()
+		if at, ok := w.judge.users.idle[sp.ID]; ok {
+			w.judge.users.idle[sp.ID] = at.Add(-100 * time.Second)
+		}
+		w.Neglects()
+	}
 	tests := []struct {
 		name string
 		do   func(w *World)
@@ -52,6 +62,30 @@
 		{"a repeated submission finds the end", func(w *World) {
 			w.Repeated(&job.Spec{ID: "run-1"}, 200, wire.JobDone, wire.JobDone)
 		}, ""},
+		{"a repeated submission right after the acceptance", func(w *World) {
+			w.Repeated(&job.Spec{ID: "run-1"}, 201, "pending", "")
+		}, ""},
+		{"it is not known", func(w *World) {
+			w.Repeated(&job.Spec{ID: "run-1"}, 422, "", "")
+		}, "forgotten"},
+		{"a poll that is older than what another controller told", func(w *World) {
+			w.judge.told["run-1"] = wire.JobAborted
+			w.Polled(&job.Spec{ID: "run-1"}, 200, wire.JobRunning, w.Told("run-1"), true)
+		}, "went_back"},
+		{"a job waits beside room", func(w *World) { waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 3, CPUs: 2}) }, "idle: run-1"},
+		{"a gang waits beside room for half of it", func(w *World) { waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: gang, Tasks: 3, CPUs: 2}) }, ""},
+		{"there is room in another zone", func(w *World) {
+			waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 3, CPUs: 2, Zone: "y"})
+		}, ""},
+		{"its team is at its limit", func(w *World) {
+			w.cfg.Limits = map[string]Limit{"red": {CPUs: 1}}
+			waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 3, CPUs: 2})
+		}, ""},
+		{"it runs", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 2}
+			at(w, "b", "x", sp)
+			waits(w, sp)
+		}, ""},
 		{"three of four replicas in a zone", func(w *World) {
 			sp := &job.Spec{ID: "run-1", Tasks: 4, Spread: true}
 			at(w, "a", "x", sp)
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -138,15 +138,18 @@
 }
 
 // full reports whether the tasks take more than the machine has.
-func (k *Worker) full() bool {
-	typ := k.w.kind(k.typ)
-	cpus, gpus, mem := typ.CPUs+1e-9, typ.GPUs+1e-9, typ.MemGB+1e-9
+func (k *Worker) full() bool { return !k.spare(&job.Spec{}, 0) }
+
+// spare reports whether the machine has room for n tasks of a job beside what is there.
+func (k *Worker) spare(s *job.Spec, n int) bool {
+	typ, m := k.w.kind(k.typ), float64(n)
+	cpus, gpus, mem := typ.CPUs+1e-9-m*s.CPUs, typ.GPUs+1e-9-m*s.GPUs, typ.MemGB+1e-9-m*s.MemGB
 	for _, t := range k.tasks {
 		if t.phase != wire.Exited && t.spec != nil {
 			cpus, gpus, mem = cpus-t.spec.CPUs, gpus-t.spec.GPUs, mem-t.spec.MemGB
 		}
 	}
-	return cpus < 0 || gpus < 0 || mem < 0
+	return cpus >= 0 && gpus >= 0 && mem >= 0
 }
 
 // on reports whether the task holds its machine, as the rules count it.
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"vetchstream/internal/config"
 	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
 )
 
 // Meetings of two troubles. Each day is judged by the rules; a cancellation counts from
@@ -110,6 +114,152 @@
 	}
 }
 
+// atOnce loses the answers to a share of the transactions for a while, which are carried
+// out at once.
+func atOnce(seed uint64, share float64, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		var mu sync.Mutex
+		r := rng(seed)
+		s.store.Late(func() time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Float64() >= share {
+				return 0
+			}
+			return -3 * time.Second
+		})
+		time.Sleep(d)
+		s.store.Late(nil)
+		if s.store.Lost() == 0 {
+			s.t.Error("no answer to a transaction was lost")
+		}
+	}
+}
+
+// forNext keeps copies of all reports until another leads, and delivers them to all
+// controllers as it begins.
+func forNext(collect time.Duration) func(*sim) {
+	return func(s *sim) {
+		s.Copying(true)
+		time.Sleep(collect)
+		s.Copying(false)
+		term := s.term()
+		for range 600 {
+			if s.term() > term {
+				lateCopies(0, 0)(s)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.t.Error("no other leader has come")
+	}
+}
+
+// mute lets n machines open no connection to any controller, while direct commands reach
+// them.
+func mute(seed uint64, n int, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		hit := map[string]bool{}
+		for _, k := range s.Any(rng(seed), n) {
+			hit[k.Host()] = true
+		}
+		lapsed := s.Lapsed()
+		s.net.Deny(func(a, b string) bool { return hit[a] && isNode(b) })
+		time.Sleep(d)
+		s.net.Deny(func(string, string) bool { return false })
+		if d > 11*time.Second && s.Lapsed() == lapsed {
+			s.t.Error("no lease of a machine with tasks has run out")
+		}
+	}
+}
+
+// cancelNow calls off up to n jobs that run, within a fifth of a second, at all controllers,
+// and lets up to eight machines that have tasks of them hang for a while. At least one of
+// the cancellations has to be told within the time given.
+func cancelNow(seed uint64, n int, hangs, within time.Duration) func(*sim) {
+	return func(s *sim) {
+		r, begun := rng(seed), time.Now()
+		jobs := s.CallOff(r, n)
+		if len(jobs) == 0 {
+			s.t.Error("no job runs that could be called off")
+			return
+		}
+		ks := s.With(jobs, 8)
+		if hangs > 0 {
+			s.Hang(ks, true)
+		}
+		for i, spec := range jobs {
+			s.Go(func() {
+				time.Sleep(time.Duration(i) * 200 * time.Millisecond / time.Duration(len(jobs)))
+				hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+				s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
+					if status == 404 {
+						s.Fail("forgotten: abort of %s got 404", spec.ID)
+					}
+					if status == 200 {
+						s.Aborted(spec.ID, st.Phase)
+						s.looksClosely(spec, true)
+					}
+					return status == 200
+				})
+			})
+		}
+		time.Sleep(hangs)
+		if hangs > 0 {
+			s.Hang(ks, false)
+		}
+		time.Sleep(within - time.Since(begun))
+		if s.Confirmed(begun, begun.Add(within)) == 0 {
+			s.t.Errorf("none of %d cancellations was told within %v", len(jobs), within)
+		}
+	}
+}
+
+// closely lets users look at all controllers within milliseconds after each answer.
+func closely(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		s.close.Store(true)
+		time.Sleep(d)
+		s.close.Store(false)
+	}
+}
+
+// looksClosely asks all controllers, and repeats the submission there, in the milliseconds
+// after an answer. Nobody may say anything older than what was told before the question.
+func (s *sim) looksClosely(spec *job.Spec, cancelled bool) {
+	if !s.close.Load() {
+		return
+	}
+	for i := range 4 * len(s.nodes) {
+		s.Go(func() {
+			time.Sleep(time.Duration(i) * 1500 * time.Microsecond)
+			hc := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+			before, at := s.Told(spec.ID), "http://"+s.door(i)+"/api/jobs"
+			var res *http.Response
+			var err error
+			if i%2 == 0 {
+				res, err = hc.Get(at + "/" + spec.ID)
+			} else {
+				res, err = hc.Post(at, wire.ContentType, bytes.NewReader(submission(spec)))
+			}
+			if err != nil {
+				return
+			}
+			b, err := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			var st wire.Status
+			if err != nil || (res.StatusCode/100 == 2 && wire.Unmarshal(b, &st) != nil) {
+				return
+			}
+			if i%2 == 0 {
+				s.Polled(spec, res.StatusCode, st.Phase, before, cancelled)
+			} else {
+				s.Repeated(spec, res.StatusCode, st.Phase, before)
+			}
+		})
+	}
+}
+
 // TestMeetings plays the other meetings of two troubles.
 func TestMeetings(t *testing.T) {
 	sec := time.Second
@@ -161,3 +311,33 @@
 		{"1 and 8: late transactions while any of five comes back at once", together(fault{6 * sec, lateWrites(78, 0.2, 30*sec)}, fault{10 * sec, flicks(79, 8)})},
 	})
 }
+
+// calledOff adds long jobs to a site that nobody calls off but a trouble.
+func calledOff(st site) site {
+	begin := st.begin
+	st.begin = func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+		begin(s, add)
+		for i := range 10 {
+			team := []string{"blue", "red"}[i%2]
+			add(&job.Spec{Team: team, Class: "long", ShapeName: "array", RankName: "urgent", Tasks: 2 * st.scale, CPUs: 1, MemGB: 1, EstimateS: 45, Spot: true}, time.Duration(3+i)*time.Second, 0)
+		}
+	}
+	return st
+}
+
+// TestFurtherMeetings plays the meetings of the users' longer page, while users look closely.
+func TestFurtherMeetings(t *testing.T) {
+	sec := time.Second
+	three := calledOff(plain(3, 1, promising))
+	playOn(t, three, nil, []day{
+		{"close looks alone", together(fault{0, closely(70 * sec)})},
+		{"answers of transactions are lost, the leader ends", together(fault{0, closely(70 * sec)}, fault{4 * sec, atOnce(81, 0.2, 45*sec)}, fault{18 * sec, crash(1)})},
+		{"many called off as the leader ends, their machines hang", together(fault{0, closely(70 * sec)}, fault{16 * sec, cancelNow(82, 12, 8*sec, 12*sec)}, fault{16100 * time.Millisecond, crash(1)})},
+		{"called off at the refusal, and out a second later", together(fault{16 * sec, cancelNow(83, 12, 7*sec, 60*sec)}, fault{16 * sec, refuseThenOut(sec, 30*sec)})},
+		{"mute machines, called off, the leader ends", together(fault{0, closely(70 * sec)}, fault{13 * sec, mute(84, 3, 30*sec)}, fault{16 * sec, cancelNow(85, 6, 0, 12*sec)}, fault{18 * sec, crash(1)})},
+		{"old reports reach all as a leader begins", together(fault{8 * sec, forNext(8 * sec)}, fault{15 * sec, cancelNow(86, 6, 3*sec, 12*sec)}, fault{20 * sec, crash(1)})},
+	})
+	playOn(t, calledOff(plain(5, 1, shared)), nil, []day{
+		{"called off while the work of a controller changes hands", together(fault{0, closely(70 * sec)}, fault{15 * sec, crashOther(3 * sec)}, fault{15200 * time.Millisecond, cancelNow(87, 8, 5*sec, 15*sec)}, fault{30 * sec, flicks(88, 4)})},
+	})
+}
