Preemption: late guaranteed work and borrowed work of a higher rank do not stop each other for ever

Late work inside its guarantee is no longer stopped by rank for a team that borrows: it would claim the room back at once.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -261,7 +261,7 @@
 			d.HeldOnly = j.Booking != "" && pl.holds.enough(j, len(d.Pending))
 		}
 		left := d.LatestStart - now.Sub(pl.since).Seconds()
-		late := left < 5
+		late := left < lateS
 		d.Hurry = j.Shape != job.Array && left > 0 && left < j.ImageGB/slowest
 		d.Patient = j.Shape == job.Array && left > patience
 		if (waited > 300*time.Millisecond || (d.Hurry && j.Shape == job.Service)) && (j.Shape != job.Array || late) && now.Sub(pl.preempted[j]) >= preemptEvery {
@@ -281,8 +281,11 @@
 		smallest = min(smallest, t.CPUs)
 		cheapest = min(cheapest, cpuPrice(t, false), cpuPrice(t, true))
 	}
+	lates := map[*job.Job]bool{}
 	for _, h := range pl.fleet.All() {
-		if !h.Usable() || h.Type >= len(pl.names.list()) {
+		// One that answers direct commands and whose reports do not come any more has less
+		// than half of its lease left: what it gets now would end with it.
+		if !h.Usable() || h.Silent(now) > pl.fleet.Lease/2 || h.Type >= len(pl.names.list()) {
 			continue
 		}
 		t := &pl.names.list()[h.Type]
@@ -312,6 +315,14 @@
 			ms = append(ms, h)
 			continue
 		}
+		late := func(j *job.Job) bool {
+			was, known := lates[j]
+			if !known {
+				was = pl.book.latestStart(j)-now.Sub(pl.since).Seconds() < lateS
+				lates[j] = was
+			}
+			return was
+		}
 		for _, s := range h.Slots {
 			if !s.On() || s.Stopping || !s.Sent || s.Job.Closing != "" || s.Job.Phase != "" {
 				continue
@@ -323,7 +334,7 @@
 				whole = place.Amount{CPUs: n * need.CPUs, GPUs: n * need.GPUs, MemGB: n * need.MemGB}
 			}
 			m.Victims = append(m.Victims, place.Victim{ID: len(slots), Rank: s.Job.Rank, Team: s.Job.TeamIdx,
-				Need: need, Whole: whole, Loss: loss, Left: left(s, now)})
+				Need: need, Whole: whole, Loss: loss, Left: left(s, now), Late: late(s.Job)})
 			slots = append(slots, s)
 		}
 		in.Machines = append(in.Machines, m)
@@ -341,6 +352,9 @@
 	overduePart  = 20
 )
 
+// lateS is how much time a job has left, in seconds, when it is late.
+const lateS = 5
+
 // patience is how much time an array must have left, in seconds, to wait for machines
 // that have its image while others with theirs could use what is free.
 const patience = 15
