Tests: teams at their limits, machines that are up at once, work bound to a zone, one-task jobs four a second, ten leaders

Each fails if its meeting did not take place (a team at its limit, leases run out, ten terms, ends met).

--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -235,4 +235,5 @@
 			set[int32(i)] = true
 		}
 	}
+	w.ended(t.spec)
 }
--- a/internal/emulate/memory.go
+++ b/internal/emulate/memory.go
@@ -19,12 +19,26 @@
 	cut       func(from, to string) bool
 	mute      func(from, to string) bool
 	deny      func(from, to string) bool
+	delay     time.Duration // of every packet
 }
 
 // NewMemory makes a network without cuts.
 func NewMemory() *Memory {
 	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false },
-		mute: func(string, string) bool { return false }, deny: func(string, string) bool { return false }}
+		mute: func(string, string) bool { return false }, deny: func(string, string) bool { return false }, delay: memDelay}
+}
+
+// Slow makes every packet take that much longer.
+func (n *Memory) Slow(d time.Duration) {
+	n.mu.Lock()
+	n.delay = memDelay + d
+	n.mu.Unlock()
+}
+
+func (n *Memory) takes() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay
 }
 
 // Deny lets no connection be opened from one host to another for which f is true, and
@@ -183,7 +197,7 @@
 			k, err := src.Read(buf)
 			if k > 0 {
 				select {
-				case q <- packet{time.Now().Add(memDelay), append([]byte(nil), buf[:k]...)}:
+				case q <- packet{time.Now().Add(n.takes()), append([]byte(nil), buf[:k]...)}:
 				case <-dead:
 					return
 				}
--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -89,6 +89,18 @@
 	s.mu.Unlock()
 }
 
+// Count is how many keys are below a prefix.
+func (s *Store) Count(prefix string) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.kv {
+		if strings.HasPrefix(k, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Entry reads a key.
 func (s *Store) Entry(key string) (state.Entry, bool) {
 	s.mu.Lock()
--- a/internal/emulate/users.go
+++ b/internal/emulate/users.go
@@ -113,6 +113,40 @@
 	return out
 }
 
+// Ends lets f be told of each accepted job that nobody has called off, the moment its last
+// task has completed, and notes that its users may call it off now; nil: nobody is told.
+func (w *World) Ends(f func(*job.Spec)) {
+	w.mu.Lock()
+	w.ends = f
+	w.mu.Unlock()
+}
+
+// ended tells of the end of a job's last task; the caller holds the lock.
+func (w *World) ended(s *job.Spec) {
+	u := &w.judge.users
+	if w.ends == nil || w.judge.told[s.ID] != "accepted" || u.cancels[s.ID] || len(w.judge.done[s.ID]) < s.Tasks {
+		return
+	}
+	u.cancels[s.ID] = true
+	f := w.ends
+	w.wg.Go(func() { f(s) })
+}
+
+// Uses is how many CPUs the tasks of a team take, those that are stopped but not gone
+// included.
+func (w *World) Uses(team string) (cpus float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.spec != nil && t.spec.Team == team && k.on(t) {
+				cpus += t.spec.CPUs
+			}
+		}
+	}
+	return cpus
+}
+
 // With picks up to n machines that have a task of one of the jobs.
 func (w *World) With(jobs []*job.Spec, n int) (out []*Worker) {
 	w.mu.Lock()
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -62,7 +62,8 @@
 	count   int
 	short   map[string]int // machines that are left to a zone in a shortage
 	judge   judge
-	copying bool // reports are kept for Copies
+	ends    func(*job.Spec) // told of jobs whose last task has completed
+	copying bool            // reports are kept for Copies
 	copies  []Copy
 	wg      sync.WaitGroup
 	end     chan struct{}
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
 	"vetchstream/internal/job"
 	"vetchstream/internal/wire"
 )
@@ -191,17 +193,7 @@
 		for i, spec := range jobs {
 			s.Go(func() {
 				time.Sleep(time.Duration(i) * 200 * time.Millisecond / time.Duration(len(jobs)))
-				hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
-				s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
-					if status == 404 {
-						s.Fail("forgotten: abort of %s got 404", spec.ID)
-					}
-					if status == 200 {
-						s.Aborted(spec.ID, st.Phase)
-						s.looksClosely(spec, true)
-					}
-					return status == 200
-				})
+				s.abortNow(spec)
 			})
 		}
 		time.Sleep(hangs)
@@ -325,11 +317,158 @@
 	return st
 }
 
+// abortNow calls a job off and judges the answer.
+func (s *sim) abortNow(spec *job.Spec) {
+	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
+		if status == 404 {
+			s.Fail("forgotten: abort of %s got 404", spec.ID)
+		}
+		if status == 200 {
+			s.Aborted(spec.ID, st.Phase)
+			s.looksClosely(spec, true)
+		}
+		return status == 200
+	})
+}
+
+// cancelAtEnd calls each job off at the moment in which its last task ends, or up to 60 ms
+// later.
+func cancelAtEnd(seed uint64, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		var mu sync.Mutex
+		r, met := rng(seed), 0
+		s.Ends(func(spec *job.Spec) {
+			mu.Lock()
+			wait := time.Duration(r.IntN(60)) * time.Millisecond
+			met++
+			mu.Unlock()
+			time.Sleep(wait)
+			s.abortNow(spec)
+		})
+		time.Sleep(d)
+		s.Ends(nil)
+		mu.Lock()
+		defer mu.Unlock()
+		if met < 3 {
+			s.t.Errorf("%d jobs were called off at their ends", met)
+		}
+	}
+}
+
+// allAway ends all controllers for a while.
+func allAway(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		lapsed := s.Lapsed()
+		for i := range s.nodes {
+			s.kill(i)
+		}
+		time.Sleep(d)
+		if d > 10*time.Second && s.Lapsed() == lapsed {
+			s.t.Error("no lease of a machine with tasks has run out")
+		}
+		for i := range s.nodes {
+			s.startNode(i)
+		}
+	}
+}
+
+// tenLeaders lets leaders change ten times within two minutes.
+func tenLeaders(s *sim) {
+	term, begun := s.term(), time.Now()
+	for i := range 10 {
+		was := s.term()
+		flick(0, time.Duration(100+150*i)*time.Millisecond)(s)
+		for s.term() == was && time.Since(begun) < 3*time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(1+i%4) * time.Second)
+	}
+	if s.term() < term+10 || time.Since(begun) > 2*time.Minute {
+		s.t.Errorf("%d changes of leader in %v", s.term()-term, time.Since(begun).Round(time.Second))
+	}
+}
+
+// cutZoneAnd cuts a zone's workers and a controller, counted from the leader, off from
+// everything but each other.
+func cutZoneAnd(zone string, after int, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		in := map[string]bool{fmt.Sprintf("n%d", (s.leader()+after)%len(s.nodes)): true}
+		for _, k := range s.Zone(zone) {
+			in[k.Host()] = true
+		}
+		s.cutLinks("zone and controller", func(a, b string) bool { return in[a] && !in[b] })
+		time.Sleep(d)
+		s.cutLinks("zone and controller", nil)
+	}
+}
+
+// slowLinks makes every packet late.
+func slowLinks(by, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		s.net.Slow(by)
+		time.Sleep(d)
+		s.net.Slow(0)
+	}
+}
+
+// heldUp holds what goes to some machines for seconds, again and again.
+func heldUp(seed uint64, times int) func(*sim) {
+	return func(s *sim) {
+		r := rng(seed)
+		for i := range times {
+			deafen(seed+uint64(i), 3, everybody, time.Duration(1500+r.IntN(4500))*time.Millisecond)(s)
+			time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		}
+	}
+}
+
+// stream hands in one-task jobs, four a second, and calls a quarter of them off.
+func stream(d time.Duration) func(*sim) {
+	return func(s *sim) {
+		for i := range int(4 * d / time.Second) {
+			spec := &job.Spec{ID: fmt.Sprintf("run-8%05d", i), Team: []string{"blue", "red"}[i%2], Class: "stream", ShapeName: "array", RankName: "standard", Tasks: 1, CPUs: 0.5, MemGB: 0.5, EstimateS: 3, Spot: true}
+			abort := time.Duration(0)
+			if i%4 == 3 {
+				abort = time.Duration(1+i%7) * 700 * time.Millisecond
+			}
+			s.Go(func() { s.live(spec, 0, abort) })
+			time.Sleep(250 * time.Millisecond)
+		}
+	}
+}
+
+// atLimit waits until teams use all but a little of their limits.
+func atLimit(teams ...string) func(*sim) {
+	return func(s *sim) {
+		for _, team := range teams {
+			most := 0.0
+			for range 100 {
+				if most = max(most, s.Uses(team)); most >= 12*float64(s.scale) {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			if most < 12*float64(s.scale) {
+				s.t.Errorf("team %s uses %v CPUs at most: not at its limit", team, most)
+			}
+		}
+	}
+}
+
+// then plays faults one after the other.
+func then(fs ...func(*sim)) func(*sim) {
+	return func(s *sim) {
+		for _, f := range fs {
+			f(s)
+		}
+	}
+}
+
 // TestFurtherMeetings plays the meetings of the users' longer page, while users look closely.
 func TestFurtherMeetings(t *testing.T) {
 	sec := time.Second
-	three := calledOff(plain(3, 1, promising))
-	playOn(t, three, nil, []day{
+	playOn(t, calledOff(plain(3, 1, promising)), nil, []day{
 		{"close looks alone", together(fault{0, closely(70 * sec)})},
 		{"answers of transactions are lost, the leader ends", together(fault{0, closely(70 * sec)}, fault{4 * sec, atOnce(81, 0.2, 45*sec)}, fault{18 * sec, crash(1)})},
 		{"many called off as the leader ends, their machines hang", together(fault{0, closely(70 * sec)}, fault{16 * sec, cancelNow(82, 12, 8*sec, 12*sec)}, fault{16100 * time.Millisecond, crash(1)})},
@@ -341,3 +480,96 @@
 		{"called off while the work of a controller changes hands", together(fault{0, closely(70 * sec)}, fault{15 * sec, crashOther(3 * sec)}, fault{15200 * time.Millisecond, cancelNow(87, 8, 5*sec, 15*sec)}, fault{30 * sec, flicks(88, 4)})},
 	})
 }
+
+// TestAway plays those in which controllers, a zone or links are away, and the ends of jobs.
+func TestAway(t *testing.T) {
+	sec := time.Second
+	playOn(t, calledOff(plain(3, 1, promising)), nil, []day{
+		{"called off as they end", together(fault{0, closely(70 * sec)}, fault{3 * sec, cancelAtEnd(89, 60*sec)})},
+		{"all controllers away for longer than the lease", together(fault{16 * sec, allAway(14 * sec)}, fault{15500 * time.Millisecond, cancelNow(90, 4, 0, 45*sec)})},
+		{"a zone and the leader cut for longer than the lease", together(fault{15 * sec, cutZoneAnd("a", 0, 18*sec)}, fault{20 * sec, cancelNow(91, 4, 0, 15*sec)})},
+		{"a zone and another controller cut for longer than the lease", together(fault{15 * sec, cutZoneAnd("a", 1, 18*sec)}, fault{17 * sec, crash(1)})},
+		{"commands held up for seconds, called off meanwhile", together(fault{10 * sec, heldUp(92, 8)}, fault{20 * sec, cancelNow(93, 6, 4*sec, 10*sec)})},
+		{"ten leaders in two minutes", together(fault{10 * sec, tenLeaders}, fault{40 * sec, cancelNow(94, 3, 3*sec, 30*sec)})},
+		{"leaders change inside an outage", together(fault{14 * sec, outage(14 * sec)}, fault{15 * sec, func(s *sim) {
+			for i := range 5 {
+				flick(i%3, 300*time.Millisecond)(s)
+				time.Sleep(2 * sec)
+			}
+		}}, fault{32 * sec, flicks(95, 5)})},
+	})
+}
+
+// TestLimits plays the meetings of teams at their limits.
+func TestLimits(t *testing.T) {
+	sec := time.Second
+	full := func(both bool) site {
+		st := calledOff(plain(3, 1, promising))
+		if both {
+			st.tune = func(set *config.Settings, tun *config.Tuning) {
+				promising(set, tun)
+				set.Facts.Teams[1].CPUsMax = 14
+			}
+			st.edit = func(c *emulate.Config) { c.Limits["blue"] = emulate.Limit{CPUs: 14} }
+		}
+		return st
+	}
+	playOn(t, full(false), nil, []day{
+		{"a team at its limit, machines cut, called off, the leader changes", together(fault{14 * sec, then(atLimit("red"), func(s *sim) {
+			together(fault{0, cutWorkers(rng(96), 3, 14*sec)}, fault{sec, cancelNow(97, 6, 0, 20*sec)}, fault{1500 * time.Millisecond, crash(1)})[0].do(s)
+		})})},
+	})
+	playOn(t, full(true), nil, []day{
+		{"all at their limits, machines hang, called off, the leader changes", together(fault{14 * sec, then(atLimit("red", "blue"), func(s *sim) {
+			together(fault{0, cancelNow(98, 8, 9*sec, 20*sec)}, fault{300 * time.Millisecond, crash(1)})[0].do(s)
+		})})},
+		{"all at their limits, machines cut, called off, the leader changes twice", together(fault{14 * sec, then(atLimit("red", "blue"), func(s *sim) {
+			together(fault{0, cutWorkers(rng(99), 4, 16*sec)}, fault{500 * time.Millisecond, cancelNow(100, 8, 0, 20*sec)}, fault{time.Second, crash(1)}, fault{9 * sec, flick(0, 300*time.Millisecond)})[0].do(s)
+		})})},
+	})
+}
+
+// TestQuickMachines: machines that are up within two seconds and get work at once, while
+// transactions are late and the leader ends; and jobs that are bound to a zone, or to one,
+// of which machines are lost.
+func TestQuickMachines(t *testing.T) {
+	sec := time.Second
+	st := plain(3, 1, promising)
+	begin := st.begin
+	st.begin = func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
+		begin(s, add)
+		for i := range 8 {
+			sp := &job.Spec{Team: "blue", Class: "bound", ShapeName: "array", RankName: "standard", Tasks: 6, CPUs: 1, MemGB: 1, EstimateS: 12, Spot: true, OneZone: i%2 == 0}
+			if !sp.OneZone {
+				sp.Zone = []string{"a", "b"}[i/2%2]
+			}
+			add(sp, time.Duration(4+3*i)*sec, 0)
+		}
+	}
+	st.edit = func(c *emulate.Config) {
+		c.Types = slices.Clone(c.Types)
+		for i := range c.Types {
+			c.Types[i].BootS = 1
+		}
+	}
+	playOn(t, st, nil, []day{
+		{"while transactions are late, the leader ends", together(fault{3 * sec, lateWrites(101, 0.3, 40*sec)}, fault{11 * sec, crash(1)}, fault{24 * sec, crash(1)})},
+		{"machines of a zone are lost", together(fault{12 * sec, func(s *sim) { s.Kill(s.Zone("a")) }}, fault{14 * sec, crash(1)}, fault{26 * sec, func(s *sim) { s.Kill(s.Zone("b")) }})},
+		{"more work than room over slow links", together(fault{5 * sec, slowLinks(300*time.Millisecond, 50*sec)}, fault{6 * sec, stream(30 * sec)}, fault{20 * sec, crash(1)})},
+	})
+}
+
+// TestStream: one-task jobs, four a second for minutes, a quarter of them called off, through
+// a change of leader, an outage and late transactions. Nothing of them stays under the keys
+// that a leader loads.
+func TestStream(t *testing.T) {
+	sec := time.Second
+	const name = "two minutes"
+	playOn(t, plain(3, 1, promising), also{name: func(s *sim) {
+		for _, prefix := range []string{job.ActivePrefix, job.GroupPrefix, job.DonePrefix} {
+			if n := s.store.Count(prefix); n > 0 {
+				s.t.Errorf("%d keys are left under %s", n, prefix)
+			}
+		}
+	}}, []day{{name, together(fault{5 * sec, stream(2 * time.Minute)}, fault{20 * sec, crash(1)}, fault{45 * sec, outage(8 * sec)}, fault{70 * sec, lateWrites(102, 0.15, 30*sec)})}})
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -291,6 +291,9 @@
 	m := map[string]any{"uid": spec.ID, "breed": "c", "owner": spec.Team, "shape": spec.ShapeName, "rank": spec.RankName, "pieces": spec.Tasks,
 		"cpus": spec.CPUs, "accelerators": spec.GPUs, "mem_gb": spec.MemGB, "reel": "i", "image_gb": 0.5, "same_place": spec.OneZone, "apart": spec.Spread,
 		"loaners": spec.Spot, "guess_s": spec.EstimateS, "mark_s": spec.Checkpoint, "stash_s": spec.SaveS}
+	if spec.Zone != "" {
+		m["yard"] = spec.Zone
+	}
 	if spec.Booking != "" {
 		m["booking"] = spec.Booking
 	}
