--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -267,25 +267,25 @@
 		return "", false
 	}
 	need := place.Amount{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
-	fits := false
+	zones := map[string]bool{} // in which a task fits
 	for i := range types {
 		mt := &types[i]
-		if !(place.Amount{CPUs: mt.CPUs, GPUs: mt.GPUs, MemGB: mt.MemGB}).Fits(need) {
+		if !(place.Amount{CPUs: mt.CPUs, GPUs: mt.GPUs, MemGB: mt.MemGB}).Fits(need) || (s.Types != nil && !slices.Contains(s.Types, mt.Name)) {
 			continue
 		}
-		allowed := s.Types == nil
-		for _, n := range s.Types {
-			allowed = allowed || n == mt.Name
-		}
-		zone := s.Zone == ""
 		for _, z := range mt.Zones {
-			zone = zone || z == s.Zone
+			if s.Zone == "" || z == s.Zone {
+				zones[z] = true
+			}
 		}
-		fits = fits || (allowed && zone)
 	}
-	if !fits {
+	if len(zones) == 0 {
 		return "a task fits no allowed machine type", true
 	}
+	// A gang runs whole, and half of it may be in one zone.
+	if s.ShapeName == "ensemble" && s.Tasks > 1 && s.Spread && (s.OneZone || len(zones) == 1) {
+		return "its tasks have to be apart and fit in one zone only", true
+	}
 	k := 1.0
 	if s.ShapeName != "array" {
 		k = float64(s.Tasks)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -426,3 +426,50 @@
 		})
 	}
 }
+
+// TestVerdict: what can never run is refused, and what cannot be judged yet waits.
+func TestVerdict(t *testing.T) {
+	types := []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}}, {Name: "wide", CPUs: 8, GPUs: 2, MemGB: 16, Zones: []string{"a", "b"}}}
+	tests := []struct {
+		name string
+		edit func(*job.Spec)
+		want int // 0: it may be taken in
+	}{
+		{"an array", func(*job.Spec) {}, 0},
+		{"an array of more tasks than the limit has room for at a time", func(s *job.Spec) { s.Tasks = 1000 }, 0},
+		{"an unknown team", func(s *job.Spec) { s.Team = "green" }, 422},
+		{"more CPUs than any machine", func(s *job.Spec) { s.CPUs = 9 }, 422},
+		{"more memory", func(s *job.Spec) { s.MemGB = 17 }, 422},
+		{"more accelerators", func(s *job.Spec) { s.GPUs = 3 }, 422},
+		{"accelerators on a type that has none", func(s *job.Spec) { s.GPUs, s.Types = 1, []string{"small"} }, 422},
+		{"an unknown type", func(s *job.Spec) { s.Types = []string{"huge"} }, 422},
+		{"an unknown type beside a known one", func(s *job.Spec) { s.Types = []string{"huge", "small"} }, 0},
+		{"an unknown zone", func(s *job.Spec) { s.Zone = "z" }, 422},
+		{"a zone without its type", func(s *job.Spec) { s.Zone, s.Types = "b", []string{"small"} }, 422},
+		{"a task beyond the team's limit", func(s *job.Spec) { s.Team, s.CPUs = "blue", 3 }, 422},
+		{"a gang beyond it", func(s *job.Spec) { s.Team, s.ShapeName, s.Tasks = "blue", "ensemble", 3 }, 422},
+		{"a gang within it", func(s *job.Spec) { s.Team, s.ShapeName, s.Tasks = "blue", "ensemble", 2 }, 0},
+		{"a service beyond it", func(s *job.Spec) { s.Team, s.ShapeName, s.Tasks = "blue", "daemon", 3 }, 422},
+		{"a gang beyond the limit of accelerators", func(s *job.Spec) { s.ShapeName, s.Tasks, s.GPUs = "ensemble", 3, 2 }, 422},
+		{"a gang that is apart, in two zones", func(s *job.Spec) { s.ShapeName, s.Spread = "ensemble", true }, 0},
+		{"a gang that is apart, with machines in one zone", func(s *job.Spec) { s.ShapeName, s.Spread, s.Types = "ensemble", true, []string{"small"} }, 422},
+		{"a gang that is apart and in one zone", func(s *job.Spec) { s.ShapeName, s.Spread, s.OneZone = "ensemble", true, true }, 422},
+		{"a gang of one that is apart", func(s *job.Spec) { s.ShapeName, s.Spread, s.Zone, s.Tasks = "ensemble", true, "a", 1 }, 0},
+		{"an array that is apart, in one zone: a half at a time", func(s *job.Spec) { s.Spread, s.Zone = true, "a" }, 0},
+	}
+	r := bench(t, config.Team{Name: "red", GPUsMax: 5}, config.Team{Name: "blue", CPUsMax: 2})
+	for _, tt := range tests {
+		s := job.Spec{ID: "run-1", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 2, CPUs: 1, MemGB: 1}
+		tt.edit(&s)
+		got := 0
+		if p := r.c.verdict(&s, types); p != nil {
+			got = p.Status
+		}
+		if got != tt.want {
+			t.Errorf("%s: %d, want %d", tt.name, got, tt.want)
+		}
+		if p := r.c.verdict(&s, nil); s.Team != "green" && (p == nil || p.Status != 503) {
+			t.Errorf("%s, types not known: %v, want 503", tt.name, p)
+		}
+	}
+}
--- a/internal/emulate/users.go
+++ b/internal/emulate/users.go
@@ -91,6 +91,13 @@
 	return ""
 }
 
+// AllTold is what users were told last of each accepted job: accepted, or its final phase.
+func (w *World) AllTold() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.judge.told)
+}
+
 // CallOff picks up to n accepted jobs that run and that nobody has called off, for users
 // who do so now.
 func (w *World) CallOff(r *rand.Rand, n int) (out []*job.Spec) {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,6 +67,30 @@
 	}
 }
 
+// TestFields: each field in turn is left out, null, or of another kind. What may be null may
+// also be left out; the refusal names the field.
+func TestFields(t *testing.T) {
+	optional := map[string]bool{"yard": true, "builds": true, "due_s": true}
+	for key := range valid() {
+		for name, edit := range map[string]func(m map[string]any){
+			"left out": func(m map[string]any) { delete(m, key) }, "null": func(m map[string]any) { m[key] = nil },
+			"a map": func(m map[string]any) { m[key] = map[string]any{"x": 1.0} }, "an empty text": func(m map[string]any) { m[key] = "" },
+			"a list of lists": func(m map[string]any) { m[key] = []any{[]any{}} }} {
+			m := valid()
+			edit(m)
+			b, err := wire.Marshal(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = ParseSpec(b)
+			ok := optional[key] && (name == "left out" || name == "null") || key == "yard" && name == "an empty text"
+			if ok != (err == nil) || (err != nil && (!errors.Is(err, ErrMalformed) || !strings.Contains(err.Error(), key))) {
+				t.Errorf("%s is %s: %v", key, name, err)
+			}
+		}
+	}
+}
+
 // TestDoneSet stores the results of the largest job in chunks and loads them.
 func TestDoneSet(t *testing.T) {
 	spec := Spec{ID: "run-1", ShapeName: "array", RankName: "idle", Tasks: MaxTasks}
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -207,6 +208,81 @@
 	}
 }
 
+// odd lets users repeat submissions of unfinished jobs with another body, call off jobs that
+// are done, and send what can never run or lacks a field.
+func odd(seed uint64, d time.Duration) func(*sim) {
+	return func(s *sim) {
+		r, begun, clear := rng(seed), time.Now(), map[string]int{}
+		hc := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+		post := func(path string, m map[string]any) (int, string) {
+			b, err := wire.Marshal(m)
+			if err != nil {
+				panic(err)
+			}
+			res, err := hc.Post("http://"+s.door(r.IntN(len(s.nodes)))+path, wire.ContentType, bytes.NewReader(b))
+			if err != nil {
+				return 0, ""
+			}
+			b, err = io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			var st wire.Status
+			if err != nil || (res.StatusCode == 200 && wire.Unmarshal(b, &st) != nil) || res.StatusCode >= 429 {
+				return 0, ""
+			}
+			return res.StatusCode, st.Phase
+		}
+		whole := func(id string) (m map[string]any) {
+			if err := wire.Unmarshal(submission(&job.Spec{ID: id, Team: "blue", ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1, MemGB: 1}), &m); err != nil {
+				panic(err)
+			}
+			return m
+		}
+		fields := slices.Sorted(maps.Keys(whole("run-1")))
+		for i := 0; time.Since(begun) < d; i++ {
+			time.Sleep(150 * time.Millisecond)
+			told := s.AllTold()
+			if len(told) == 0 {
+				continue
+			}
+			id := slices.Sorted(maps.Keys(told))[r.IntN(len(told))]
+			fresh := whole(fmt.Sprintf("run-6%05d", i))
+			switch before := told[id]; {
+			case i%3 == 0:
+				delete(fresh, fields[i/3%len(fields)])
+				if status, _ := post("/api/jobs", fresh); status == 400 {
+					clear["lacks a field"]++
+				} else if status != 0 {
+					s.Fail("refused: a submission without %s got %d", fields[i/3%len(fields)], status)
+				}
+			case i%3 == 1:
+				fresh["cpus"] = 17.0
+				if status, _ := post("/api/jobs", fresh); status == 422 {
+					clear["never"]++
+				} else if status != 0 {
+					s.Fail("refused: a job that fits no machine got %d", status)
+				}
+			case before == wire.JobDone:
+				if status, phase := post("/api/jobs/"+id+"/abort", nil); status == 200 && phase == wire.JobDone {
+					clear["done"]++
+				} else if status != 0 {
+					s.Fail("went_back: the cancellation of %s, which is done, got %d %s", id, status, phase)
+				}
+			default:
+				final := s.Told(id)
+				m := whole(id)
+				m["cpus"] = 17.0
+				if status, phase := post("/api/jobs", m); status != 0 {
+					clear["repeated"]++
+					s.Repeated(&job.Spec{ID: id}, status, phase, final)
+				}
+			}
+		}
+		if len(clear) < 4 {
+			s.t.Errorf("only %v had a clear answer", clear)
+		}
+	}
+}
+
 // closely lets users look at all controllers within milliseconds after each answer.
 func closely(d time.Duration) func(*sim) {
 	return func(s *sim) {
@@ -469,7 +545,7 @@
 func TestFurtherMeetings(t *testing.T) {
 	sec := time.Second
 	playOn(t, calledOff(plain(3, 1, promising)), nil, []day{
-		{"close looks alone", together(fault{0, closely(70 * sec)})},
+		{"close looks and odd requests", together(fault{0, closely(70 * sec)}, fault{5 * sec, odd(80, 50*sec)}, fault{25 * sec, crash(1)})},
 		{"answers of transactions are lost, the leader ends", together(fault{0, closely(70 * sec)}, fault{4 * sec, atOnce(81, 0.2, 45*sec)}, fault{18 * sec, crash(1)})},
 		{"many called off as the leader ends, their machines hang", together(fault{0, closely(70 * sec)}, fault{16 * sec, cancelNow(82, 12, 8*sec, 12*sec)}, fault{16100 * time.Millisecond, crash(1)})},
 		{"called off at the refusal, and out a second later", together(fault{16 * sec, cancelNow(83, 12, 7*sec, 60*sec)}, fault{16 * sec, refuseThenOut(sec, 30*sec)})},
