--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -547,7 +547,7 @@
 	playOn(t, calledOff(plain(3, 1, promising)), nil, []day{
 		{"close looks and odd requests", together(fault{0, closely(70 * sec)}, fault{5 * sec, odd(80, 50*sec)}, fault{25 * sec, crash(1)})},
 		{"answers of transactions are lost, the leader ends", together(fault{0, closely(70 * sec)}, fault{4 * sec, atOnce(81, 0.2, 45*sec)}, fault{18 * sec, crash(1)})},
-		{"answers are lost and controllers do not reach each other", together(fault{0, closely(70 * sec)}, fault{4 * sec, cutPeers(50 * sec)}, fault{5 * sec, atOnce(103, 0.5, 45*sec)}, fault{16 * sec, cancelNow(104, 8, 0, 15*sec)})},
+		{"answers are lost and controllers do not reach each other", together(fault{0, closely(70 * sec)}, fault{4 * sec, cutPeers(50 * sec)}, fault{5 * sec, atOnce(103, 0.5, 45*sec)}, fault{9 * sec, swarm(80)}, fault{16 * sec, cancelNow(104, 8, 0, 15*sec)})},
 		{"many called off as the leader ends, their machines hang", together(fault{0, closely(70 * sec)}, fault{16 * sec, cancelNow(82, 12, 8*sec, 12*sec)}, fault{16100 * time.Millisecond, crash(1)})},
 		{"called off at the refusal, and out a second later", together(fault{16 * sec, cancelNow(83, 12, 7*sec, 60*sec)}, fault{16 * sec, refuseThenOut(sec, 30*sec)})},
 		{"mute machines, called off, the leader ends", together(fault{0, closely(70 * sec)}, fault{13 * sec, mute(84, 3, 30*sec)}, fault{16 * sec, cancelNow(85, 6, 0, 12*sec)}, fault{18 * sec, crash(1)})},
