--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -209,7 +209,7 @@
 		back(Later("machine was returned"))
 		return
 	}
-	if h := r.fleet.Hosts[m.Host]; h != nil && h.Past(m.Session, m.Seq) {
+	if h := r.fleet.Hosts[m.Host]; h != nil && h.Stale(m.Session, m.Seq) {
 		// A copy, or one that was held back. Orders in its answer would count as sent and
 		// arrive nowhere, and a holder would lose the machine as if its worker had strayed.
 		// It is refused: a worker that has begun anew and counts from the start would take
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -132,9 +132,9 @@
 	// heard is the last moment from which an answer of ours, of a holder of ours or of
 	// an earlier leader, may have renewed the worker's lease.
 	heard time.Time
-	// called is when a launch was last sent directly. A worker that has begun anew, and
+	// directAt is when a launch was last sent directly. A worker that has begun anew, and
 	// whose messages count as old, may have it for a lease from then.
-	called time.Time
+	directAt time.Time
 	// holder is the controller that answers the machine's reports; nil: the leader.
 	holder *Holder
 	// Lost: the lease has run out without a message; nothing is on the machine.
@@ -205,10 +205,10 @@
 	return now
 }
 
-// Past reports whether a report is older than another that was taken in: a copy, or
+// Stale reports whether a report is older than another that was taken in: a copy, or
 // one that was held back. The worker does not wait for its answer any more, so that
 // renews nothing, and what is sent in it arrives nowhere.
-func (h *Host) Past(session, seq uint64) bool {
+func (h *Host) Stale(session, seq uint64) bool {
 	return session < h.Session || (session == h.Session && seq <= h.reported)
 }
 
@@ -216,7 +216,7 @@
 // one before. A launch in an answer to an earlier report did not arrive, or the
 // report would have shown it.
 func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) (ev []Event) {
-	if session != h.Session || h.Lost || h.Past(session, seq) {
+	if session != h.Session || h.Lost || h.Stale(session, seq) {
 		return nil
 	}
 	h.reported = seq
@@ -521,7 +521,7 @@
 	if m.Token > f.Term {
 		return Result{Deposed: true}
 	}
-	if isReport && h.Past(m.Session, m.Seq) {
+	if isReport && h.Stale(m.Session, m.Seq) {
 		return Result{}
 	}
 	// Even a report that is older than a direct answer may be the one that the worker
@@ -693,7 +693,7 @@
 			}
 			s.Sent, s.Direct, s.viaSeq, s.At = true, seq == 0, seq, now
 			if seq == 0 {
-				h.called = now
+				h.directAt = now
 			}
 			sent = append(sent, s)
 			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
@@ -763,7 +763,7 @@
 // these machines.
 func (f *Fleet) Expire(now time.Time) (ev []Event, lost int) {
 	for _, h := range f.order {
-		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease || now.Sub(h.called) < f.Lease {
+		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease || now.Sub(h.directAt) < f.Lease {
 			continue
 		}
 		h.Lost, h.LostAt, h.Fenced = true, now, false
