--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,6 +251,8 @@
 	s    *stateService
 	term uint64
 	stop func()
+	// lapsed takes the entitlement away.
+	lapsed atomic.Bool
 }
 
 func sit(t *testing.T, s *stateService, term uint64) *seat {
@@ -259,6 +262,7 @@
 
 func sitWith(t *testing.T, s *stateService, term uint64, tune func(*config.Tuning)) *seat {
 	t.Helper()
+	st := &seat{t: t, s: s, term: term}
 	set := &config.Settings{Member: "n0"}
 	f := &set.Facts
 	f.Workers.LeaseS = 10
@@ -269,7 +273,8 @@
 	f.Resources.MaxSockets = 800
 	c := New(Deps{Settings: set, Tuning: config.Defaults(), State: state.New("state:1", s.dial, StateBudget(set, false)),
 		Cloud: hosts.NewCloud("cloud:1", s.dial, 1), Dial: s.dial, Log: slog.New(slog.DiscardHandler),
-		Entitled: func(uint64) bool { return true }, Deposed: func(uint64) {}})
+		Entitled: func(uint64) bool { return !st.lapsed.Load() }, Deposed: func(uint64) {}})
+	st.Controller = c
 	tune(c.Tuning)
 	c.types = []wire.MachineType{{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a"}}}
 	s.put(lead.KeyTerm, map[string]uint64{"term": term})
@@ -282,7 +287,6 @@
 		defer close(ended)
 		c.Lead(ctx, lead.Reign{Term: term, TermVersion: version, Since: time.Now()})
 	}()
-	st := &seat{Controller: c, t: t, s: s, term: term}
 	st.stop = sync.OnceFunc(func() { cancel(); <-ended })
 	t.Cleanup(st.stop)
 	time.Sleep(300 * time.Millisecond)
@@ -407,6 +411,37 @@
 				t.Error("no group was stored")
 			}
 		}},
+		{"a job alone that was stored and whose answer is lost, while another node reads it", func(t *testing.T, s *stateService) {
+			st := sit(t, s, 1)
+			s.will("j", unheard)
+			go st.ask(peer.KindSubmit, "", body("run-1", nil))
+			time.Sleep(50 * time.Millisecond)
+			if p := st.Direct(context.Background(), "run-1"); p.Status != 200 {
+				t.Errorf("another node says %d", p.Status)
+			}
+			if p := st.ask(peer.KindStatus, "run-1", nil); p.Status != 200 && p.Status != 503 {
+				t.Errorf("the leader says %d", p.Status)
+			}
+			time.Sleep(2 * time.Second)
+			if out := st.submit(body("run-1", nil)); out[0] != 200 || st.phase("run-1") != wire.JobPending || s.jobs() != 1 {
+				t.Errorf("once more: %v, %d jobs", out, s.jobs())
+			}
+		}},
+		{"admitted by another node, its answer lost, and asked again at the leader", func(t *testing.T, s *stateService) {
+			st := sit(t, s, 1)
+			s.will("j", unheard)
+			if p := st.Admit(context.Background(), body("run-1", nil)); p.Status != 503 {
+				t.Errorf("not settled: %d", p.Status)
+			}
+			for i, ask := range []func() int{func() int { return st.Admit(context.Background(), body("run-1", nil)).Status }, func() int { return st.submit(body("run-1", nil))[0] }} {
+				if status := ask(); status != 200 {
+					t.Errorf("try %d: %d", i, status)
+				}
+			}
+			if p := st.ask(peer.KindAbort, "run-1", nil); p.Status != 200 || st.phase("run-1") != wire.JobAborted {
+				t.Errorf("cancelled: %d, and it is %s", p.Status, st.phase("run-1"))
+			}
+		}},
 		{"jobs that another node has admitted do not keep out the others", func(t *testing.T, s *stateService) {
 			st := sit(t, s, 1)
 			for _, b := range swarm(15, 3) {
@@ -897,3 +932,27 @@
 		}
 	}
 }
+
+// TestLapsed: an answer that has waited behind a busy actor until the entitlement was gone is
+// none: another may lead by then, and have told the user something newer.
+func TestLapsed(t *testing.T) {
+	for _, kind := range []string{peer.KindStatus, peer.KindSubmit, peer.KindAbort} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				st := sit(t, newStateService(t), 7)
+				if out := st.submit(body("run-5", nil)); out[0] != 201 {
+					t.Fatalf("submission: %d", out[0])
+				}
+				busy, got := make(chan struct{}), make(chan *peer.Reply, 1)
+				st.current().ahead(func() { <-busy })
+				go func() { got <- st.ask(kind, "run-5", body("run-5", nil)) }()
+				time.Sleep(time.Second)
+				st.lapsed.Store(true)
+				close(busy)
+				if p := <-got; p.Status != 503 {
+					t.Errorf("answered %d after the lapse", p.Status)
+				}
+			})
+		})
+	}
+}
