--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -650,3 +650,17 @@
 		}
 	}}, []day{{name, together(fault{5 * sec, stream(2 * time.Minute)}, fault{20 * sec, crash(1)}, fault{45 * sec, outage(8 * sec)}, fault{70 * sec, lateWrites(102, 0.15, 30*sec)})}})
 }
+
+// TestMeetingsAtSize plays some of them with up to 240 machines.
+func TestMeetingsAtSize(t *testing.T) {
+	const scale = 20
+	sec := time.Second
+	playOn(t, calledOff(plain(3, scale, promising)), nil, []day{
+		{"many called off as the leader ends, their machines hang, some are mute", together(fault{14 * sec, mute(105, 2*scale, 25*sec)},
+			fault{16 * sec, cancelNow(106, 12, 8*sec, 15*sec)}, fault{16100 * time.Millisecond, crash(1)}, fault{30 * sec, lateWrites(107, 0.15, 20*sec)})},
+	})
+	playOn(t, calledOff(plain(5, scale, shared)), nil, []day{
+		{"called off at the refusal and out, copies for the next, five controllers", together(fault{12 * sec, forNext(6 * sec)}, fault{18 * sec, cancelNow(108, 12, 6*sec, 60*sec)},
+			fault{18 * sec, refuseThenOut(4*sec, 30*sec)})},
+	})
+}
