--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -92,10 +92,12 @@
 	nodes []context.CancelFunc
 	ended []chan struct{}
 	still []gate
-	scale int // machines, tasks and limits are that many times as many
+	scale int        // machines, tasks and limits are that many times as many
+	cutMu sync.Mutex // guards cuts
 	cuts  map[string]func(from, to string) bool
 	tune  func(*config.Settings, *config.Tuning)
 	asks  atomic.Int64
+	drawn bool        // its troubles are drawn
 	close atomic.Bool // users look at all controllers within milliseconds after an answer
 }
 
@@ -220,6 +222,8 @@
 }
 
 func (s *sim) cutLinks(name string, f func(from, to string) bool) {
+	s.cutMu.Lock()
+	defer s.cutMu.Unlock()
 	if f == nil {
 		delete(s.cuts, name)
 	} else {
@@ -569,6 +573,7 @@
 // site is where a day is played: how many controllers, which machines, what work.
 type site struct {
 	nodes, scale int
+	drawn        bool
 	tune         func(*config.Settings, *config.Tuning)
 	edit         func(*emulate.Config)
 	begin        func(s *sim, add func(sp *job.Spec, at, abort time.Duration))
@@ -753,6 +758,7 @@
 		st.edit(c)
 	}, st.tune)
 	w := s.World
+	s.drawn = st.drawn
 	w.Go(s.nobody)
 	id := 0
 	st.begin(s, func(sp *job.Spec, at, abort time.Duration) {
