--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -627,6 +627,9 @@
 			if !sp.OneZone {
 				sp.Zone = []string{"a", "b"}[i/2%2]
 			}
+			if i%3 == 1 {
+				sp.ShapeName, sp.Tasks = "ensemble", 2
+			}
 			add(sp, time.Duration(4+3*i)*sec, 0)
 		}
 	}
