--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -158,9 +158,10 @@
 }
 
 // Team is a team's guarantee, limit and use; a limit of 0 is none. Leaving is the
-// part of its use that is being stopped already.
+// part of its use that is being stopped already, Claimed the room that is being made for
+// it and that it does not use yet.
 type Team struct {
-	Guarantee, Limit, Used, Leaving Amount
+	Guarantee, Limit, Used, Leaving, Claimed Amount
 }
 
 // spares reports whether the team keeps its guarantee without a. What it has
@@ -328,7 +329,16 @@
 	p.byZone = make([][]int, zones)
 	p.sorted = make([]bool, len(p.Machines))
 	p.keptFor = map[int]bool{}
+	teams := map[int]int{}
+	for i := range p.Demands {
+		teams[p.Demands[i].ID] = p.Demands[i].Team
+	}
 	for i := range p.Machines {
+		if m := &p.Machines[i]; m.KeptFor > 0 && !m.Reserved {
+			if t, waits := teams[m.KeptFor]; waits && t >= 0 {
+				p.Teams[t].Claimed = p.Teams[t].Claimed.plus(m.Kept, 1)
+			}
+		}
 		m := &p.Machines[i]
 		p.keptFor[m.KeptFor], p.keptFor[m.HeldFor] = true, true
 		p.promised = p.promised || m.HeldFor != 0 || m.Leaves
@@ -465,6 +475,10 @@
 	m := &p.Machines[i]
 	m.Free = m.Free.plus(d.Need, -1)
 	if m.KeptFor == d.ID {
+		if d.Team >= 0 && !m.Reserved {
+			t := &p.Teams[d.Team]
+			t.Claimed = t.Claimed.plus(m.Kept, -1)
+		}
 		m.Kept = m.Kept.plus(d.Need, -1)
 		if m.Kept.CPUs < slack && m.Kept.GPUs < slack && m.Kept.MemGB < slack {
 			m.KeptFor, m.Kept = 0, Amount{}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -183,6 +183,21 @@
 		d.Rank, d.Preempts = job.Urgent, true
 		return Input{Machines: []Machine{m}, Demands: []Demand{d}, Teams: []Team{{}, {Used: Amount{CPUs: 7}}}, Weights: paper}
 	}
+	// claim: an array of four waits, its team uses three CPUs; on each of three machines
+	// there is borrowed work of the other team.
+	claim := func(in *Input, guarantee float64) {
+		d := demand(1, job.Array, 1, 0, 1, 2, 3)
+		d.Rank, d.Preempts = job.Standard, true
+		in.Demands = []Demand{d}
+		in.Teams = []Team{{Guarantee: Amount{CPUs: guarantee}, Used: Amount{CPUs: 3}}, {Guarantee: Amount{CPUs: 1}, Used: Amount{CPUs: 20}}}
+		in.Machines = nil
+		for i := range 3 {
+			m := machine(i, 0, 4)
+			m.Free = Amount{MemGB: 8}
+			m.Victims = []Victim{{ID: i, Rank: job.Standard, Team: 1, Need: Amount{CPUs: 4, MemGB: 1}, Loss: 1}}
+			in.Machines = append(in.Machines, m)
+		}
+	}
 	late := func(in *Input) {
 		for v := range in.Machines[0].Victims {
 			in.Machines[0].Victims[v].Late = true
@@ -265,6 +280,12 @@
 				in.Machines[0].Victims[v].Rank = job.Urgent
 			}
 		}, []int{1}},
+		{"no more is claimed than the guarantee holds", func(in *Input) { claim(in, 5) }, []int{0, 1}},
+		{"what is being made counts", func(in *Input) {
+			claim(in, 5)
+			in.Machines[0].KeptFor, in.Machines[0].Kept = 1, Amount{CPUs: 1}
+		}, []int{1}},
+		{"all that the guarantee holds", func(in *Input) { claim(in, 6) }, []int{0, 1, 2}},
 		{"nothing is stopped twice for one demand", func(in *Input) {
 			in.Machines[0].KeptFor, in.Machines[0].Kept = 1, Amount{CPUs: 4}
 		}, nil},
--- a/internal/place/preempt.go
+++ b/internal/place/preempt.go
@@ -36,8 +36,14 @@
 	if v.Rank < d.Rank {
 		return !v.Late || v.Team < 0 || v.Team == d.Team || p.inside(d) || p.Teams[v.Team].spares(v.whole())
 	}
-	return d.Team >= 0 && v.Team >= 0 && v.Team != d.Team &&
-		p.Teams[d.Team].within(d.Need) && p.Teams[v.Team].borrows() && p.Teams[v.Team].spares(v.whole())
+	if d.Team < 0 || v.Team < 0 || v.Team == d.Team {
+		return false
+	}
+	// Room that is being made counts as used: a team that claimed more than its guarantee
+	// would borrow, and have it claimed back by the next.
+	t := p.Teams[d.Team]
+	t.Used = t.Used.plus(t.Claimed, 1)
+	return t.within(d.Need) && p.Teams[v.Team].borrows() && p.Teams[v.Team].spares(v.whole())
 }
 
 // inside reports whether all that the demand waits for, of a gang, or its next task is
@@ -128,6 +134,10 @@
 			continue
 		}
 		m.KeptFor, m.Kept, m.Reserved = d.ID, d.Need, false
+		if d.Team >= 0 {
+			t := &p.Teams[d.Team]
+			t.Claimed = t.Claimed.plus(d.Need, 1)
+		}
 		p.plan.Preempt = append(p.plan.Preempt, Preemption{i, c.machine, ids})
 		inZone[m.Zone]++
 		made++
