--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -105,22 +106,29 @@
 	})
 }
 
-// lateWrites lets a share of the transactions go unanswered for a while; each is carried
-// out 2 to 12 s later.
+// unanswered lets a share of the transactions go without an answer for a while; wait is how
+// late each is carried out, below 0: at once.
+func unanswered(s *sim, seed uint64, share float64, d time.Duration, wait func(r *rand.Rand) time.Duration) {
+	var mu sync.Mutex
+	r := rng(seed)
+	s.store.Late(func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if r.Float64() >= share {
+			return 0
+		}
+		return wait(r)
+	})
+	time.Sleep(d)
+	s.store.Late(nil)
+}
+
+// lateWrites lets a share of the transactions be carried out 2 to 12 s later.
 func lateWrites(seed uint64, share float64, d time.Duration) func(*sim) {
 	return func(s *sim) {
-		var mu sync.Mutex
-		r := rng(seed)
-		s.store.Late(func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			if r.Float64() >= share {
-				return 0
-			}
+		unanswered(s, seed, share, d, func(r *rand.Rand) time.Duration {
 			return 2*time.Second + time.Duration(r.Int64N(int64(10*time.Second)))
 		})
-		time.Sleep(d)
-		s.store.Late(nil)
 	}
 }
 
@@ -128,18 +136,7 @@
 // out at once.
 func atOnce(seed uint64, share float64, d time.Duration) func(*sim) {
 	return func(s *sim) {
-		var mu sync.Mutex
-		r := rng(seed)
-		s.store.Late(func() time.Duration {
-			mu.Lock()
-			defer mu.Unlock()
-			if r.Float64() >= share {
-				return 0
-			}
-			return -3 * time.Second
-		})
-		time.Sleep(d)
-		s.store.Late(nil)
+		unanswered(s, seed, share, d, func(*rand.Rand) time.Duration { return -3 * time.Second })
 		if s.store.Lost() == 0 {
 			s.unmet("no answer to a transaction was lost")
 		}
@@ -220,7 +217,7 @@
 func odd(seed uint64, d time.Duration) func(*sim) {
 	return func(s *sim) {
 		r, begun, clear := rng(seed), time.Now(), map[string]int{}
-		hc := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+		hc := s.client(4 * time.Second)
 		post := func(path string, m map[string]any) (int, string) {
 			b, err := wire.Marshal(m)
 			if err != nil {
@@ -308,7 +305,7 @@
 	for i := range 4 * len(s.nodes) {
 		s.Go(func() {
 			time.Sleep(time.Duration(i) * 1500 * time.Microsecond)
-			hc := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+			hc := s.client(4 * time.Second)
 			before, at := s.Told(spec.ID), "http://"+s.door(i)+"/api/jobs"
 			var res *http.Response
 			var err error
@@ -402,7 +399,7 @@
 
 // abortNow calls a job off and judges the answer.
 func (s *sim) abortNow(spec *job.Spec) {
-	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	hc := s.client(5 * time.Second)
 	s.user(hc, "POST", "/api/jobs/"+spec.ID+"/abort", nil, func(status int, st wire.Status) bool {
 		if status == 404 {
 			s.Fail("forgotten: abort of %s got 404", spec.ID)
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -246,6 +246,11 @@
 // door is where the i-th try of a user goes.
 func (s *sim) door(i int) string { return fmt.Sprintf("n%d:80", i%len(s.nodes)) }
 
+// client is a user's, with that much patience for an answer.
+func (s *sim) client(patience time.Duration) *http.Client {
+	return &http.Client{Timeout: patience, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+}
+
 // user repeats a request until it has a clear answer, and judges the answers.
 func (s *sim) user(hc *http.Client, method, path string, body []byte, want func(status int, st wire.Status) bool) bool {
 	id, _, _ := strings.Cut(strings.TrimPrefix(path, "/api/jobs/"), "/")
@@ -316,7 +321,7 @@
 		return
 	case <-time.After(at):
 	}
-	hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	hc := s.client(5 * time.Second)
 	s.Describe(spec)
 	if !s.submit(hc, spec) {
 		return
@@ -370,7 +375,7 @@
 
 // looks polls a job that is being cancelled, until its user stops.
 func (s *sim) looks(spec *job.Spec, until <-chan struct{}) {
-	hc := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	hc := s.client(2 * time.Second)
 	before := ""
 	for i := 1; before == ""; i++ {
 		select {
@@ -529,7 +534,7 @@
 			}
 			s.Describe(spec)
 			s.Go(func() { s.live(spec, 0, abort+time.Millisecond*time.Duration(1-i%2)) })
-			hc := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+			hc := s.client(5 * time.Second)
 			for range 2 {
 				s.Go(func() { s.submit(hc, spec) })
 			}
@@ -707,7 +712,7 @@
 
 // nobody asks about jobs that nobody has submitted.
 func (s *sim) nobody() {
-	hc := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DialContext: s.net.Dialer("user"), DisableKeepAlives: true}}
+	hc := s.client(2 * time.Second)
 	for i := 0; ; i++ {
 		select {
 		case <-s.Ended():
