Emulation: starts are judged by an index of tasks; the state service's routes in functions of their own

Change: tasks are found by their names, jobs and teams; one function a route; what a state service was asked for is counted. Three more cases of TestJudge for what was rewritten.

--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -171,33 +171,9 @@
 		w.judge.users.begun[t.spec.ID] = time.Now()
 	}
 	w.judge.users.starts[t.name] = true
-	team, inZone := Limit{t.spec.CPUs, t.spec.GPUs}, 1
-	for _, o := range w.workers {
-		for _, x := range o.tasks {
-			if !o.on(x) || x == t || x.spec == nil {
-				continue
-			}
-			if x.name == t.name {
-				w.breaks("ran_twice: %s starts on %s while it is on %s", t.name, k.name, o.name)
-			}
-			if x.spec.Team == t.spec.Team {
-				team.CPUs += x.spec.CPUs
-				team.GPUs += x.spec.GPUs
-			}
-			if x.spec.ID == t.spec.ID && o.zone == k.zone {
-				inZone++
-			}
-			if x.spec.ID == t.spec.ID && t.spec.OneZone && o.zone != k.zone {
-				w.breaks("wrong_place: %s in %s and %s", t.spec.ID, o.zone, k.zone)
-			}
-		}
-	}
-	if l := w.cfg.Limits[t.spec.Team]; (l.CPUs > 0 && team.CPUs > l.CPUs+1e-6) || (l.GPUs > 0 && team.GPUs > l.GPUs+1e-6) {
-		w.breaks("quota: %s uses %v of %v", t.spec.Team, team, l)
-	}
-	if t.spec.Spread && inZone > (t.spec.Tasks+1)/2 {
-		w.breaks("wrong_place: %d of %d tasks of %s in %s", inZone, t.spec.Tasks, t.spec.ID, k.zone)
-	}
+	w.judgeTwice(k, t)
+	w.judgeLimit(t)
+	w.judgeZones(k, t)
 	if k.spot && !t.spec.Spot {
 		w.breaks("wrong_place: %s on a spot machine", t.name)
 	}
@@ -215,6 +191,54 @@
 	}
 }
 
+// judgeTwice looks for the task on another machine; the caller holds the lock.
+func (w *World) judgeTwice(k *Worker, t *task) {
+	for x, o := range w.index.byName[t.name] {
+		if x != t && o.on(x) {
+			w.breaks("ran_twice: %s starts on %s while it is on %s", t.name, k.name, o.name)
+		}
+	}
+}
+
+// judgeLimit adds up what the task's team uses; the caller holds the lock.
+func (w *World) judgeLimit(t *task) {
+	l := w.cfg.Limits[t.spec.Team]
+	if l == (Limit{}) {
+		return
+	}
+	used := Limit{t.spec.CPUs, t.spec.GPUs}
+	for x, o := range w.index.byTeam[t.spec.Team] {
+		if x != t && o.on(x) {
+			used.CPUs += x.spec.CPUs
+			used.GPUs += x.spec.GPUs
+		}
+	}
+	if (l.CPUs > 0 && used.CPUs > l.CPUs+1e-6) || (l.GPUs > 0 && used.GPUs > l.GPUs+1e-6) {
+		w.breaks("quota: %s uses %v of %v", t.spec.Team, used, l)
+	}
+}
+
+// judgeZones looks at where the other tasks of the job are; the caller holds the lock.
+func (w *World) judgeZones(k *Worker, t *task) {
+	if !t.spec.OneZone && !t.spec.Spread {
+		return
+	}
+	inZone := 1
+	for x, o := range w.index.byJob[t.spec.ID] {
+		if x == t || !o.on(x) {
+			continue
+		}
+		if o.zone == k.zone {
+			inZone++
+		} else if t.spec.OneZone {
+			w.breaks("wrong_place: %s in %s and %s", t.spec.ID, o.zone, k.zone)
+		}
+	}
+	if t.spec.Spread && inZone > (t.spec.Tasks+1)/2 {
+		w.breaks("wrong_place: %d of %d tasks of %s in %s", inZone, t.spec.Tasks, t.spec.ID, k.zone)
+	}
+}
+
 // stays judges a task that is on its machine; the caller holds the lock.
 func (w *World) stays(k *Worker, t *task) {
 	if at, ok := w.judge.aborted[t.id()]; ok && k.on(t) && time.Since(at) > w.cfg.Cancel {
--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -31,6 +31,22 @@
 	page    int                  // entries in a listing
 	changed chan struct{}
 	lost    int // answers to transactions that were carried out at once
+	load    StoreLoad
+}
+
+// StoreLoad is what a state service has been asked for so far.
+type StoreLoad struct {
+	// Requests counts all requests, watches and renewals of leases included.
+	Requests int `json:"requests"`
+	// Writes counts the puts and deletes of transactions, also of refused ones.
+	Writes int `json:"writes"`
+}
+
+// Load is what the service has been asked for so far.
+func (s *Store) Load() StoreLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load
 }
 
 // unread answers nobody.
@@ -192,149 +208,206 @@
 	}
 }
 
+// ServeHTTP implements http.Handler: the published protocol of the state service.
 func (s *Store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	from, _, _ := net.SplitHostPort(q.RemoteAddr)
 	s.mu.Lock()
-	if d := s.slow; d > 0 && q.URL.Path != "/changes" {
-		s.mu.Unlock()
-		time.Sleep(d)
-		s.mu.Lock()
-	}
 	defer s.mu.Unlock()
+	s.load.Requests++
+	path := q.URL.Path
+	if s.slow > 0 && path != "/changes" {
+		s.unlocked(s.slow)
+	}
 	if s.refuse(from) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	s.expire()
-	path := q.URL.Path
+	switch {
+	case path == "/kv":
+		s.serveList(w, q)
+	case strings.HasPrefix(path, "/kv/"):
+		s.serveEntry(w, path[len("/kv/"):])
+	case path == "/commit":
+		s.serveCommit(w, q)
+	case path == "/leases":
+		s.serveGrant(w, q)
+	case strings.HasPrefix(path, "/leases/"):
+		s.serveLease(w, q)
+	case path == "/changes":
+		s.serveChanges(w, q, from)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// unlocked waits without the lock; the caller holds it before and after.
+func (s *Store) unlocked(wait time.Duration) {
+	s.mu.Unlock()
+	time.Sleep(wait)
+	s.mu.Lock()
+}
+
+// serveList answers a listing by prefix; the caller holds the lock.
+func (s *Store) serveList(w http.ResponseWriter, q *http.Request) {
+	under, after := q.URL.Query().Get("under"), q.URL.Query().Get("after")
+	out := []state.Entry{}
+	for _, k := range slices.Sorted(maps.Keys(s.kv)) {
+		if strings.HasPrefix(k, under) && k > after {
+			out = append(out, s.kv[k])
+		}
+	}
+	page := min(len(out), s.page)
+	encode(w, http.StatusOK, map[string]any{"entries": out[:page], "more": page < len(out), "epoch": s.epoch})
+}
+
+// serveEntry answers a read of one key; the caller holds the lock.
+func (s *Store) serveEntry(w http.ResponseWriter, key string) {
+	e, ok := s.kv[key]
+	if !ok {
+		encode(w, http.StatusNotFound, map[string]any{"epoch": s.epoch})
+		return
+	}
+	encode(w, http.StatusOK, e)
+}
+
+// serveCommit carries out a transaction, late or without an answer where Late asks for
+// that; the caller holds the lock.
+func (s *Store) serveCommit(w http.ResponseWriter, q *http.Request) {
 	var t state.Txn
-	if path == "/commit" && (!decode(q, &t) || len(t.Writes) > s.ops) {
-		encode(w, 400, wire.Error{Error: "malformed"})
+	if !decode(q, &t) || len(t.Writes) > s.ops {
+		encode(w, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
 	}
-	if path == "/commit" && s.late != nil {
+	s.load.Writes += len(t.Writes)
+	if s.late != nil {
 		switch d := s.late(); {
 		case d < 0:
 			w = unread{w}
 			s.lost++
 			defer func() {
-				s.mu.Unlock()
-				time.Sleep(-d)
-				s.mu.Lock()
+				s.unlocked(-d)
 				panic(http.ErrAbortHandler)
 			}()
 		case d > 0:
 			// Its sender gives up long before. What it says is carried out all the same.
-			s.mu.Unlock()
-			time.Sleep(d)
-			s.mu.Lock()
+			s.unlocked(d)
 			s.expire()
 		}
 	}
-	switch {
-	case path == "/kv":
-		under, after := q.URL.Query().Get("under"), q.URL.Query().Get("after")
-		out := []state.Entry{}
-		for _, k := range slices.Sorted(maps.Keys(s.kv)) {
-			if strings.HasPrefix(k, under) && k > after {
-				out = append(out, s.kv[k])
-			}
-		}
-		page := min(len(out), s.page)
-		encode(w, 200, map[string]any{"entries": out[:page], "more": page < len(out), "epoch": s.epoch})
-	case strings.HasPrefix(path, "/kv/"):
-		e, ok := s.kv[path[4:]]
-		if !ok {
-			encode(w, 404, map[string]any{"epoch": s.epoch})
-			return
-		}
-		encode(w, 200, e)
-	case path == "/commit":
-		var failed []string
-		for _, c := range t.If {
-			if s.kv[c.Key].Version != c.Version {
-				failed = append(failed, c.Key)
-			}
+	s.commit(w, &t)
+}
+
+// commit applies a transaction whose conditions hold; the caller holds the lock.
+func (s *Store) commit(w http.ResponseWriter, t *state.Txn) {
+	var failed []string
+	for _, c := range t.If {
+		if s.kv[c.Key].Version != c.Version {
+			failed = append(failed, c.Key)
 		}
-		if failed != nil {
-			encode(w, 409, map[string]any{"failed": failed, "epoch": s.epoch})
+	}
+	if failed != nil {
+		encode(w, http.StatusConflict, map[string]any{"failed": failed, "epoch": s.epoch})
+		return
+	}
+	for _, x := range t.Writes {
+		if _, ok := s.leases[x.Lease]; x.Lease != 0 && !ok {
+			encode(w, http.StatusBadRequest, map[string]any{"error": "no such lease"})
 			return
 		}
-		for _, x := range t.Writes {
-			if _, ok := s.leases[x.Lease]; x.Lease != 0 && !ok {
-				encode(w, 400, map[string]any{"error": "no such lease"})
-				return
-			}
-		}
-		s.epoch++
-		for _, x := range t.Writes {
-			if x.Delete != "" {
-				delete(s.kv, x.Delete)
-				s.dropped[x.Delete] = s.epoch
-				continue
-			}
-			s.kv[x.Put] = state.Entry{Key: x.Put, Value: append(wire.Raw(nil), x.Value...), Version: s.epoch, Lease: x.Lease}
-		}
-		s.bump()
-		encode(w, 200, map[string]any{"epoch": s.epoch})
-	case path == "/leases":
-		var in struct {
-			TTL int64 `codec:"ttl_ms"`
+	}
+	s.epoch++
+	for _, x := range t.Writes {
+		if x.Delete != "" {
+			delete(s.kv, x.Delete)
+			s.dropped[x.Delete] = s.epoch
+			continue
 		}
-		if !decode(q, &in) {
-			w.WriteHeader(400)
+		s.kv[x.Put] = state.Entry{Key: x.Put, Value: append(wire.Raw(nil), x.Value...), Version: s.epoch, Lease: x.Lease}
+	}
+	s.bump()
+	encode(w, http.StatusOK, map[string]any{"epoch": s.epoch})
+}
+
+// serveGrant makes a lease; the caller holds the lock.
+func (s *Store) serveGrant(w http.ResponseWriter, q *http.Request) {
+	var in struct {
+		TTL int64 `codec:"ttl_ms"`
+	}
+	if !decode(q, &in) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.next++
+	s.ttl[s.next] = time.Duration(in.TTL) * time.Millisecond
+	s.leases[s.next] = time.Now().Add(s.ttl[s.next])
+	encode(w, http.StatusOK, map[string]any{"tenure": s.next})
+}
+
+// serveLease renews or ends a lease; the caller holds the lock.
+func (s *Store) serveLease(w http.ResponseWriter, q *http.Request) {
+	id, _ := strconv.ParseUint(strings.TrimSuffix(q.URL.Path[len("/leases/"):], "/extend"), 10, 64)
+	if _, ok := s.leases[id]; !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if q.Method == http.MethodDelete {
+		s.end(id)
+	} else {
+		s.leases[id] = time.Now().Add(s.ttl[id])
+	}
+	encode(w, http.StatusOK, map[string]any{})
+}
+
+// changesPoll is how often a watch looks for leases that have run out.
+const changesPoll = 100 * time.Millisecond
+
+// serveChanges answers a watch; the caller holds the lock.
+func (s *Store) serveChanges(w http.ResponseWriter, q *http.Request, from string) {
+	v := q.URL.Query()
+	after, _ := strconv.ParseUint(v.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(v.Get("wait_ms"))
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for {
+		s.expire()
+		events := s.events(v.Get("under"), after)
+		if (len(events) > 0 && !s.refuse(from)) || time.Now().After(end) {
+			encode(w, http.StatusOK, map[string]any{"epoch": s.epoch, "events": events})
 			return
 		}
-		s.next++
-		s.ttl[s.next] = time.Duration(in.TTL) * time.Millisecond
-		s.leases[s.next] = time.Now().Add(s.ttl[s.next])
-		encode(w, 200, map[string]any{"tenure": s.next})
-	case strings.HasPrefix(path, "/leases/"):
-		id, _ := strconv.ParseUint(strings.TrimSuffix(path[8:], "/extend"), 10, 64)
-		if _, ok := s.leases[id]; !ok {
-			w.WriteHeader(404)
+		if !s.awaitChange(q) {
 			return
 		}
-		if q.Method == http.MethodDelete {
-			s.end(id)
-		} else {
-			s.leases[id] = time.Now().Add(s.ttl[id])
+	}
+}
+
+// events are the changes below a prefix after a revision; the caller holds the lock.
+func (s *Store) events(under string, after uint64) []map[string]any {
+	events := []map[string]any{}
+	for k, e := range s.kv {
+		if strings.HasPrefix(k, under) && e.Version > after {
+			events = append(events, map[string]any{"put": k, "data": e.Value, "stamp": e.Version})
 		}
-		encode(w, 200, map[string]any{})
-	case path == "/changes":
-		v := q.URL.Query()
-		after, _ := strconv.ParseUint(v.Get("after"), 10, 64)
-		wait, _ := strconv.Atoi(v.Get("wait_ms"))
-		end := time.Now().Add(time.Duration(wait) * time.Millisecond)
-		for {
-			s.expire()
-			events := []map[string]any{}
-			for k, e := range s.kv {
-				if strings.HasPrefix(k, v.Get("under")) && e.Version > after {
-					events = append(events, map[string]any{"put": k, "data": e.Value, "stamp": e.Version})
-				}
-			}
-			for k, rev := range s.dropped {
-				if strings.HasPrefix(k, v.Get("under")) && rev > after {
-					events = append(events, map[string]any{"drop": k, "stamp": rev})
-				}
-			}
-			if (len(events) > 0 && !s.refuse(from)) || time.Now().After(end) {
-				encode(w, 200, map[string]any{"epoch": s.epoch, "events": events})
-				return
-			}
-			ch := s.changed
-			s.mu.Unlock()
-			select {
-			case <-ch:
-			case <-time.After(100 * time.Millisecond):
-			case <-q.Context().Done():
-				s.mu.Lock()
-				return
-			}
-			s.mu.Lock()
+	}
+	for k, rev := range s.dropped {
+		if strings.HasPrefix(k, under) && rev > after {
+			events = append(events, map[string]any{"drop": k, "stamp": rev})
 		}
-	default:
-		w.WriteHeader(404)
 	}
+	return events
+}
+
+// awaitChange waits without the lock for a change or for a lease that may have run out;
+// false: the watcher has left.
+func (s *Store) awaitChange(q *http.Request) bool {
+	changed := s.changed
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	select {
+	case <-changed:
+	case <-time.After(changesPoll):
+	case <-q.Context().Done():
+		return false
+	}
+	return true
 }
--- a/internal/emulate/users_test.go
+++ b/internal/emulate/users_test.go
@@ -17,7 +17,7 @@
 		k := &Worker{w: w, name: name, zone: zone, typ: "x", leased: now, tasks: map[string]*task{}}
 		w.workers[name] = k
 		tk := &task{name: job.TaskName(sp.ID, int32(len(w.workers))), spec: sp, phase: wire.Running}
-		k.tasks[tk.name] = tk
+		k.add(tk.name, tk)
 		w.started(k, tk)
 	}
 	accept := func(w *World, sp *job.Spec, asked time.Duration) {
@@ -98,6 +98,25 @@
 			at(w, "b", "x", sp)
 			at(w, "c", "x", sp)
 		}, ""},
+		{"a job of one zone in two", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Tasks: 2, OneZone: true}
+			at(w, "a", "x", sp)
+			at(w, "b", "y", sp)
+		}, "wrong_place"},
+		{"a task on two machines", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Tasks: 2}
+			at(w, "a", "x", sp)
+			k := &Worker{w: w, name: "b", zone: "x", typ: "x", leased: now, tasks: map[string]*task{}}
+			again := &task{name: job.TaskName(sp.ID, 1), spec: sp, phase: wire.Running, attempt: 2}
+			k.add("again", again)
+			w.started(k, again)
+		}, "ran_twice"},
+		{"a task on a machine that has lost it", func(w *World) {
+			sp := &job.Spec{ID: "run-1", Tasks: 1}
+			at(w, "a", "x", sp)
+			w.Kill([]*Worker{w.workers["a"]})
+			at(w, "b", "x", sp)
+		}, ""},
 		{"more accelerators than the limit", func(w *World) {
 			w.cfg.Limits = map[string]Limit{"red": {GPUs: 3}}
 			sp := &job.Spec{ID: "run-1", Team: "red", Tasks: 2, GPUs: 2}
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -117,7 +117,7 @@
 			k.ended(t, was, time.Now())
 		case wire.Clear:
 			if t != nil && t.phase == wire.Exited {
-				delete(k.tasks, id)
+				k.delete(id)
 			}
 		}
 	}
@@ -127,7 +127,7 @@
 	jid, idx, _ := job.SplitTask(o.Task)
 	spec := k.w.spec(jid)
 	t := &task{name: o.Task, idx: idx, attempt: o.Attempt, spec: spec, phase: wire.Pulling, ready: time.Now().Add(k.w.cfg.Fetch + k.late)}
-	k.tasks[id] = t
+	k.add(id, t)
 	k.change = true
 	switch {
 	case spec == nil:
@@ -160,7 +160,6 @@
 func (k *Worker) step(now time.Time) {
 	if now.Sub(k.leased) > k.w.cfg.Lease {
 		k.lose(now)
-		k.tasks = map[string]*task{}
 		k.session++
 		k.leased, k.change = now, true
 	}
@@ -229,11 +228,9 @@
 
 // mates counts the gang's members of the attempt in one of the phases.
 func (w *World) mates(t *task, phases ...string) (n int) {
-	for _, o := range w.workers {
-		for _, x := range o.tasks {
-			if x.attempt == t.attempt && x.id() == t.id() && slices.Contains(phases, x.phase) && (x.phase != wire.Exited || x.cause == wire.CauseDone) {
-				n++
-			}
+	for x := range w.index.byJob[t.id()] {
+		if x.attempt == t.attempt && slices.Contains(phases, x.phase) && (x.phase != wire.Exited || x.cause == wire.CauseDone) {
+			n++
 		}
 	}
 	return n
@@ -369,9 +366,17 @@
 	}
 }
 
-// lose notes in the history that all that ran is gone.
+// remove takes the machine away with all that is on it.
+func (k *Worker) remove(now time.Time) {
+	k.lose(now)
+	k.gone = true
+	delete(k.w.workers, k.name)
+}
+
+// lose forgets all tasks, and notes in the history that what ran is gone.
 func (k *Worker) lose(now time.Time) {
-	for _, t := range k.tasks {
+	for id, t := range k.tasks {
+		k.delete(id)
 		if t.phase == wire.Running || t.phase == wire.Saving {
 			k.w.judge.lapsed++
 			k.w.record(Event{At: now, Task: t.name, Image: t.spec.Image, Host: k.name, Zone: k.zone, Cause: Lost})
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -52,6 +52,7 @@
 	mu      sync.Mutex
 	specs   map[string]*job.Spec
 	workers map[string]*Worker
+	index   index
 	hires   map[string][]string
 	images  map[string]Image
 	history []Event
@@ -74,7 +75,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &World{cfg: cfg, specs: map[string]*job.Spec{}, workers: map[string]*Worker{}, hires: map[string][]string{}, images: map[string]Image{}, short: map[string]int{},
+	return &World{cfg: cfg, specs: map[string]*job.Spec{}, workers: map[string]*Worker{}, index: newIndex(), hires: map[string][]string{}, images: map[string]Image{}, short: map[string]int{},
 		judge: newJudge(), end: make(chan struct{})}
 }
 
@@ -215,9 +216,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, k := range ks {
-		k.lose(time.Now())
-		k.gone = true
-		delete(w.workers, k.name)
+		k.remove(time.Now())
 	}
 }
 
@@ -253,7 +252,7 @@
 	defer w.mu.Unlock()
 	for _, k := range ks {
 		k.lose(time.Now())
-		k.tasks, k.session, k.seq, k.token = map[string]*task{}, 1, 0, 0
+		k.session, k.seq, k.token = 1, 0, 0
 		k.leased, k.change = time.Now(), true
 	}
 }
@@ -335,9 +334,7 @@
 		}
 		for _, n := range in.Hosts {
 			if k := w.workers[n]; k != nil {
-				k.lose(time.Now())
-				k.gone = true
-				delete(w.workers, n)
+				k.remove(time.Now())
 			}
 		}
 		encode(rw, 200, map[string]any{})
