Scale run: real controllers of several regions beside emulated workers

Cause: nothing measured what the planned size takes of each role. Change: vetchstream scale starts the controllers as processes, with a state service, a cloud, workers and users for each region in its own process, counts traffic and processor, and reports it as a table or JSON.

--- a/cmd/vetchstream/main.go
+++ b/cmd/vetchstream/main.go
@@ -69,6 +69,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(clientCommands(&tuning, pause)...)
 	root.AddCommand(emulateCommands(&tuning)...)
+	root.AddCommand(scaleCommand())
 	return root
 }
 
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -30,21 +30,34 @@
 // Loopback is this machine's own network. Each host has an address of its own in
 // 127.0.0.0/8, since controllers tell workers apart by it.
 type Loopback struct {
+	block byte // second number of its addresses
+
 	mu    sync.Mutex
 	hosts map[string]net.IP
 }
 
+// defaultBlock is where the addresses of an emulation begin: 127.64.0.1.
+const defaultBlock = 64
+
 // NewLoopback makes a network of this machine.
-func NewLoopback() *Loopback { return &Loopback{hosts: map[string]net.IP{}} }
+func NewLoopback() *Loopback { return NewLoopbackAt(defaultBlock) }
+
+// NewLoopbackAt makes a network whose hosts have the addresses of 127.block.0.0/16.
+func NewLoopbackAt(block byte) *Loopback {
+	return &Loopback{block: block, hosts: map[string]net.IP{}}
+}
 
-// ip gives a host an address.
+// ip gives a host an address; a host that is named by its address has that one.
 func (l *Loopback) ip(host string) net.IP {
+	if ip := net.ParseIP(host); ip != nil {
+		return ip
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ip := l.hosts[host]
 	if ip == nil {
 		n := len(l.hosts) + 1
-		ip = net.IPv4(127, 64+byte(n>>16), byte(n>>8), byte(n))
+		ip = net.IPv4(127, l.block, byte(n>>8), byte(n))
 		l.hosts[host] = ip
 	}
 	return ip
@@ -57,11 +70,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	ip := net.ParseIP(host)
-	if ip == nil {
-		ip = l.ip(host)
-	}
-	return net.Listen("tcp4", net.JoinHostPort(ip.String(), port))
+	return net.Listen("tcp4", net.JoinHostPort(l.ip(host).String(), port))
 }
 
 // Dialer implements Network.
--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -24,6 +24,7 @@
 	vain    int            // starts after their cancellation was told
 	lapsed  int            // tasks that ran when the lease of their machine ended
 	answers map[string]int // answered reports, by controller
+	directs int            // direct commands
 	// silence is how long workers went without an answer, from the first report that
 	// had none, in milliseconds.
 	silence *hdrhistogram.Histogram
@@ -170,6 +171,9 @@
 	if _, ok := w.judge.users.begun[t.spec.ID]; !ok {
 		w.judge.users.begun[t.spec.ID] = time.Now()
 	}
+	if !w.judge.users.starts[t.name] && w.cfg.Started != nil {
+		w.cfg.Started(t.spec, time.Since(w.judge.users.asked[t.spec.ID]))
+	}
 	w.judge.users.starts[t.name] = true
 	w.judgeTwice(k, t)
 	w.judgeLimit(t)
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -433,6 +433,7 @@
 		if d.Token > k.token {
 			k.token, k.change = d.Token, true
 		}
+		k.w.judge.directs++
 		k.obey(d.Orders)
 	}
 	encode(rw, http.StatusOK, k.report())
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -36,7 +36,10 @@
 	Fetch, ListLag time.Duration
 	// Limits are the teams'; 0 or none: unlimited.
 	Limits map[string]Limit
-	Log    *slog.Logger
+	// Started is told of the first start of each task, with how long its user has waited
+	// since the submission, under the world's lock; nil: nobody is.
+	Started func(spec *job.Spec, waited time.Duration)
+	Log     *slog.Logger
 }
 
 // Limit is what a team may use at a time.
@@ -198,6 +201,44 @@
 	return n
 }
 
+// Load is what the workers do at a time, and have done.
+type Load struct {
+	// Running counts the tasks that hold their machines.
+	Running int
+	// Reports counts the answered reports, Directs the direct commands that came.
+	Reports, Directs int
+}
+
+// Load is what the workers do now.
+func (w *World) Load() Load {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := Load{Directs: w.judge.directs}
+	for _, n := range w.judge.answers {
+		l.Reports += n
+	}
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if k.on(t) {
+				l.Running++
+			}
+		}
+	}
+	return l
+}
+
+// Answered counts the workers that have had an answer to a report.
+func (w *World) Answered() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		if k.token > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Any picks n workers.
 func (w *World) Any(r *rand.Rand, n int) (out []*Worker) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/scale/network.go
@@ -0,0 +1,219 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/state"
+)
+
+// gate holds what passes while it is closed.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while the gate is open
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+// set opens or closes the gate.
+func (g *gate) set(open bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		if !open {
+			g.open = make(chan struct{})
+		}
+	default:
+		if open {
+			close(g.open)
+		}
+	}
+}
+
+// pass waits until the gate is open; false: done came first.
+func (g *gate) pass(done <-chan struct{}) bool {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	select {
+	case <-open:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+// traffic is what has passed one host, in bytes of payload and in writes, of which a
+// request or an answer takes one as long as it fits into a buffer.
+type traffic struct {
+	sent, received, messages atomic.Int64
+	gate                     *gate
+}
+
+// network is a region's part of the loopback network. It counts what the workers send
+// and receive, and can cut them off.
+type network struct {
+	region string
+	*emulate.Loopback
+
+	mu    sync.Mutex
+	hosts map[string]*traffic // by address
+}
+
+func newNetwork(region string, l *emulate.Loopback) *network {
+	return &network{region: region, Loopback: l, hosts: map[string]*traffic{}}
+}
+
+// host is the traffic of a host.
+func (n *network) host(ip string) *traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t := n.hosts[ip]
+	if t == nil {
+		t = &traffic{gate: newGate()}
+		n.hosts[ip] = t
+	}
+	return t
+}
+
+// cut holds what the hosts send and receive, or lets it go on.
+func (n *network) cut(ips []string, on bool) {
+	for _, ip := range ips {
+		n.host(ip).gate.set(!on)
+	}
+}
+
+// Listen implements emulate.Network. Hosts of different regions may have the same name.
+func (n *network) Listen(addr string) (net.Listener, error) {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ln, err := n.Loopback.Listen(net.JoinHostPort(n.region+"/"+host, port))
+	if err != nil {
+		return nil, err
+	}
+	ip, _, _ := net.SplitHostPort(ln.Addr().String())
+	return &countedListener{ln, n.host(ip)}, nil
+}
+
+// Dialer implements emulate.Network; from is the address of a host.
+func (n *network) Dialer(from string) state.DialFunc {
+	dial, t := n.Loopback.Dialer(from), n.host(from)
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if !t.gate.pass(ctx.Done()) {
+			return nil, ctx.Err()
+		}
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newCounted(c, t), nil
+	}
+}
+
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newCounted(c, l.traffic), nil
+}
+
+// counted is a connection whose payload is counted, and held while its host is cut off.
+type counted struct {
+	net.Conn
+	traffic *traffic
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func newCounted(c net.Conn, t *traffic) *counted {
+	return &counted{Conn: c, traffic: t, closed: make(chan struct{})}
+}
+
+// Read implements net.Conn.
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.traffic.gate.pass(c.closed) {
+		return 0, net.ErrClosed
+	}
+	c.traffic.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *counted) Write(b []byte) (int, error) {
+	if !c.traffic.gate.pass(c.closed) {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Add(int64(n))
+	c.traffic.messages.Add(1)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *counted) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// workerTraffic is what workers send and receive, per worker and second.
+type workerTraffic struct {
+	// Sent and Received are bytes of payload (HTTP headers included, TCP and IP not), as
+	// the mean of all workers and of the one with the most.
+	Sent     float64 `json:"sent_bytes_per_s"`
+	Received float64 `json:"received_bytes_per_s"`
+	Most     float64 `json:"most_bytes_per_s"`
+	// Messages are requests and answers that the worker sends.
+	Messages float64 `json:"messages_per_s"`
+}
+
+// totals are the counters of each host.
+func (n *network) totals() map[string][3]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string][3]int64, len(n.hosts))
+	for ip, t := range n.hosts {
+		out[ip] = [3]int64{t.sent.Load(), t.received.Load(), t.messages.Load()}
+	}
+	return out
+}
+
+// perWorker is the traffic between two readings of all networks.
+func perWorker(before, after []map[string][3]int64, took time.Duration) (w workerTraffic) {
+	workers := 0.0
+	s := took.Seconds()
+	for i := range after {
+		for ip, now := range after[i] {
+			was := before[i][ip]
+			sent, received := float64(now[0]-was[0])/s, float64(now[1]-was[1])/s
+			workers++
+			w.Sent += sent
+			w.Received += received
+			w.Messages += float64(now[2]-was[2]) / s
+			w.Most = max(w.Most, sent+received)
+		}
+	}
+	if workers > 0 {
+		w.Sent, w.Received, w.Messages = w.Sent/workers, w.Received/workers, w.Messages/workers
+	}
+	return w
+}
--- /dev/null
+++ b/internal/scale/process.go
@@ -0,0 +1,216 @@
+package scale
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ticksPerS is the unit of processor time in /proc (USER_HZ), the same on all Linux
+// machines.
+const ticksPerS = 100
+
+// usage is what a process takes at one moment.
+type usage struct {
+	cpu     time.Duration // since its start
+	rssMB   float64
+	sockets int
+}
+
+// usageOf reads /proc; it fails when the process has ended.
+func usageOf(pid int) (u usage, err error) {
+	dir := filepath.Join("/proc", strconv.Itoa(pid))
+	b, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return u, err
+	}
+	// The fields after the name, which is in brackets: utime and stime are the 12th and
+	// 13th of them, the resident pages the 22nd.
+	fields := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
+	if len(fields) < 22 {
+		return u, fmt.Errorf("%s/stat has %d fields", dir, len(fields))
+	}
+	number := func(i int) int64 {
+		n, perr := strconv.ParseInt(fields[i], 10, 64)
+		err = errors.Join(err, perr)
+		return n
+	}
+	u.cpu = time.Duration(number(11)+number(12)) * time.Second / ticksPerS
+	u.rssMB = float64(number(21)*int64(os.Getpagesize())) / (1 << 20)
+	if err != nil {
+		return u, err
+	}
+	fds, err := os.ReadDir(filepath.Join(dir, "fd"))
+	if err != nil {
+		return u, err
+	}
+	for _, fd := range fds {
+		if to, err := os.Readlink(filepath.Join(dir, "fd", fd.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+			u.sockets++
+		}
+	}
+	return u, nil
+}
+
+// controller is a controller's process, which can be ended and started again.
+type controller struct {
+	region  string
+	member  string
+	command []string
+	log     string // file of its standard error
+
+	mu       sync.Mutex
+	cmd      *exec.Cmd // nil: it does not run
+	ended    chan struct{}
+	expected bool // its end was asked for
+	stats    controllerStats
+	last     usage
+	lastAt   time.Time
+}
+
+// controllerStats is what a controller's process has taken.
+type controllerStats struct {
+	// CPUMean and CPUPeak are parts of a core, the peak over two seconds.
+	CPUMean float64 `json:"cpu_mean"`
+	CPUPeak float64 `json:"cpu_peak"`
+	// RSSPeakMB is the largest resident memory, in MB.
+	RSSPeakMB   float64 `json:"rss_peak_mb"`
+	SocketsPeak int     `json:"sockets_peak"`
+	// Ends counts the ends that nobody asked for.
+	Ends int `json:"ends"`
+
+	used, over time.Duration
+}
+
+// launcher starts processes from one thread that lives as long as it does: the kernel
+// ends a child with the thread that made it, and so no child outlives this process.
+type launcher struct {
+	calls chan func()
+}
+
+func newLauncher() *launcher {
+	l := &launcher{calls: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for f := range l.calls {
+			f()
+		}
+	}()
+	return l
+}
+
+func (l *launcher) close() { close(l.calls) }
+
+// start runs a command whose errors go to a file.
+func (l *launcher) start(command []string, log string) (cmd *exec.Cmd, err error) {
+	done := make(chan struct{})
+	l.calls <- func() {
+		defer close(done)
+		var out *os.File
+		if out, err = os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
+			return
+		}
+		defer out.Close()
+		cmd = exec.Command(command[0], command[1:]...)
+		cmd.Stderr = out
+		cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		err = cmd.Start()
+	}
+	<-done
+	return cmd, err
+}
+
+// start starts the controller's process.
+func (c *controller) start(l *launcher) error {
+	cmd, err := l.start(c.command, c.log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.member, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cmd, c.ended, c.expected = cmd, make(chan struct{}), false
+	c.last, c.lastAt = usage{}, time.Now()
+	ended := c.ended
+	go func() {
+		_ = cmd.Wait() // how it ended is of no interest, only whether it was asked to
+		c.mu.Lock()
+		if c.cmd == cmd {
+			c.cmd = nil
+			if !c.expected {
+				c.stats.Ends++
+			}
+		}
+		c.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// kill ends the process and waits for it.
+func (c *controller) kill() {
+	c.mu.Lock()
+	cmd, ended := c.cmd, c.ended
+	c.expected = true
+	c.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Kill()
+	<-ended
+}
+
+// sample notes what the process takes now.
+func (c *controller) sample(now time.Time) usage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return usage{}
+	}
+	u, err := usageOf(c.cmd.Process.Pid)
+	if err != nil {
+		return usage{} // it has just ended
+	}
+	used, over := u.cpu-c.last.cpu, now.Sub(c.lastAt)
+	c.stats.used += used
+	c.stats.over += over
+	c.stats.CPUMean = c.stats.used.Seconds() / max(c.stats.over.Seconds(), 1e-9)
+	c.stats.CPUPeak = max(c.stats.CPUPeak, used.Seconds()/max(over.Seconds(), 1e-9))
+	c.stats.RSSPeakMB = max(c.stats.RSSPeakMB, u.rssMB)
+	c.stats.SocketsPeak = max(c.stats.SocketsPeak, u.sockets)
+	c.last, c.lastAt = u, now
+	return u
+}
+
+// reset begins the measurement anew, without what the start has taken.
+func (c *controller) reset(now time.Time) {
+	c.sample(now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ends := c.stats.Ends
+	c.stats = controllerStats{Ends: ends}
+}
+
+func (c *controller) statistics() controllerStats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stats
+}
+
+// lastLine is what the controller has logged last.
+func (c *controller) lastLine() string {
+	b, err := os.ReadFile(c.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	return lines[len(lines)-1]
+}
--- /dev/null
+++ b/internal/scale/region.go
@@ -0,0 +1,246 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/wire"
+)
+
+// machineType is what all workers are: it has room for the planned tasks and a quarter
+// more.
+var machineType = wire.MachineType{Name: "c32", CPUs: 32, MemGB: 128, CacheGB: 100, FetchRate: 1, Price: 1, SpotPrice: 0.3, BootS: 30}
+
+// Timings and limits of the emulated regions, those of a large site.
+const (
+	reportS, leaseS, gangWaitS, gangPeerS, cancelS = 6, 31, 35, 6, 51
+	stateRPS, stateWriteRPS, valueKB, txnOps       = 600, 250, 32, 12
+	cloudRPS, listLagS                             = 6, 8
+	controllerMB, controllerSockets                = 1024, 6000
+	fetchTime                                      = 300 * time.Millisecond
+	userPort, peerPort                             = "8080", "8081"
+	// keepIdle is for how many boot times idle machines are kept: the fleet stays as it is.
+	keepIdle = 100
+	// limitTimes is a team's limit in even parts of the region.
+	limitTimes = 8
+)
+
+// region is a cell: a state service, a cloud with its workers, controllers and users.
+type region struct {
+	regionPlan
+	options     *Options
+	network     *network
+	store       *emulate.Store
+	world       *emulate.World
+	waits       *waits
+	users       *users
+	controllers []*controller
+	addresses   []string // of the controllers, for users and workers
+	peers       []string // of the controllers, for controllers
+	servers     []*http.Server
+}
+
+// newRegion starts what a region's controllers live with, and writes their settings below
+// dir.
+func newRegion(o *Options, p regionPlan, l *emulate.Loopback, waits *waits, dir string) (*region, error) {
+	r := &region{regionPlan: p, options: o, network: newNetwork(p.name, l), store: emulate.NewStore(), waits: waits}
+	typ := machineType
+	typ.Zones = p.zones
+	var workersSee []emulate.Controller
+	for i := range p.controllers {
+		at, err := r.reserve(l, fmt.Sprintf("controller-%d", i))
+		if err != nil {
+			return nil, err
+		}
+		r.addresses = append(r.addresses, net.JoinHostPort(at, userPort))
+		r.peers = append(r.peers, net.JoinHostPort(at, peerPort))
+		workersSee = append(workersSee, emulate.Controller{Member: r.member(i), Addr: r.addresses[i]})
+	}
+	r.world = emulate.New(emulate.Config{Network: r.network, Store: r.store, Types: []wire.MachineType{typ}, Most: p.workers, Controllers: workersSee,
+		Lease: leaseS * time.Second, Cancel: cancelS * time.Second, Report: reportS * time.Second, GangWait: gangWaitS * time.Second,
+		Fetch: fetchTime, ListLag: listLagS * time.Second, Limits: r.limits(), Started: waits.started, Log: o.Log})
+	set, err := r.settings(l)
+	if err != nil {
+		return nil, err
+	}
+	return r, r.writeSettings(set, dir)
+}
+
+func (r *region) member(i int) string { return fmt.Sprintf("%s-controller-%d", r.name, i) }
+
+// reserve gives a controller an address of its own.
+func (r *region) reserve(l *emulate.Loopback, host string) (ip string, err error) {
+	ln, err := l.Listen(r.name + "/" + host + ":0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	ip, _, err = net.SplitHostPort(ln.Addr().String())
+	return ip, err
+}
+
+// limit is what a team may use in this region.
+func (r *region) limit() float64 {
+	return limitTimes * float64(r.workers) * machineType.CPUs / float64(r.options.teams())
+}
+
+func (r *region) teamNames() []string {
+	names := make([]string, r.options.teams())
+	for i := range names {
+		names[i] = fmt.Sprintf("team-%03d", i)
+	}
+	return names
+}
+
+func (r *region) limits() map[string]emulate.Limit {
+	out := map[string]emulate.Limit{}
+	for _, t := range r.teamNames() {
+		out[t] = emulate.Limit{CPUs: r.limit()}
+	}
+	return out
+}
+
+// serve answers at an address of its own.
+func (r *region) serve(l *emulate.Loopback, name string, h http.Handler) (addr string, err error) {
+	ln, err := l.Listen(r.name + "/" + name + ":0")
+	if err != nil {
+		return "", fmt.Errorf("%s of %s: %w", name, r.name, err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	r.servers = append(r.servers, srv)
+	go func() {
+		if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			r.options.Log.Error("stand-in ended", "region", r.name, "part", name, "error", err)
+		}
+	}()
+	return ln.Addr().String(), nil
+}
+
+// settings are what all controllers of the region are told.
+func (r *region) settings(l *emulate.Loopback) (s *config.Settings, err error) {
+	s = &config.Settings{}
+	if s.Outside.State, err = r.serve(l, "state", r.store); err != nil {
+		return nil, err
+	}
+	if s.Outside.Cloud, err = r.serve(l, "cloud", r.world); err != nil {
+		return nil, err
+	}
+	f := &s.Facts
+	f.Nodes, f.Zones, f.SkewMs = r.controllersCount(), r.zones, 50
+	for _, t := range r.teamNames() {
+		f.Teams = append(f.Teams, config.Team{Name: t, CPUs: r.limit() / (2 * limitTimes), CPUsMax: r.limit()})
+	}
+	f.Workers = config.Workers{ReportS: reportS, LeaseS: leaseS, GangWaitS: gangWaitS, GangPeerS: gangPeerS, CancelS: cancelS}
+	f.State.RPS, f.State.WriteRPS, f.State.ValueKB, f.State.TxnOps = stateRPS, stateWriteRPS, valueKB, txnOps
+	f.Cloud.RPS, f.Cloud.ListLagS = cloudRPS, listLagS
+	f.Resources.CoreShare, f.Resources.RAMMB, f.Resources.MaxSockets = 1, controllerMB, controllerSockets
+	return s, nil
+}
+
+func (r *region) controllersCount() int { return r.regionPlan.controllers }
+
+// writeSettings writes a file for each controller.
+func (r *region) writeSettings(facts *config.Settings, dir string) error {
+	for i := range r.addresses {
+		set := *facts
+		set.Member, set.Site, set.Listen, set.PeerListen = r.member(i), r.zones[i%len(r.zones)], r.addresses[i], r.peers[i]
+		for j := range r.addresses {
+			if j != i {
+				set.Siblings = append(set.Siblings, config.Sibling{Member: r.member(j), Site: r.zones[j%len(r.zones)], Address: r.peers[j]})
+			}
+		}
+		b, err := toml.Marshal(&set)
+		if err != nil {
+			return fmt.Errorf("settings: %w", err)
+		}
+		base := filepath.Join(dir, set.Member)
+		if err := os.WriteFile(base+".toml", b, 0o600); err != nil {
+			return err
+		}
+		r.controllers = append(r.controllers, &controller{region: r.name, member: set.Member, log: base + ".log",
+			command: []string{r.options.Binary, "--tuning", base + ".json", "--config", base + ".toml"}})
+	}
+	return nil
+}
+
+// writeTuning writes the operators' settings of each controller.
+func (r *region) writeTuning(extra map[string]any) error {
+	doc := map[string]any{"promise_ms": 2000, "yield_s": 5, "shares": map[string]any{"enabled": true}, "hosts": map[string]any{"idle_boots": keepIdle}}
+	for k, v := range extra {
+		doc[k] = v
+	}
+	b, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	for _, c := range r.controllers {
+		if err := os.WriteFile(c.command[2], b, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// boot lets all workers come up within a while.
+func (r *region) boot(within time.Duration) {
+	for i := range r.workers {
+		after := within * time.Duration(i) / time.Duration(r.workers)
+		r.world.Boot(machineType.Name, r.zones[i%len(r.zones)], false, after)
+	}
+}
+
+// load lets the users submit until the context ends.
+func (r *region) load(ctx context.Context, u *users, seed uint64) {
+	r.users = u
+	for i, c := range r.options.classes() {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		u.wg.Go(func() { u.submit(ctx, c, r.startsPerS, random) })
+	}
+}
+
+// ended reports whether a controller has ended by itself.
+func (r *region) ended() bool {
+	return slices.ContainsFunc(r.controllers, func(c *controller) bool { return c.statistics().Ends > 0 })
+}
+
+// healthy reports whether all controllers say that they can serve.
+func (r *region) healthy(client *http.Client) bool {
+	for _, a := range r.addresses {
+		res, err := client.Get("http://" + a + "/healthz")
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// close ends the region's processes and stand-ins.
+func (r *region) close(log *slog.Logger) {
+	for _, c := range r.controllers {
+		c.kill()
+	}
+	for _, s := range r.servers {
+		if err := s.Close(); err != nil {
+			log.Debug("stand-in does not close", "region", r.name, "error", err)
+		}
+	}
+	r.world.Close()
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,201 @@
+package scale
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"vetchstream/internal/emulate"
+)
+
+// Report is what a run has measured. Workers, state services, clouds and users are
+// emulated; controllers are real processes.
+type Report struct {
+	Factor      float64 `json:"factor"`
+	Workers     int     `json:"workers"`
+	Controllers int     `json:"controllers"`
+	Teams       int     `json:"teams"`
+	DurationS   float64 `json:"duration_s"`
+	// ReadyS is how long it took from the first process until the workers were answered.
+	ReadyS float64 `json:"ready_s"`
+	// Stopped says what has ended the run before its time; empty: nothing.
+	Stopped string `json:"stopped,omitempty"`
+	// Asked is the rate of task starts that users asked for, StartsPerS what came of it.
+	AskedPerS  float64 `json:"asked_starts_per_s"`
+	Starts     int     `json:"starts"`
+	StartsPerS float64 `json:"starts_per_s"`
+	// RunningPeak is the largest number of tasks on their machines at a time.
+	RunningPeak int            `json:"running_peak"`
+	RunS        float64        `json:"task_run_s"`
+	Jobs        jobCounts      `json:"jobs"`
+	RulesBroken []string       `json:"rules_broken"`
+	Worker      workerTraffic  `json:"worker"`
+	UrgentMs    quantiles      `json:"urgent_start_ms"`
+	OtherMs     quantiles      `json:"other_start_ms"`
+	Regions     []regionReport `json:"regions"`
+	// StandInsCPU is the processor that emulated workers, state services, clouds and users
+	// took together, in cores, and StandInsMB their memory.
+	StandInsCPU float64 `json:"stand_ins_cpu"`
+	StandInsMB  float64 `json:"stand_ins_mb"`
+	TotalMB     float64 `json:"total_mb"`
+}
+
+// jobCounts is what became of the jobs.
+type jobCounts struct {
+	Submitted int64 `json:"submitted"`
+	Accepted  int64 `json:"accepted"`
+	Refused   int64 `json:"refused"`
+	Done      int64 `json:"told_done"`
+}
+
+// quantiles of a time, in milliseconds.
+type quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P99   int64 `json:"p99"`
+	Most  int64 `json:"most"`
+}
+
+func quantilesOf(h *hdrhistogram.Histogram) quantiles {
+	return quantiles{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max()}
+}
+
+// regionReport is what one region took.
+type regionReport struct {
+	Name          string             `json:"name"`
+	Zones         int                `json:"zones"`
+	Workers       int                `json:"workers"`
+	StartsPerS    float64            `json:"starts_per_s"`
+	ReportsPerS   float64            `json:"reports_per_s"`
+	DirectsPerS   float64            `json:"direct_commands_per_s"`
+	StateRequests float64            `json:"state_requests_per_s"`
+	StateWrites   float64            `json:"state_writes_per_s"`
+	StateKeys     int                `json:"state_keys"`
+	Controllers   []controllerReport `json:"controllers"`
+}
+
+type controllerReport struct {
+	Member string `json:"member"`
+	controllerStats
+}
+
+// reading is the counters of a moment.
+type reading struct {
+	traffic []map[string][3]int64
+	starts  []int
+	loads   []emulate.Load
+	stores  []emulate.StoreLoad
+}
+
+func (r *run) reading() (out reading) {
+	for _, region := range r.regions {
+		out.traffic = append(out.traffic, region.network.totals())
+		out.starts = append(out.starts, region.world.Starts())
+		out.loads = append(out.loads, region.world.Load())
+		out.stores = append(out.stores, region.store.Load())
+	}
+	return out
+}
+
+// report compares two readings.
+func (r *run) report(before, after reading, took, ready, cpu time.Duration) *Report {
+	o := &r.options
+	p := &Report{Factor: o.Factor, Controllers: o.Controllers, Teams: o.teams(), DurationS: took.Seconds(), ReadyS: ready.Seconds(),
+		AskedPerS: o.starts(), RunS: o.runTime().Seconds(), RulesBroken: []string{}, Worker: perWorker(before.traffic, after.traffic, took),
+		StandInsCPU: cpu.Seconds() / took.Seconds()}
+	for i, region := range r.regions {
+		p.Workers += region.workers
+		p.Starts += after.starts[i] - before.starts[i]
+		p.RulesBroken = append(p.RulesBroken, region.world.Broken()...)
+		p.Jobs.Submitted += region.users.submitted.Load()
+		p.Jobs.Accepted += region.users.accepted.Load()
+		p.Jobs.Refused += region.users.refused.Load()
+		p.Jobs.Done += region.users.done.Load()
+		p.Regions = append(p.Regions, region.report(i, before, after, took.Seconds()))
+	}
+	p.StartsPerS = float64(p.Starts) / took.Seconds()
+	r.waits.mu.Lock()
+	p.UrgentMs, p.OtherMs = quantilesOf(r.waits.urgent), quantilesOf(r.waits.other)
+	r.waits.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.RunningPeak, p.StandInsMB, p.TotalMB = r.running, r.standInsRSS, r.totalRSS
+	return p
+}
+
+func (r *region) report(i int, before, after reading, s float64) regionReport {
+	per := func(was, now int) float64 { return float64(now-was) / s }
+	out := regionReport{Name: r.name, Zones: len(r.zones), Workers: r.workers, StartsPerS: per(before.starts[i], after.starts[i]),
+		ReportsPerS:   per(before.loads[i].Reports, after.loads[i].Reports),
+		DirectsPerS:   per(before.loads[i].Directs, after.loads[i].Directs),
+		StateRequests: per(before.stores[i].Requests, after.stores[i].Requests),
+		StateWrites:   per(before.stores[i].Writes, after.stores[i].Writes), StateKeys: r.store.Count("")}
+	for _, c := range r.controllers {
+		out.Controllers = append(out.Controllers, controllerReport{c.member, c.statistics()})
+	}
+	return out
+}
+
+// Print writes the report as tables for people.
+func (p *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%d workers in %d regions, %d controllers, %d teams, %.0f s (ready after %.0f s); workers and outside systems are emulated\n",
+		p.Workers, len(p.Regions), p.Controllers, p.Teams, p.DurationS, p.ReadyS)
+	if p.Stopped != "" {
+		fmt.Fprintf(w, "stopped early: %s\n", p.Stopped)
+	}
+	fmt.Fprintf(w, "task starts: %d, %.0f a second of %.0f asked for; at most %d at a time, of %.0f s\n", p.Starts, p.StartsPerS, p.AskedPerS, p.RunningPeak, p.RunS)
+	fmt.Fprintf(w, "jobs: %d submitted, %d accepted, %d refused, %d told done\n", p.Jobs.Submitted, p.Jobs.Accepted, p.Jobs.Refused, p.Jobs.Done)
+	fmt.Fprintf(w, "a worker sends %.0f and receives %.0f bytes a second (most: %.0f together), %.2f messages a second\n", p.Worker.Sent, p.Worker.Received, p.Worker.Most, p.Worker.Messages)
+	fmt.Fprintf(w, "start of urgent tasks, ms: %d of them, p50 %d, p99 %d, most %d; of others: %d, p50 %d, p99 %d, most %d\n",
+		p.UrgentMs.Count, p.UrgentMs.P50, p.UrgentMs.P99, p.UrgentMs.Most, p.OtherMs.Count, p.OtherMs.P50, p.OtherMs.P99, p.OtherMs.Most)
+	fmt.Fprintf(w, "stand-ins: %.2f cores, %.0f MB; all processes %.0f MB\n", p.StandInsCPU, p.StandInsMB, p.TotalMB)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "REGION\tZONES\tWORKERS\tSTARTS/S\tREPORTS/S\tDIRECT/S\tSTATE REQ/S\tWRITES/S\tKEYS")
+	for _, g := range p.Regions {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%d\n", g.Name, g.Zones, g.Workers, g.StartsPerS, g.ReportsPerS, g.DirectsPerS, g.StateRequests, g.StateWrites, g.StateKeys)
+	}
+	fmt.Fprintln(t, "CONTROLLER\tCPU MEAN\tCPU PEAK\tMEMORY MB\tSOCKETS\tENDS")
+	for _, g := range p.Regions {
+		for _, c := range g.Controllers {
+			fmt.Fprintf(t, "%s\t%.2f\t%.2f\t%.0f\t%d\t%d\n", c.Member, c.CPUMean, c.CPUPeak, c.RSSPeakMB, c.SocketsPeak, c.Ends)
+		}
+	}
+	_ = t.Flush()
+	for _, b := range p.RulesBroken {
+		fmt.Fprintln(w, "BROKEN:", b)
+	}
+}
+
+// ownCPU is the processor time that this process has taken.
+func ownCPU() time.Duration {
+	u, err := usageOf(os.Getpid())
+	if err != nil {
+		return 0
+	}
+	return u.cpu
+}
+
+// memoryLimitMB is what a run may take of the machine's memory.
+func memoryLimitMB() (float64, error) {
+	f, err := os.Open("/proc/meminfo")
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var kB float64
+		if strings.HasPrefix(s.Text(), "MemTotal:") {
+			if _, err := fmt.Sscanf(s.Text(), "MemTotal: %f kB", &kB); err != nil {
+				return 0, fmt.Errorf("meminfo: %w", err)
+			}
+			return mostMemory * kB / 1024, nil
+		}
+	}
+	return 0, fmt.Errorf("meminfo: no MemTotal")
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,248 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"vetchstream/internal/emulate"
+)
+
+const (
+	// readyWithin is how long controllers and workers may take to find each other.
+	readyWithin = 90 * time.Second
+	readyEvery  = 200 * time.Millisecond
+	// bootsPerS is how many workers come up a second.
+	bootsPerS = 400
+	// readyShare is the part of the workers that has to be answered before the load.
+	readyShare = 0.98
+	// sampleEvery spaces the looks at the processes.
+	sampleEvery = 2 * time.Second
+	// mostMemory is the part of the machine's memory that a run may take.
+	mostMemory = 0.5
+	probeTime  = time.Second
+)
+
+// errMemory ends a run that takes more of the machine's memory than it may.
+var errMemory = errors.New("half of this machine's memory is used")
+
+// run is a run under way.
+type run struct {
+	options  Options
+	launcher *launcher
+	regions  []*region
+	relays   map[link]*relay
+	waits    *waits
+	guard    net.Listener
+	client   *http.Client
+	memoryMB float64 // that a run may take
+
+	mu          sync.Mutex
+	running     int // tasks, the most at a time
+	standInsRSS float64
+	totalRSS    float64
+}
+
+// link is the way from a region to a controller of another.
+type link struct{ from, to, address string }
+
+// Run plays a run and measures it. Everything that it has started has ended when it
+// returns.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	dir, err := os.MkdirTemp("", "vetchstream-scale-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	r := &run{options: o, launcher: newLauncher(), relays: map[link]*relay{}, waits: newWaits(), client: &http.Client{Timeout: probeTime}}
+	defer r.close()
+	if r.memoryMB, err = memoryLimitMB(); err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	if err := r.prepare(dir); err != nil {
+		return nil, err
+	}
+	if err := r.ready(ctx); err != nil {
+		return nil, err
+	}
+	return r.measure(ctx, time.Since(begun))
+}
+
+// prepare makes the regions and starts their controllers.
+func (r *run) prepare(dir string) error {
+	loopback, err := r.claim()
+	if err != nil {
+		return err
+	}
+	for _, p := range r.options.plan() {
+		region, err := newRegion(&r.options, p, loopback, r.waits, dir)
+		if region != nil {
+			r.regions = append(r.regions, region)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	for _, region := range r.regions {
+		if err := region.writeTuning(nil); err != nil {
+			return err
+		}
+		for _, c := range region.controllers {
+			if err := c.start(r.launcher); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Blocks of loopback addresses that a run may take: 127.100.0.0/16 and so on.
+const (
+	firstBlock, lastBlock = 100, 199
+	guardAddress          = "127.%d.255.254:1079"
+)
+
+// claim finds a block of loopback addresses that no other run on this machine uses.
+func (r *run) claim() (*emulate.Loopback, error) {
+	blocks := lastBlock - firstBlock + 1
+	for i := range blocks {
+		block := firstBlock + (os.Getpid()+i)%blocks
+		ln, err := net.Listen("tcp4", fmt.Sprintf(guardAddress, block))
+		if err == nil {
+			r.guard = ln
+			return emulate.NewLoopbackAt(byte(block)), nil
+		}
+	}
+	return nil, errors.New("no block of loopback addresses is free")
+}
+
+// ready waits for the controllers, then lets the workers come up and waits for them.
+func (r *run) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, region := range r.regions {
+		for !region.healthy(r.client) {
+			if region.ended() || !sleep(ctx, readyEvery) {
+				return fmt.Errorf("the controllers of %s were not ready within %v; the first says: %s", region.name, readyWithin, region.controllers[0].lastLine())
+			}
+		}
+	}
+	for _, region := range r.regions {
+		region.boot(time.Second * time.Duration(region.workers) / bootsPerS)
+	}
+	for _, region := range r.regions {
+		for region.world.Answered() < int(readyShare*float64(region.workers)) {
+			if !sleep(ctx, readyEvery) {
+				return fmt.Errorf("%d of %d workers of %s were answered within %v", region.world.Answered(), region.workers, region.name, readyWithin)
+			}
+		}
+	}
+	return nil
+}
+
+// measure lets the load and the troubles happen, and reports.
+func (r *run) measure(ctx context.Context, tookReady time.Duration) (*Report, error) {
+	load, cancel := context.WithTimeoutCause(ctx, r.options.Duration, nil)
+	defer cancel()
+	begun := time.Now()
+	before := r.reading()
+	cpu := ownCPU()
+	for _, region := range r.regions {
+		for _, c := range region.controllers {
+			c.reset(begun)
+		}
+	}
+	var next atomic.Int64
+	for i, region := range r.regions {
+		u := newUsers(region.world, region.addresses, region.teamNames(), r.options.runTime(), &next)
+		region.load(load, u, r.options.Seed+uint64(i)<<32)
+	}
+	var wg sync.WaitGroup
+	for i, t := range r.options.Troubles {
+		wg.Go(func() { r.play(load, t, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
+	}
+	err := r.watch(load)
+	cancel()
+	took := time.Since(begun)
+	report := r.report(before, r.reading(), took, tookReady, ownCPU()-cpu)
+	if err != nil {
+		report.Stopped = err.Error()
+	}
+	for _, region := range r.regions {
+		region.users.close()
+	}
+	wg.Wait()
+	return report, ctx.Err()
+}
+
+// watch samples the processes until the load ends, or the memory does.
+func (r *run) watch(ctx context.Context) error {
+	for sleep(ctx, sampleEvery) {
+		if r.sample() > r.memoryMB {
+			return errMemory
+		}
+	}
+	r.sample()
+	return nil
+}
+
+// sample looks at all processes and returns what they take together, in MB.
+func (r *run) sample() float64 {
+	now := time.Now()
+	own, err := usageOf(os.Getpid())
+	if err != nil {
+		r.options.Log.Error("own usage cannot be read", "error", err)
+	}
+	total, running := own.rssMB, 0
+	for _, region := range r.regions {
+		running += region.world.Load().Running
+		for _, c := range region.controllers {
+			total += c.sample(now).rssMB
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running = max(r.running, running)
+	r.standInsRSS, r.totalRSS = max(r.standInsRSS, own.rssMB), max(r.totalRSS, total)
+	return total
+}
+
+// cutRegions cuts a region from another, or from all others, or joins them again.
+func (r *run) cutRegions(region, other string, cut bool) {
+	for l, relay := range r.relays {
+		hit := (l.from == region && (other == "" || l.to == other)) || (l.to == region && (other == "" || l.from == other))
+		if hit {
+			relay.gate.set(!cut)
+		}
+	}
+}
+
+// close ends all that the run has started.
+func (r *run) close() {
+	for _, relay := range r.relays {
+		relay.close()
+	}
+	for _, region := range r.regions {
+		region.close(r.options.Log)
+	}
+	r.client.CloseIdleConnections()
+	if r.guard != nil {
+		_ = r.guard.Close()
+	}
+	r.launcher.close()
+}
--- /dev/null
+++ b/internal/scale/users.go
@@ -0,0 +1,230 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// class is a kind of job that users submit.
+type class struct {
+	name, shape, rank string
+	// share of the task starts that are of this class.
+	share float64
+	// tasks draws a job's size, of which mean is the mean.
+	tasks func(r *rand.Rand) int
+	mean  float64
+}
+
+// classes are the planned load: most starts are of arrays, some of gangs, a few urgent.
+func (o *Options) classes() []class {
+	batch := max(8, 600*math.Sqrt(min(1, o.Factor))) // mean size of an array
+	gangs := gangSizes(int(PlannedGang * min(1, max(o.Factor, 0.05))))
+	sum := 0
+	for _, n := range gangs {
+		sum += n
+	}
+	return []class{
+		{"batch", "array", "standard", 0.83, func(r *rand.Rand) int { return 1 + int(batch*(0.25+1.5*r.Float64())) }, 1 + batch},
+		{"gang", "ensemble", "standard", 0.14, func(r *rand.Rand) int { return gangs[r.IntN(len(gangs))] }, float64(sum) / float64(len(gangs))},
+		{"urgent", "array", "urgent", 0.03, func(r *rand.Rand) int { return 1 + r.IntN(7) }, 4},
+	}
+}
+
+// gangSizes are powers of two up to the largest.
+func gangSizes(largest int) []int {
+	sizes := []int{2}
+	for n := 4; n <= largest; n *= 2 {
+		sizes = append(sizes, n)
+	}
+	return sizes
+}
+
+const (
+	pollEvery   = 5 * time.Second
+	pollTime    = 2 * time.Second
+	submitTime  = 5 * time.Second
+	submitTries = 12
+	retryAfter  = time.Second
+	// firstWithin is how soon the first job of a class comes.
+	firstWithin = time.Second
+	// mostJobs bounds the jobs that are followed at a time in a region.
+	mostJobs = 20_000
+	// taskCPUs and taskMemGB are what a task takes of its machine.
+	taskCPUs, taskMemGB = 1, 1
+	// waitsMost is the longest wait that the histograms tell apart, in milliseconds.
+	waitsMost = int64(time.Hour / time.Millisecond)
+)
+
+// waits are how long tasks waited for their start, in milliseconds.
+type waits struct {
+	mu     sync.Mutex
+	urgent *hdrhistogram.Histogram
+	other  *hdrhistogram.Histogram
+}
+
+func newWaits() *waits {
+	return &waits{urgent: hdrhistogram.New(1, waitsMost, 3), other: hdrhistogram.New(1, waitsMost, 3)}
+}
+
+// started notes the first start of a task.
+func (w *waits) started(spec *job.Spec, waited time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h := w.other
+	if spec.RankName == "urgent" {
+		h = w.urgent
+	}
+	_ = h.RecordValue(min(max(1, waited.Milliseconds()), waitsMost)) // within its range
+}
+
+// users are those of one region.
+type users struct {
+	world   *emulate.World
+	servers []string // the controllers' addresses
+	teams   []string
+	run     time.Duration
+	next    *atomic.Int64 // of the jobs' ids, in all regions
+	client  *http.Client
+	log     func(string, ...any)
+
+	submitted, accepted, refused, done atomic.Int64
+	slots                              chan struct{}
+	wg                                 sync.WaitGroup
+}
+
+func newUsers(w *emulate.World, servers, teams []string, run time.Duration, next *atomic.Int64) *users {
+	return &users{world: w, servers: servers, teams: teams, run: run, next: next, slots: make(chan struct{}, mostJobs),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxConnsPerHost: 256}}}
+}
+
+// submit submits jobs of a class at a rate of task starts a second until the context ends.
+func (u *users) submit(ctx context.Context, c class, startsPerS float64, r *rand.Rand) {
+	perS := startsPerS * c.share / c.mean
+	if perS <= 0 {
+		return
+	}
+	wait := time.Duration(r.Float64() * float64(min(firstWithin, seconds(1/perS))))
+	for sleep(ctx, wait) {
+		spec := u.draw(c, r)
+		server := u.servers[r.IntN(len(u.servers))]
+		select {
+		case u.slots <- struct{}{}:
+			u.wg.Go(func() {
+				defer func() { <-u.slots }()
+				u.follow(ctx, spec, server)
+			})
+		default:
+			u.refused.Add(1)
+		}
+		wait = seconds(r.ExpFloat64() / perS)
+	}
+}
+
+// draw makes a job.
+func (u *users) draw(c class, r *rand.Rand) *job.Spec {
+	return &job.Spec{ID: fmt.Sprintf("run-%d", u.next.Add(1)), Class: c.name, Team: u.teams[r.IntN(len(u.teams))],
+		ShapeName: c.shape, RankName: c.rank, Tasks: c.tasks(r), CPUs: taskCPUs, MemGB: taskMemGB,
+		Image: fmt.Sprintf("img-%02d", r.IntN(20)), ImageGB: 0.5, EstimateS: u.run.Seconds() * (0.5 + r.Float64())}
+}
+
+// follow submits a job and asks about it until it is over or the context ends.
+func (u *users) follow(ctx context.Context, spec *job.Spec, server string) {
+	body, err := wire.Marshal(spec)
+	if err != nil {
+		u.refused.Add(1)
+		return
+	}
+	u.submitted.Add(1)
+	u.world.Describe(spec)
+	if !u.accept(ctx, spec.ID, server, body) {
+		u.refused.Add(1)
+		return
+	}
+	u.accepted.Add(1)
+	u.world.Accepted(spec.ID)
+	told := ""
+	for told == "" && sleep(ctx, pollEvery) {
+		status, phase := u.ask(ctx, pollTime, http.MethodGet, server, "/api/jobs/"+spec.ID, nil)
+		if ctx.Err() == nil {
+			told = u.world.Polled(spec, status, phase, told, false)
+		}
+	}
+	if told == wire.JobDone {
+		u.done.Add(1)
+	}
+}
+
+// accept repeats a submission until it is accepted.
+func (u *users) accept(ctx context.Context, id, server string, body []byte) bool {
+	for range submitTries {
+		status, _ := u.ask(ctx, submitTime, http.MethodPost, server, "/api/jobs", body)
+		switch status {
+		case http.StatusOK, http.StatusCreated:
+			return true
+		case http.StatusBadRequest, http.StatusUnprocessableEntity:
+			u.world.Fail("refused: %s got %d", id, status)
+			return false
+		}
+		if !sleep(ctx, retryAfter) {
+			return false
+		}
+	}
+	return false
+}
+
+// ask makes a request; a status of 0 means that there was no answer.
+func (u *users) ask(ctx context.Context, limit time.Duration, method, server, path string, body []byte) (status int, phase string) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	req.Header.Set("Content-Type", wire.ContentType)
+	res, err := u.client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, wire.MaxBody))
+	if err != nil {
+		return 0, ""
+	}
+	var s wire.Status
+	_ = wire.Unmarshal(b, &s) // a refusal has another body
+	return res.StatusCode, s.Phase
+}
+
+// close waits for those who are under way; their context has ended.
+func (u *users) close() {
+	u.wg.Wait()
+	u.client.CloseIdleConnections()
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sleep waits; false: the context has ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
