Configuration across regions: the decisions, pure, with an explorer

Cause: teams and limits come from the platform's file, so that nothing can be changed in several regions. Change: internal/dynconfig divides a team's limit among regions; a part rises only after what it rests on is acknowledged, with what is in use counted. Home and Replica are stepped with messages. explore.Walk plays drawn orders, which reach deeper than looking at all.

--- /dev/null
+++ b/internal/dynconfig/home.go
@@ -0,0 +1,303 @@
+package dynconfig
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxTeams bounds the teams, removed ones included: a region states all of them in one
+	// message.
+	MaxTeams = 1500
+	// grantsPerReply bounds a reply.
+	grantsPerReply = 64
+	// raiseLeast is the part of a share by which it is raised at the least before all of it
+	// is free: each raise is a write at both regions.
+	raiseLeast = 0.1
+)
+
+// Update is what has to be stored at the home region in one transaction before it counts.
+type Update struct {
+	Head    Head
+	Records []*Record
+}
+
+// Empty reports whether there is nothing to store.
+func (u *Update) Empty() bool { return len(u.Records) == 0 }
+
+// follower is what the home's leader knows of a region.
+type follower struct {
+	// stated: the region has told this leader all that it holds.
+	stated bool
+	says   map[string]Statement
+	after  uint64
+	// term and number are those of the region's last request.
+	term, number uint64
+	// heard is when the region last asked.
+	heard time.Time
+	// since is when it came to the revision that it is at.
+	at    uint64
+	since time.Time
+}
+
+// Home is the configuration at the leader of the home region, for one term.
+type Home struct {
+	term      uint64
+	regions   []string
+	head      Head
+	teams     map[string]*Record
+	followers map[string]*follower
+	dirty     map[string]bool // teams that the next step looks at
+}
+
+// NewHome goes on from what earlier leaders have stored.
+func NewHome(term uint64, regions []string, head Head, records []*Record) *Home {
+	h := &Home{term: term, regions: slices.Clone(regions), head: head, teams: map[string]*Record{}, followers: map[string]*follower{}, dirty: map[string]bool{}}
+	for _, r := range records {
+		h.teams[r.Name] = r
+		h.dirty[r.Name] = true
+	}
+	for _, region := range regions {
+		h.followers[region] = &follower{says: map[string]Statement{}}
+	}
+	return h
+}
+
+// Head is the stored position.
+func (h *Home) Head() Head { return h.head }
+
+// Hear takes in a request and answers it; the reply tells only of what is stored.
+func (h *Home) Hear(q *Request, now time.Time) *Reply {
+	f := h.followers[q.Region]
+	if f == nil {
+		return &Reply{Refused: "region " + q.Region + " is not known at the home region"}
+	}
+	if q.Term < f.term || (q.Term == f.term && q.Number <= f.number) {
+		return &Reply{Refused: "a later request of the region was answered"}
+	}
+	f.term, f.number, f.heard = q.Term, q.Number, now
+	if q.Full {
+		f.stated = true
+		clear(f.says)
+		for name := range h.teams {
+			h.dirty[name] = true
+		}
+	}
+	p := &Reply{Term: h.term, Revision: h.head.Revision}
+	if !f.stated || (q.Home != h.term && !q.Full) {
+		f.stated = false
+		p.State = true
+		return p
+	}
+	f.after = q.After
+	// Where the home's store has lost its last moments, what it decides from now on has to
+	// count as newer than what the region has.
+	h.head.Seq = max(h.head.Seq, q.After)
+	h.head.Revision = max(h.head.Revision, q.Revision)
+	for _, s := range q.Statements {
+		f.says[s.Team] = s
+		h.dirty[s.Team] = true
+	}
+	p.Grants, p.More = h.grants(q.Region, q.After)
+	return p
+}
+
+// grants are those after a sequence, in its order.
+func (h *Home) grants(region string, after uint64) (out []Entry, more bool) {
+	for _, r := range h.teams {
+		if g, ok := r.Grants[region]; ok && g.Seq > after {
+			out = append(out, Entry{Team: r.Name, Seq: g.Seq, Revision: r.Revision, Limit: g.Limit, Guarantee: g.Guarantee, Removed: g.Removed})
+		}
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
+	if len(out) > grantsPerReply {
+		return out[:grantsPerReply], true
+	}
+	return out, false
+}
+
+// Pending reports whether a region has grants to take.
+func (h *Home) Pending(region string, after uint64) bool {
+	for _, r := range h.teams {
+		if g, ok := r.Grants[region]; ok && g.Seq > after {
+			return true
+		}
+	}
+	return false
+}
+
+// allStated reports whether every region has told this leader what it holds. Until then
+// no share is raised: the store may have lost the raise of another one.
+func (h *Home) allStated() bool {
+	for _, f := range h.followers {
+		if !f.stated {
+			return false
+		}
+	}
+	return true
+}
+
+// Step returns what follows from what the regions have said, for up to most teams. What
+// it returns counts once it is applied.
+func (h *Home) Step(most int) Update {
+	u := Update{Head: h.head}
+	for _, name := range slices.Sorted(maps.Keys(h.dirty)) {
+		if len(u.Records) >= most {
+			break
+		}
+		delete(h.dirty, name)
+		r := h.teams[name]
+		if r == nil {
+			if r = h.adopt(name); r == nil {
+				continue
+			}
+			u.Head.Revision++
+			r.Revision = u.Head.Revision
+		}
+		if next := h.settle(r, &u.Head); next != nil {
+			u.Records = append(u.Records, next)
+		}
+	}
+	return u
+}
+
+// Apply takes in an update that is stored.
+func (h *Home) Apply(u Update) {
+	h.head = Head{max(h.head.Revision, u.Head.Revision), max(h.head.Seq, u.Head.Seq)}
+	for _, r := range u.Records {
+		h.teams[r.Name] = r
+		h.dirty[r.Name] = true // a raise may follow from a lowering that needs no word
+	}
+}
+
+// Retry looks again at what an update that could not be stored was about.
+func (h *Home) Retry(u Update) {
+	for _, r := range u.Records {
+		h.dirty[r.Name] = true
+	}
+}
+
+// adopt makes the record of a team that a region has a grant for and the store has lost:
+// it goes on with what the regions have. nil: no region has one.
+func (h *Home) adopt(name string) *Record {
+	r := &Record{Name: name, Shares: map[string]Share{}, Grants: map[string]Grant{}}
+	granted := false
+	for region, f := range h.followers {
+		s, ok := f.says[name]
+		if !ok {
+			continue
+		}
+		granted = granted || s.Seq > 0
+		r.Limit = r.Limit.plus(s.Limit)
+		r.Shares[region] = Share{Limit: s.Limit}
+	}
+	if !granted || !h.allStated() {
+		return nil
+	}
+	return r
+}
+
+// settle compares what the regions are told with what they are to have and what they
+// hold, and returns the record that has to be stored; nil: nothing has changed.
+func (h *Home) settle(was *Record, head *Head) *Record {
+	r := was.clone()
+	changed := false
+	for _, region := range h.regions {
+		g, moved := h.reported(r, region)
+		if g.Seq == 0 && !h.followers[region].stated {
+			r.Grants[region] = g // it is told nothing before it has spoken
+			continue
+		}
+		share := h.share(r, region)
+		limit := g.Limit.lower(share.Limit)
+		next := Grant{g.Seq, limit, share.Guarantee.lower(limit), r.Removed, g.Held}
+		if next != g || g.Seq == 0 {
+			moved = true
+			head.Seq++
+			next.Seq = head.Seq
+		}
+		r.Grants[region] = next
+		changed = changed || moved
+	}
+	if h.allStated() {
+		for _, region := range h.regions {
+			changed = h.raise(r, region, head) || changed
+		}
+	}
+	if !changed {
+		return nil
+	}
+	return r
+}
+
+// share is what a region is to have now. Of a team that was removed it keeps what it has
+// until it takes no jobs of it any more and the last one is over.
+func (h *Home) share(r *Record, region string) Share {
+	g, f := r.Grants[region], h.followers[region]
+	s := f.says[r.Name]
+	closed := g.Removed && f.stated && s.Seq == g.Seq && !s.Busy
+	if r.Removed && !closed {
+		return Share{g.Limit, g.Guarantee}
+	}
+	return r.share(region)
+}
+
+// reported is what a region is told, with what is held for it after its last statement. A
+// sequence of 0 means that it has to be told anew; told reports whether the record has to
+// be stored for that.
+func (h *Home) reported(r *Record, region string) (g Grant, told bool) {
+	g, known := r.Grants[region]
+	f := h.followers[region]
+	s, says := f.says[r.Name]
+	switch {
+	case !f.stated:
+		if !known {
+			// Nothing is known of what it holds: nothing can be raised before it speaks.
+			return Grant{Held: NoLimit()}, false
+		}
+		return g, false
+	case !known, g.Held == NoLimit() && g.Seq == 0:
+		return Grant{Limit: s.Limit, Held: s.Held.higher(s.Limit)}, true
+	case !says:
+		return g, false
+	case s.Seq > g.Seq, s.Seq == g.Seq && s.Limit != g.Limit, s.Seq < g.Seq && g.Seq <= f.after:
+		// The store has lost what the region was told since.
+		g.Held = g.Held.higher(s.Held).higher(s.Limit)
+		g.Seq = 0
+		return g, true
+	case s.Seq < g.Seq:
+		// It has yet to take the grant. It may hold more than is known where its own store
+		// was put back.
+		held := g.Held.higher(s.Held).higher(s.Limit)
+		return Grant{g.Seq, g.Limit, g.Guarantee, g.Removed, held}, held != g.Held
+	}
+	held := g.Limit.higher(s.Held)
+	// What is given back is stored with the raise that rests on it, or once it is all.
+	done := held != g.Held && held == g.Limit
+	g.Held = held
+	return g, done
+}
+
+// raise lets a region have more of its share as far as no other holds it.
+func (h *Home) raise(r *Record, region string, head *Head) bool {
+	g, share := r.Grants[region], h.share(r, region)
+	free := r.Limit.less(r.held(region))
+	limit := g.Limit.higher(share.Limit.lower(free))
+	if limit == g.Limit {
+		return false
+	}
+	if limit != share.Limit && !worth(g.Limit, limit, share.Limit) {
+		return false
+	}
+	head.Seq++
+	r.Grants[region] = Grant{head.Seq, limit, share.Guarantee.lower(limit), r.Removed, g.Held.higher(limit)}
+	return true
+}
+
+// worth reports whether a raise is a large enough part of a share.
+func worth(from, to, share Amount) bool {
+	part := func(from, to, share float64) bool { return to > from && to-from >= raiseLeast*share }
+	return part(from.CPUs, to.CPUs, share.CPUs) || part(from.GPUs, to.GPUs, share.GPUs)
+}
--- /dev/null
+++ b/internal/dynconfig/replica.go
@@ -0,0 +1,144 @@
+package dynconfig
+
+import (
+	"maps"
+	"slices"
+)
+
+// Replica is the configuration at the leader of a region, for one term.
+type Replica struct {
+	region string
+	term   uint64
+	number uint64 // of the last request
+	// file are the teams of the platform's file, which hold where nothing was granted.
+	file  map[string]Share
+	teams map[string]Entry
+	after uint64
+	home  uint64 // the highest term of a home leader that has answered
+	// stated is the home's term that everything was stated to, said what it was told.
+	stated uint64
+	said   map[string]Statement
+	// unconfirmed: the region's own store has lost its last moments, and may name a limit
+	// that was lowered since.
+	unconfirmed bool
+}
+
+// NewReplica goes on from what earlier leaders of the region have stored. Restored says
+// that the store is known to have lost its last moments: then no team starts anything
+// under a limit until the home region has spoken.
+func NewReplica(region string, term uint64, file map[string]Share, entries []Entry, restored bool) *Replica {
+	r := &Replica{region: region, term: term, file: file, teams: map[string]Entry{}, said: map[string]Statement{}, unconfirmed: restored}
+	for _, e := range entries {
+		r.teams[e.Team] = e
+		r.after = max(r.after, e.Seq)
+	}
+	return r
+}
+
+// Uses tells what teams use in the region at this moment, everything that may be on a
+// machine included, and whether they have jobs that are not over.
+type Uses func(team string) (used Amount, busy bool)
+
+// Request is what to ask the home region next: what it has not answered is said again.
+func (r *Replica) Request(uses Uses) *Request {
+	r.number++
+	q := &Request{Region: r.region, Term: r.term, Number: r.number, Home: r.stated, After: r.after, Revision: r.Revision(), Full: r.stated != r.home || r.home == 0}
+	names := maps.Clone(r.file)
+	for name := range r.teams {
+		names[name] = Share{}
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		s := r.statement(name, uses)
+		if q.Full || s != r.said[name] {
+			q.Statements = append(q.Statements, s)
+		}
+	}
+	if q.Full {
+		q.Home = r.home
+	}
+	return q
+}
+
+// statement is what the region says of a team now.
+func (r *Replica) statement(name string, uses Uses) Statement {
+	used, busy := uses(name)
+	limit := r.file[name].Limit
+	s := Statement{Team: name, Busy: busy}
+	if e, ok := r.teams[name]; ok {
+		s.Seq, limit = e.Seq, e.Limit
+	}
+	s.Limit, s.Held = limit, limit.higher(used)
+	return s
+}
+
+// Unconfirmed reports whether the region's limits have to be confirmed by the home region
+// before anything starts under them. The next leader must know it as well.
+func (r *Replica) Unconfirmed() bool { return r.unconfirmed }
+
+// Answered takes in the reply to a request and returns the entries that have to be stored
+// now, before they count. A reply of an earlier home leader says nothing.
+func (r *Replica) Answered(q *Request, p *Reply) []Entry {
+	if p.Refused != "" || p.Term < r.home {
+		return nil
+	}
+	r.home = p.Term
+	if p.State {
+		r.stated = 0
+		return nil
+	}
+	if q.Full {
+		r.stated = p.Term
+	}
+	for _, s := range q.Statements {
+		r.said[s.Team] = s
+	}
+	var out []Entry
+	for _, e := range p.Grants {
+		if e.Seq > r.after && e.Seq > r.teams[e.Team].Seq {
+			out = append(out, e)
+		}
+	}
+	if len(out) == 0 && !p.More {
+		r.unconfirmed = false
+	}
+	return out
+}
+
+// Stored lets entries count that are stored.
+func (r *Replica) Stored(entries []Entry) {
+	for _, e := range entries {
+		if e.Seq > r.teams[e.Team].Seq {
+			r.teams[e.Team] = e
+		}
+		r.after = max(r.after, e.Seq)
+	}
+}
+
+// Share is what a team has in the region now; known: there is such a team. A team that
+// was removed has nothing and takes no jobs.
+func (r *Replica) Share(team string, uses Uses) (s Share, known bool) {
+	s, known = r.file[team]
+	if e, ok := r.teams[team]; ok {
+		s, known = Share{e.Limit, e.Guarantee}, !e.Removed
+	}
+	if r.unconfirmed && s.Limit != NoLimit() {
+		used, _ := uses(team)
+		s.Limit = s.Limit.lower(used)
+		s.Guarantee = s.Guarantee.lower(s.Limit)
+	}
+	return s, known
+}
+
+// Granted are the teams that the home region has granted something, by their names.
+func (r *Replica) Granted() []string { return slices.Sorted(maps.Keys(r.teams)) }
+
+// After is the highest sequence that counts here.
+func (r *Replica) After() uint64 { return r.after }
+
+// Revision is the highest revision of which anything counts here.
+func (r *Replica) Revision() (revision uint64) {
+	for _, e := range r.teams {
+		revision = max(revision, e.Revision)
+	}
+	return revision
+}
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -96,6 +97,39 @@
 	return len(seen), ""
 }
 
+// Walk plays orders that are drawn, each of so many steps that could be taken, and then on
+// without faults. It reaches deeper than Play, which looks at every order, and finds no
+// shortest one. It returns how many steps were taken, and the first order that breaks
+// something with what it breaks.
+func (g *Game[W]) Walk(r *rand.Rand, walks, steps int) (taken int, broken string) {
+	for range walks {
+		w := g.replay(nil)
+		var path []Step
+		for tries := 0; len(path) < steps && tries < triesPerStep*steps; tries++ {
+			a := r.IntN(len(g.Actions))
+			i := r.IntN(g.Actions[a].Each)
+			if !g.Actions[a].Do(w, i) {
+				continue
+			}
+			path = append(path, Step{a, i})
+			taken++
+			if why := w.Broken(); why != "" {
+				return taken, g.say(path) + ": " + why
+			}
+		}
+		if g.Settle == nil {
+			continue
+		}
+		if why := g.Settle(w); why != "" {
+			return taken, g.say(path) + ", then without faults: " + why
+		}
+	}
+	return taken, ""
+}
+
+// triesPerStep bounds the draws of steps that cannot be taken.
+const triesPerStep = 20
+
 func (g *Game[W]) replay(path []Step) W {
 	w := g.New()
 	for _, s := range slices.Concat(g.Start, path) {
