Configuration across regions: the leaders follow the home region, operators change it

Change: control parts teams (every region) and homeTeams (the home region), a Follow method between controllers, routes and commands config apply, show and status, settings regions; jobs are judged by the teams in force. Off unless regions are named, and then no message or write differs. The calendar's settling of unclear transactions serves both. Several regions together are not tried yet.

--- a/cmd/vetchstream/client.go
+++ b/cmd/vetchstream/client.go
@@ -58,7 +58,7 @@
 		},
 	}
 	talk := []*cobra.Command{submit, aboutJob("get JOB", "Show a job's state", http.MethodGet, ""),
-		aboutJob("abort JOB", "Cancel a job", http.MethodPost, "/abort"), rolloutCommands(c)}
+		aboutJob("abort JOB", "Cancel a job", http.MethodPost, "/abort"), rolloutCommands(c), configCommands(c)}
 	talk = append(talk, calendarCommands(c)...)
 	for _, cmd := range talk {
 		cmd.PersistentFlags().StringVar(&c.server, "server", "127.0.0.1:8080", "address of a controller or of the load balancer")
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -91,6 +91,7 @@
 	})
 	s.rollouts(rt)
 	s.calendar(rt)
+	s.configuration(rt)
 	rt.POST("/checkin", s.checkin)
 	rt.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		if !s.back.Healthy() {
--- /dev/null
+++ b/internal/api/configuration.go
@@ -0,0 +1,44 @@
+package api
+
+import (
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"vetchstream/internal/peer"
+	"vetchstream/internal/wire"
+)
+
+// configuration are the routes for what holds in all regions, beside the protocol's own:
+//
+//	POST /api/config         change it; the body is the change, ?dry_run=true only checks it
+//	GET  /api/config         a page of the teams by name, after ?after=NAME
+//	GET  /api/config/status  how far each region is
+func (s *Server) configuration(rt *httprouter.Router) {
+	operate := func(w http.ResponseWriter, q *http.Request, op peer.Operation) {
+		b, err := wire.Marshal(op)
+		if err != nil {
+			write(w, refuse(http.StatusInternalServerError, err.Error()))
+			return
+		}
+		s.user(w, q, &peer.Request{Kind: peer.KindConfig, Body: b}, submitTime)
+	}
+	rt.POST("/api/config", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		body, err := read(q)
+		if err != nil {
+			write(w, refuse(http.StatusBadRequest, err.Error()))
+			return
+		}
+		verb := peer.VerbStart
+		if q.URL.Query().Get("dry_run") == "true" {
+			verb = peer.VerbCheck
+		}
+		operate(w, q, peer.Operation{Verb: verb, Spec: body})
+	})
+	rt.GET("/api/config", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbList, Service: q.URL.Query().Get("after")})
+	})
+	rt.GET("/api/config/status", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbStatus})
+	})
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -257,6 +257,39 @@
 	Own float64 `json:"own"`
 }
 
+// Regions holds the operators' settings for several regions with one configuration.
+type Regions struct {
+	// Name is this region's; empty: there is one region, and the platform's file is all
+	// the configuration there is.
+	Name string `json:"name"`
+	// Home is the region in which changes are decided, and All are all of them.
+	Home string   `json:"home"`
+	All  []string `json:"all"`
+	// HomeAddresses are the peer addresses of the home region's controllers; a controller
+	// of the home region needs none.
+	HomeAddresses []string `json:"home_addresses"`
+}
+
+// check returns an error that names the field.
+func (r *Regions) check() error {
+	switch {
+	case r.Name == "":
+		return nil
+	case !slices.Contains(r.All, r.Name):
+		return fmt.Errorf("/regions/name: %q is not among /regions/all", r.Name)
+	case !slices.Contains(r.All, r.Home):
+		return fmt.Errorf("/regions/home: %q is not among /regions/all", r.Home)
+	case r.Name != r.Home && len(r.HomeAddresses) == 0:
+		return errors.New("/regions/home_addresses: missing")
+	}
+	for i, a := range r.HomeAddresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("/regions/home_addresses/%d: %q is not host:port", i, a)
+		}
+	}
+	return nil
+}
+
 // Tuning holds the operators' own settings.
 type Tuning struct {
 	// LeaderLeaseMs is the length of the leader's lease in the state service.
@@ -281,6 +314,8 @@
 	Calendar Calendar `json:"calendar"`
 	// Shares switches the sharing of the machines on.
 	Shares Shares `json:"shares"`
+	// Regions names the regions that share one configuration.
+	Regions Regions `json:"regions"`
 	// MetricsListen is the address of the metrics page; empty: there is none.
 	MetricsListen string `json:"metrics_listen"`
 	Weights       struct {
@@ -366,6 +401,9 @@
 	if err := json.Unmarshal(b, t); err != nil {
 		return fmt.Errorf("tuning: %w", err)
 	}
+	if err := t.Regions.check(); err != nil {
+		return fmt.Errorf("tuning: %w", err)
+	}
 	if t.Weights.Queue+t.Weights.Jobs+t.Weights.CPU <= 0 {
 		return errors.New("tuning: /weights: one of queue, jobs and cpu must be above 0")
 	}
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -26,6 +26,7 @@
 	writer  *writer
 	results *results
 	groups  *groups
+	teams   *teams
 
 	limit     *rate.Limiter // of the writes of acceptances
 	pending   map[string]*arrival
@@ -94,6 +95,16 @@
 // event was lost would be known to its users and to nobody else.
 const auditEvery = time.Minute
 
+// arriving reports whether a submission of the team is not durable yet.
+func (ad *admission) arriving(team string) bool {
+	for _, in := range ad.pending {
+		if in.rec.Spec.Team == team {
+			return true
+		}
+	}
+	return false
+}
+
 // has reports whether a job is known here, over, being stored or being read.
 func (ad *admission) has(id string) bool {
 	return ad.endings.over(id) || ad.pending[id] != nil || ad.book.get(id) != nil
@@ -207,7 +218,7 @@
 		ad.endings.readBack(id, bad, recorded, back)
 		return
 	}
-	switch p := ad.c.verdict(spec, ad.names.list()); {
+	switch p := ad.c.verdict(spec, ad.names.list(), ad.teams.find(spec.Team)); {
 	case p == nil:
 	case p.Status == http.StatusServiceUnavailable:
 		back(p)
--- a/internal/control/agenda.go
+++ b/internal/control/agenda.go
@@ -33,9 +33,10 @@
 	takeover *takeover
 	holds    *holds
 	drains   *drains
+	teams    *teams
 
 	cal      *calendar.Calendar
-	made     int // how many types and zones the calendar was made with
+	made     madeOf
 	bookings map[string]*booking
 	windows  map[string]uint64 // versions of the windows' records
 	// claims are the jobs that have each claimed an occurrence first.
@@ -50,6 +51,12 @@
 	nearAt time.Time
 }
 
+// madeOf is what a calendar was made with: how many types and zones, and which teams.
+type madeOf struct {
+	types, zones int
+	teams        uint64
+}
+
 // booking is a reservation's record as stored.
 type booking struct {
 	rec     *calendar.Record
@@ -66,13 +73,12 @@
 
 func newAgenda(co *core) *agenda {
 	ag := &agenda{core: co}
-	ag.reset()
 	return ag
 }
 
 func (ag *agenda) reset() {
 	ag.bookings, ag.windows, ag.claims = map[string]*booking{}, map[string]uint64{}, map[claim]*job.Job{}
-	ag.cal, ag.made, ag.near = calendar.New(ag.facts(nil, nil)), 0, nil
+	ag.cal, ag.made, ag.near = calendar.New(ag.facts(nil, nil)), madeOf{}, nil
 }
 
 // on reports whether the calendar is switched on.
@@ -97,7 +103,7 @@
 		}
 		return -1
 	}
-	return calendar.Facts{Types: types, Zones: zones, Teams: ag.c.Settings.Facts.Teams, Counted: counted, Limits: ag.limits()}
+	return calendar.Facts{Types: types, Zones: zones, Teams: ag.teams.all(), Counted: counted, Limits: ag.limits()}
 }
 
 // list reads the records; none while the calendar is switched off.
@@ -161,7 +167,7 @@
 // remake fits the calendar to a price list that has become longer.
 func (ag *agenda) remake() {
 	types, zones := ag.names.list(), ag.names.zoneNames()
-	if n := len(types) + len(zones); n != ag.made {
+	if n := (madeOf{len(types), len(zones), ag.teams.sequence()}); n != ag.made {
 		ag.made = n
 		was := ag.cal
 		ag.cal = calendar.New(ag.facts(types, zones))
@@ -362,25 +368,12 @@
 	})
 }
 
-// commit runs a fenced transaction until its outcome is clear. Only an entitled
-// leader writes these keys, so a version of key that has moved on is the work of an
-// unclear try of this very transaction.
+// commit runs a fenced transaction until its outcome is clear, and hands it to the actor.
 func (ag *agenda) commit(key string, was uint64, conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
-	txn := state.Txn{If: append([]state.Cond{ag.fence}, conds...), Writes: writes}
 	go func() {
-		for ag.ctx.Err() == nil {
-			v, err := ag.c.State.Commit(ag.ctx, txn)
-			if errors.Is(err, state.ErrConflict) {
-				e, gerr := ag.c.State.Get(ag.ctx, key)
-				if gerr == nil && e.Version != was {
-					v, err = e.Version, nil
-				}
-			}
-			if err == nil || errors.Is(err, state.ErrRejected) {
-				ag.ahead(func() { then(v, err) })
-				return
-			}
-			ag.pause(200 * time.Millisecond)
+		v, err := ag.settle(key, was, conds, writes)
+		if ag.ctx.Err() == nil {
+			ag.ahead(func() { then(v, err) })
 		}
 	}()
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,6 +33,8 @@
 	Meter    *meter.Meter // nil: off
 	// Entitled tells whether this node may act for the term right now.
 	Entitled func(term uint64) bool
+	// Follow asks the leader of the home region; nil: no regions are named.
+	Follow Follow
 	// Left is for how long that is so without another renewal.
 	Left func(term uint64) time.Duration
 	// Deposed is told of a later term that a worker has seen.
@@ -160,6 +162,12 @@
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
 		}
 		do = func(r *reign, back func(*peer.Reply)) { r.agenda.operate(&op, back) }
+	case peer.KindConfig:
+		var op peer.Operation
+		if err := wire.Unmarshal(q.Body, &op); err != nil {
+			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
+		}
+		do = func(r *reign, back func(*peer.Reply)) { r.homeTeams.operate(&op, back) }
 	case peer.KindReport:
 		m := &wire.Report{}
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
@@ -221,8 +229,8 @@
 
 // verdict is the refusal of a job that can never run, or cannot be judged yet;
 // nil: it may be taken in.
-func (c *Controller) verdict(spec *job.Spec, types []wire.MachineType) *peer.Reply {
-	why, known := c.canNever(spec, types)
+func (c *Controller) verdict(spec *job.Spec, types []wire.MachineType, team *config.Team) *peer.Reply {
+	why, known := canNever(spec, types, team)
 	switch {
 	case !known:
 		return Later("machine types are not known yet")
@@ -258,9 +266,8 @@
 }
 
 // canNever says why a job can never run, or that it cannot be told yet.
-func (c *Controller) canNever(s *job.Spec, types []wire.MachineType) (why string, known bool) {
-	t := slices.IndexFunc(c.Settings.Facts.Teams, func(t config.Team) bool { return t.Name == s.Team })
-	if t < 0 {
+func canNever(s *job.Spec, types []wire.MachineType, team *config.Team) (why string, known bool) {
+	if team == nil {
 		return "unknown team", true
 	}
 	if len(types) == 0 {
@@ -290,7 +297,6 @@
 	if s.ShapeName != "array" {
 		k = float64(s.Tasks)
 	}
-	team := &c.Settings.Facts.Teams[t]
 	if (team.CPUsMax > 0 && s.CPUs*k > team.CPUsMax+1e-6) || (team.GPUsMax > 0 && s.GPUs*k > team.GPUsMax+1e-6) {
 		return "more than the team's limit", true
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -396,7 +396,7 @@
 			}
 			s := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1, MemGB: 1}
 			tt.edit(s)
-			why, known := r.c.canNever(s, r.names.list())
+			why, known := canNever(s, r.names.list(), r.teams.find(s.Team))
 			if (why != "") != tt.never || known != tt.known {
 				t.Errorf("%q, known %v", why, known)
 			}
@@ -462,13 +462,13 @@
 		s := job.Spec{ID: "run-1", Team: "red", ShapeName: "array", RankName: "idle", Tasks: 2, CPUs: 1, MemGB: 1}
 		tt.edit(&s)
 		got := 0
-		if p := r.c.verdict(&s, types); p != nil {
+		if p := r.c.verdict(&s, types, r.teams.find(s.Team)); p != nil {
 			got = p.Status
 		}
 		if got != tt.want {
 			t.Errorf("%s: %d, want %d", tt.name, got, tt.want)
 		}
-		if p := r.c.verdict(&s, nil); s.Team != "green" && (p == nil || p.Status != 503) {
+		if p := r.c.verdict(&s, nil, r.teams.find(s.Team)); s.Team != "green" && (p == nil || p.Status != 503) {
 			t.Errorf("%s, types not known: %v, want 503", tt.name, p)
 		}
 	}
--- a/internal/control/names.go
+++ b/internal/control/names.go
@@ -13,6 +13,7 @@
 	typeIdx map[string]int
 	zones   []string
 	zoneIdx map[string]int
+	teams   []string
 	teamIdx map[string]int
 	images  map[string]int
 }
@@ -22,12 +23,26 @@
 	for _, z := range zones {
 		nm.zone(z)
 	}
-	for i, t := range teams {
-		nm.teamIdx[t.Name] = i
+	for _, t := range teams {
+		nm.addTeam(t.Name)
 	}
 	return nm
 }
 
+// addTeam gives a team an index, and reports whether it had none. It keeps it for as long
+// as the reign lasts, also when it is removed.
+func (nm *names) addTeam(name string) bool {
+	if _, ok := nm.teamIdx[name]; ok {
+		return false
+	}
+	nm.teamIdx[name] = len(nm.teams)
+	nm.teams = append(nm.teams, name)
+	return true
+}
+
+// teamNames are the teams, by index.
+func (nm *names) teamNames() []string { return nm.teams }
+
 // learn takes in a price list. A type keeps its index for as long as the reign
 // lasts.
 func (nm *names) learn(types []wire.MachineType) {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -42,6 +42,7 @@
 	agenda   *agenda
 	holds    *holds
 	drains   *drains
+	teams    *teams
 
 	keeps     map[*fleet.Host]keep
 	attempts  uint64 // made in this term
@@ -186,7 +187,7 @@
 	w := pl.c.Tuning.Weights
 	in.Weights = place.Weights{Queue: w.Queue, Jobs: w.Jobs, CPU: w.CPU, Image: w.Image, Sticky: w.Sticky,
 		SameZone: w.SameZone, Unreliable: w.Unreliable, Empty: w.Empty, Price: w.Price}
-	for _, t := range pl.c.Settings.Facts.Teams {
+	for _, t := range pl.teams.all() {
 		in.Teams = append(in.Teams, place.Team{
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
 			Limit:     place.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -62,6 +63,29 @@
 	}
 }
 
+// settle runs a transaction under the term until its outcome is clear. Only an entitled
+// leader writes the key, so a version of it that has moved on is the work of an unclear try
+// of this very transaction. The error is state.ErrRejected, or that the term has ended.
+func (co *core) settle(key string, was uint64, conds []state.Cond, writes []state.Write) (version uint64, err error) {
+	txn := state.Txn{If: append([]state.Cond{co.fence}, conds...), Writes: writes}
+	for co.ctx.Err() == nil {
+		version, err = co.c.State.Commit(co.ctx, txn)
+		if errors.Is(err, state.ErrConflict) {
+			if e, gerr := co.c.State.Get(co.ctx, key); gerr == nil && e.Version != was {
+				version, err = e.Version, nil
+			}
+		}
+		if err == nil || errors.Is(err, state.ErrRejected) {
+			return version, err
+		}
+		co.pause(settlePause)
+	}
+	return 0, co.ctx.Err()
+}
+
+// settlePause spaces the tries of a transaction whose outcome is not clear.
+const settlePause = 200 * time.Millisecond
+
 // reportTime is the workers' interval of reports.
 func (co *core) reportTime() time.Duration {
 	return config.Seconds(co.c.Settings.Facts.Workers.ReportS)
@@ -94,6 +118,8 @@
 	holds     *holds
 	drains    *drains
 	shares    *shares
+	teams     *teams
+	homeTeams *homeTeams
 
 	scanAt time.Time
 }
@@ -111,8 +137,10 @@
 	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
 		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), agenda: newAgenda(co), shares: newShares(co), holds: newHolds(co), drains: newDrains(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
 		machines: newMachines(co), takeover: &takeover{core: co}, commands: &commands{core: co, most: DirectCalls(f.Resources.MaxSockets)},
+		teams: newTeams(co, l.Restored), homeTeams: newHomeTeams(co),
 		planner: newPlanner(co), work: &work{core: co}, writer: &writer{core: co, batch: f.State.TxnOps}}
 	r.wire()
+	r.agenda.reset()
 	return r
 }
 
@@ -144,6 +172,9 @@
 	r.planner.agenda, r.planner.holds, r.planner.drains = r.agenda, r.holds, r.drains
 	r.machines.holds, r.machines.drains, r.work.holds = r.holds, r.drains, r.holds
 	r.takeover.agenda, r.takeover.holds, r.takeover.drains = r.agenda, r.holds, r.drains
+	r.teams.names, r.teams.book, r.teams.takeover, r.teams.admission, r.teams.homeTeams = r.names, r.book, r.takeover, r.admission, r.homeTeams
+	r.planner.teams, r.admission.teams, r.agenda.teams, r.rollouts.teams = r.teams, r.teams, r.teams, r.teams
+	r.takeover.teams, r.takeover.homeTeams = r.teams, r.homeTeams
 	r.groups.writer, r.groups.results = r.writer, r.results
 	r.admission.groups, r.admission.results, r.endings.groups, r.book.groups, r.takeover.groups = r.groups, r.results, r.groups, r.groups, r.groups
 }
@@ -269,6 +300,7 @@
 	r.shares.answer(now)
 	r.commands.urgent(now)
 	r.shares.step(now, scan)
+	r.homeTeams.step(now)
 	if !scan {
 		return
 	}
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -32,6 +32,7 @@
 	work     *work
 	takeover *takeover
 	groups   *groups
+	teams    *teams
 
 	services map[string]*service
 	byJob    map[string]*service // versions, by job id
@@ -470,7 +471,7 @@
 		return
 	}
 	next := spec.Next(&was.Spec)
-	if p := ro.c.verdict(&next, ro.names.list()); p != nil {
+	if p := ro.c.verdict(&next, ro.names.list(), ro.teams.find(next.Team)); p != nil {
 		back(p)
 		return
 	}
--- a/internal/control/shelf.go
+++ b/internal/control/shelf.go
@@ -146,6 +146,7 @@
 	later := func() *peer.Reply { return Later("no leader is to be reached") }
 	id, spec, invalid := submission(body)
 	var refusal *peer.Reply
+	var unchanged []state.Cond // what the verdict rests on
 	if invalid != nil {
 		refusal = reply(http.StatusBadRequest, wire.Error{Error: invalid.Error()})
 	} else {
@@ -153,7 +154,12 @@
 		if err != nil {
 			return later()
 		}
-		refusal = c.verdict(spec, types)
+		team, conds, err := c.storedTeam(ctx, spec.Team)
+		if err != nil {
+			return later()
+		}
+		unchanged = conds
+		refusal = c.verdict(spec, types, team)
 	}
 	if refusal != nil && (id == "" || refusal.Status == http.StatusServiceUnavailable) {
 		return refusal
@@ -180,6 +186,7 @@
 	if err != nil {
 		return later()
 	}
+	txn.If = append(txn.If, unchanged...)
 	// What does not fit the budget now is refused at once: waiting would hold up
 	// every later request of this node.
 	if c.State.Spare() < 1 {
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -34,10 +34,13 @@
 	holds     *holds
 	drains    *drains
 	shares    *shares
+	teams     *teams
+	homeTeams *homeTeams
 
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
 	missing   map[string]bool // machines of earlier leaders that the cloud's list lacks
+	placeable bool            // work may be placed around the machines that have not been heard of
 	metSilent bool            // the silent machines of a takeover have been dealt with
 	read      atomic.Bool
 	phases    phases
@@ -101,6 +104,10 @@
 // is on them but what this reign has seen.
 func (tk *takeover) settled() bool { return tk.ready }
 
+// around reports whether work may be placed around the machines that have not been heard
+// of: what they may run is known.
+func (tk *takeover) around() bool { return tk.placeable }
+
 // settle looks at the machines of earlier leaders and reports whether work may
 // be placed around those that have not been heard of.
 func (tk *takeover) settle(now time.Time) bool {
@@ -130,6 +137,7 @@
 		tk.metSilent = true
 		tk.silent()
 	}
+	tk.placeable = true
 	if len(tk.inherited) == 0 {
 		tk.ready, tk.phases.settle = true, now
 		tk.log.Info("every machine is settled", "after", now.Sub(tk.since).Round(time.Millisecond))
@@ -299,6 +307,14 @@
 	if err != nil {
 		return err
 	}
+	ts, err := tk.teams.list()
+	if err != nil {
+		return err
+	}
+	head, hts, err := tk.homeTeams.list()
+	if err != nil {
+		return err
+	}
 	// From here on nothing of a try that failed half-way may be left.
 	tk.fleet = fleet.New(tk.term, config.Seconds(tk.c.Settings.Facts.Workers.LeaseS))
 	tk.registry.reset()
@@ -309,6 +325,12 @@
 	tk.holds.reset()
 	tk.drains.reset()
 	tk.names.learn(types)
+	if err := tk.teams.load(ts); err != nil {
+		return err
+	}
+	if err := tk.homeTeams.load(head, hts); err != nil {
+		return err
+	}
 	if err := tk.registry.load(hs, ns); err != nil {
 		return err
 	}
@@ -382,5 +404,6 @@
 		}
 	}
 	go tk.admission.follow(epoch)
+	go tk.teams.follow()
 	return nil
 }
--- a/internal/dynconfig/change.go
+++ b/internal/dynconfig/change.go
@@ -192,7 +192,16 @@
 		return nil, refuse(http.StatusUnprocessableEntity, field, "%q is no team", name)
 	}
 	r := h.base(name)
-	r.Removed, r.Shares = true, map[string]Share{}
+	if h.teams[name] == nil {
+		// A team of the platform's files: what its jobs may use stays as it is until they
+		// are over.
+		r.Shares = map[string]Share{}
+		for _, region := range h.regions {
+			limit := h.followers[region].says[name].Limit
+			r.Limit, r.Shares[region] = r.Limit.plus(limit), Share{Limit: limit}
+		}
+	}
+	r.Removed = true
 	return r, nil
 }
 
--- a/internal/dynconfig/explore_test.go
+++ b/internal/dynconfig/explore_test.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// answer is the home's reply to a request.
+func (g *game) answer(q *Request) *Reply {
+	if p := g.home.Hear(q, time.Time{}); p != nil {
+		return p
+	}
+	return g.home.Reply(q)
+}
+
 func parts(a, b float64) *Change {
 	q := func(v float64) *Quota { zero := 0.0; return &Quota{CPUs: &v, GPUs: &zero} }
 	return &Change{Teams: []TeamChange{{Name: theTeam, Limit: q(total), Regions: map[string]Part{"a": {Limit: q(a)}, "b": {Limit: q(b)}}}}}
@@ -195,7 +203,7 @@
 			if s.asked == nil || s.reply != nil {
 				return false
 			}
-			s.reply = g.home.Hear(s.asked, time.Time{})
+			s.reply = g.answer(s.asked)
 			return true
 		}),
 		act("take", 2, func(g *game, s *site, _ int) bool {
@@ -228,7 +236,7 @@
 			if f := g.home.followers[s.late.Region]; g.out == newestOnly {
 				f.term, f.number = 0, 0
 			}
-			g.home.Hear(s.late, time.Time{})
+			g.answer(s.late)
 			s.late = nil
 			return true
 		}),
@@ -379,7 +387,7 @@
 			}
 			if s.storing == nil {
 				q := s.replica.Request(s.uses(g))
-				s.storing = s.replica.Answered(q, g.home.Hear(q, time.Time{}))
+				s.storing = s.replica.Answered(q, g.answer(q))
 			}
 			s.put(s.storing)
 			s.counts(s.storing)
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -68,7 +68,8 @@
 // Head is the stored position.
 func (h *Home) Head() Head { return h.head }
 
-// Hear takes in a request and answers it; the reply tells only of what is stored.
+// Hear takes in a request. It returns the reply where there is nothing to wait for; nil:
+// Reply answers it, now or as soon as Pending says that there is something to tell.
 func (h *Home) Hear(q *Request, now time.Time) *Reply {
 	f := h.followers[q.Region]
 	if f == nil {
@@ -78,6 +79,10 @@
 		return &Reply{Refused: "a later request of the region was answered"}
 	}
 	f.term, f.number, f.heard = q.Term, q.Number, now
+	if !q.Full && (!f.stated || q.Home != h.term) {
+		f.stated = false
+		return &Reply{Term: h.term, State: true}
+	}
 	if q.Full {
 		f.stated = true
 		clear(f.says)
@@ -85,12 +90,6 @@
 			h.dirty[name] = true
 		}
 	}
-	p := &Reply{Term: h.term, Revision: h.head.Revision}
-	if !f.stated || (q.Home != h.term && !q.Full) {
-		f.stated = false
-		p.State = true
-		return p
-	}
 	f.after = q.After
 	// Where the home's store has lost its last moments, what it decides from now on has to
 	// count as newer than what the region has.
@@ -100,6 +99,17 @@
 		f.says[s.Team] = s
 		h.dirty[s.Team] = true
 	}
+	h.note(q.Region, now)
+	return nil
+}
+
+// Reply answers a request that was heard; it tells only of what is stored.
+func (h *Home) Reply(q *Request) *Reply {
+	f := h.followers[q.Region]
+	if f.term != q.Term || f.number != q.Number {
+		return &Reply{Refused: "a later request of the region was heard"}
+	}
+	p := &Reply{Term: h.term, Revision: h.head.Revision}
 	p.Grants, p.More = h.grants(q.Region, q.After)
 	return p
 }
@@ -232,14 +242,13 @@
 	return r
 }
 
-// share is what a region is to have now. Of a team that was removed it keeps what it has
+// share is what a region is to have now. Of a team that was removed it has what it had
 // until it takes no jobs of it any more and the last one is over.
 func (h *Home) share(r *Record, region string) Share {
 	g, f := r.Grants[region], h.followers[region]
 	s := f.says[r.Name]
-	closed := g.Removed && f.stated && s.Seq == g.Seq && !s.Busy
-	if r.Removed && !closed {
-		return Share{g.Limit, g.Guarantee}
+	if r.Removed && g.Removed && f.stated && s.Seq == g.Seq && !s.Busy {
+		return Share{}
 	}
 	return r.share(region)
 }
--- a/internal/dynconfig/record.go
+++ b/internal/dynconfig/record.go
@@ -43,10 +43,7 @@
 // share is what a region is to have.
 func (r *Record) share(region string) Share {
 	s, ok := r.Shares[region]
-	switch {
-	case r.Removed:
-		return Share{}
-	case !ok && r.Limit == NoLimit():
+	if !ok && r.Limit == NoLimit() {
 		return Share{Limit: NoLimit()}
 	}
 	return s
--- /dev/null
+++ b/internal/dynconfig/status.go
@@ -0,0 +1,162 @@
+package dynconfig
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// mostWaits bounds the teams that a status lists for each region.
+const mostWaits = 20
+
+// Status is how far the configuration is in force.
+type Status struct {
+	// Revision is that of the last change.
+	Revision uint64         `codec:"revision" json:"revision"`
+	Regions  []RegionStatus `codec:"regions" json:"regions"`
+}
+
+// RegionStatus is how far a region follows.
+type RegionStatus struct {
+	Region string `codec:"region" json:"region"`
+	// Revision is the last of which everything is in force there, for InForceS seconds.
+	Revision uint64  `codec:"revision" json:"revision"`
+	InForceS float64 `codec:"in_force_s" json:"in_force_s"`
+	// Behind is by how many revisions it is behind.
+	Behind uint64 `codec:"behind" json:"behind"`
+	// SilentS is how long the region has not been heard of, in seconds; below 0: never by
+	// this leader.
+	SilentS float64 `codec:"silent_s" json:"silent_s"`
+	// Waits are teams whose share is not in force, at most twenty, of Waiting.
+	Waiting int    `codec:"waiting" json:"waiting"`
+	Waits   []Wait `codec:"waits,omitempty" json:"waits,omitempty"`
+}
+
+// Wait is a team whose share is not in force in a region.
+type Wait struct {
+	Team string `codec:"team" json:"team"`
+	// Has and Wants are the limits that are in force and that are to be.
+	Has   Quota `codec:"has" json:"has"`
+	Wants Quota `codec:"wants" json:"wants"`
+	// For are the regions that have not given back what this one is to have, or this one
+	// where it has not taken its grant yet.
+	For []string `codec:"for" json:"for"`
+}
+
+// TeamStatus is a team as configured, with what each region is told.
+type TeamStatus struct {
+	Name     string                `codec:"name" json:"name"`
+	Revision uint64                `codec:"revision" json:"revision"`
+	Removed  bool                  `codec:"removed,omitempty" json:"removed,omitempty"`
+	Limit    Quota                 `codec:"limit" json:"limit"`
+	Regions  map[string]PartStatus `codec:"regions" json:"regions"`
+}
+
+// PartStatus is a region's part of a team: as configured, as told, and what is held for it.
+type PartStatus struct {
+	Limit     Quota `codec:"limit" json:"limit"`
+	Guarantee Quota `codec:"guarantee" json:"guarantee"`
+	Told      Quota `codec:"told" json:"told"`
+	Held      Quota `codec:"held" json:"held"`
+}
+
+// quota is the amount with what has no bound left out.
+func (a Amount) quota() (q Quota) {
+	if !math.IsInf(a.CPUs, 1) {
+		q.CPUs = &a.CPUs
+	}
+	if !math.IsInf(a.GPUs, 1) {
+		q.GPUs = &a.GPUs
+	}
+	return q
+}
+
+// inForce reports whether a team's share is in force in a region as the region says.
+func (h *Home) inForce(r *Record, region string) bool {
+	g, f := r.Grants[region], h.followers[region]
+	share := h.share(r, region)
+	return f.stated && g.Seq > 0 && f.says[r.Name].Seq == g.Seq && g.Limit == share.Limit && g.Guarantee == share.Guarantee.lower(share.Limit) && g.Removed == r.Removed
+}
+
+// revision is the last revision of which everything is in force in a region, and the
+// teams of which it is not.
+func (h *Home) revision(region string) (revision uint64, waiting []string) {
+	revision = h.head.Revision
+	for name, r := range h.teams {
+		if !h.inForce(r, region) {
+			waiting = append(waiting, name)
+			revision = min(revision, r.Revision-1)
+		}
+	}
+	if !h.followers[region].stated {
+		revision = 0
+	}
+	return revision, waiting
+}
+
+// note keeps since when a region is at its revision.
+func (h *Home) note(region string, now time.Time) {
+	f := h.followers[region]
+	if at, _ := h.revision(region); at != f.at || f.since.IsZero() {
+		f.at, f.since = at, now
+	}
+}
+
+// Status tells how far the regions are.
+func (h *Home) Status(now time.Time) Status {
+	out := Status{Revision: h.head.Revision}
+	for _, region := range h.regions {
+		f := h.followers[region]
+		at, waiting := h.revision(region)
+		h.note(region, now)
+		s := RegionStatus{Region: region, Revision: at, InForceS: now.Sub(f.since).Seconds(), Behind: h.head.Revision - at, SilentS: -1, Waiting: len(waiting)}
+		if !f.heard.IsZero() {
+			s.SilentS = now.Sub(f.heard).Seconds()
+		}
+		slices.Sort(waiting)
+		for _, name := range waiting[:min(len(waiting), mostWaits)] {
+			s.Waits = append(s.Waits, h.wait(h.teams[name], region))
+		}
+		out.Regions = append(out.Regions, s)
+	}
+	return out
+}
+
+// wait says for whom a region's share waits.
+func (h *Home) wait(r *Record, region string) Wait {
+	g, share := r.Grants[region], h.share(r, region)
+	w := Wait{Team: r.Name, Has: h.followers[region].says[r.Name].Limit.quota(), Wants: share.Limit.quota(), For: []string{}}
+	if g.Limit == share.Limit {
+		w.For = append(w.For, region) // it has only to take what it was told
+		return w
+	}
+	for _, other := range h.regions {
+		held := r.Grants[other].Held
+		silent := !h.followers[other].stated
+		if silent || (other != region && !held.within(h.share(r, other).Limit)) {
+			w.For = append(w.For, other)
+		}
+	}
+	return w
+}
+
+// Teams are the teams as configured, by their names, from after a name on.
+func (h *Home) Teams(after string, most int) (out []TeamStatus, more bool) {
+	for _, name := range slices.Sorted(maps.Keys(h.teams)) {
+		if name <= after {
+			continue
+		}
+		if len(out) == most {
+			return out, true
+		}
+		r := h.teams[name]
+		t := TeamStatus{Name: name, Revision: r.Revision, Removed: r.Removed, Limit: r.Limit.quota(), Regions: map[string]PartStatus{}}
+		for _, region := range h.regions {
+			share, g := r.share(region), r.Grants[region]
+			t.Regions[region] = PartStatus{share.Limit.quota(), share.Guarantee.quota(), g.Limit.quota(), g.Held.quota()}
+		}
+		out = append(out, t)
+	}
+	return out, false
+}
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -92,6 +92,15 @@
 	return true
 }
 
+// mostTeamName is the longest name of a team that can be a part of a key, in bytes.
+const mostTeamName = 100
+
+// ValidTeam reports whether a team of that name can be in the state service: its keys have
+// no spaces.
+func ValidTeam(name string) bool {
+	return name != "" && len(name) <= mostTeamName && !strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
 // TaskName is the name of one of a job's tasks.
 func TaskName(id string, task int32) string {
 	return id + "/" + strconv.Itoa(int(task))
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -39,6 +39,9 @@
 	Since time.Time
 	// Alive is when the leader before was last heard of; zero: never.
 	Alive time.Time
+	// Restored: the stored term was behind what workers or siblings have seen, so the state
+	// service has lost its last moments.
+	Restored bool
 }
 
 // View is what a node believes about the leadership.
@@ -330,7 +333,8 @@
 	e.mu.Lock()
 	heard := e.view.Term
 	e.mu.Unlock()
-	if heard > term {
+	restored := heard > term
+	if restored {
 		// A state service that has lost its last moments names a term below the tokens
 		// that workers have seen. They would drop every answer of the next one.
 		e.log.Warn("the stored term is behind what workers or siblings have seen, going above it", "stored", term, "seen", heard)
@@ -363,7 +367,7 @@
 	e.mu.Lock()
 	alive := e.alive
 	e.mu.Unlock()
-	e.reign(ctx, Reign{Term: term, TermVersion: version, Since: time.Now(), Alive: alive}, lease, begun)
+	e.reign(ctx, Reign{Term: term, TermVersion: version, Since: time.Now(), Alive: alive, Restored: restored}, lease, begun)
 }
 
 func (e *Elector) reign(ctx context.Context, r Reign, lease uint64, begun time.Time) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -29,7 +29,9 @@
 	Slots      = Metric{"vetchstream_slots_total", "Occurrences of reservations that are decided, by outcome.", "outcome"}
 	Moves      = Metric{"vetchstream_maintenance_moves_total", "Tasks moved or stopped for maintenance.", ""}
 	ShareMoves = Metric{"vetchstream_share_moves_total", "Machines that a holder has given back or lost, by the reason.", "why"}
-	Accepted   = Metric{"vetchstream_jobs_accepted_total", "Jobs accepted by this node, by the kind of record.", "record"}
+	// ConfigChanges counts changes of the configuration at the home region.
+	ConfigChanges = Metric{"vetchstream_config_changes_total", "Changes of the configuration, by what became of them.", "result"}
+	Accepted      = Metric{"vetchstream_jobs_accepted_total", "Jobs accepted by this node, by the kind of record.", "record"}
 )
 
 // What is timed, in seconds.
@@ -46,6 +48,7 @@
 	Jobs      = Metric{"vetchstream_jobs", "Jobs that the leader looks after.", ""}
 	Held      = Metric{"vetchstream_machines_held", "Machines held for reservations.", ""}
 	ShareHeld = Metric{"vetchstream_share_machines", "Machines that each controller deals with, at the leader.", "member"}
+	Revision  = Metric{"vetchstream_config_revision", "Highest revision of the configuration of which anything is in force here.", ""}
 	Leading   = Metric{"vetchstream_leading", "1 while this node leads.", ""}
 )
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"vetchstream/internal/api"
 	"vetchstream/internal/config"
 	"vetchstream/internal/control"
+	"vetchstream/internal/dynconfig"
 	"vetchstream/internal/hosts"
 	"vetchstream/internal/lead"
 	"vetchstream/internal/meter"
@@ -41,6 +42,7 @@
 	elector *lead.Elector
 	ctl     *control.Controller
 	mesh    *peer.Mesh
+	home    *homeRegion // nil: no regions are named, or this is the home region
 	route   route
 	lag     lag
 	arm     *arm // nil: the machines are not shared
@@ -64,7 +66,10 @@
 		Cloud: hosts.NewCloud(set.Outside.Cloud, nw.Dial, set.Facts.Cloud.RPS), Dial: nw.Dial, Log: log, Meter: m,
 		Entitled: func(term uint64) bool { return n.elector.Entitled(term) },
 		Left:     func(term uint64) time.Duration { return n.elector.Left(term) },
-		Deposed:  func(term uint64) { n.elector.Heard("", term) }})
+		Deposed:  func(term uint64) { n.elector.Heard("", term) },
+		Follow: func(ctx context.Context, q *dynconfig.Request) (*dynconfig.Reply, error) {
+			return n.home.follow(ctx, q)
+		}})
 	n.elector = lead.New(set.Member, time.Duration(tun.LeaderLeaseMs)*time.Millisecond,
 		state.Unbounded(set.Outside.State, nw.Dial), log, n.ctl.Lead)
 	siblings := make([]string, len(set.Siblings))
@@ -81,6 +86,12 @@
 	}
 	defer mesh.Close()
 	n.mesh = mesh
+	if tun.Regions.Name != tun.Regions.Home {
+		if n.home, err = dialHome(tun.Regions.HomeAddresses, nw.Dial); err != nil {
+			return err
+		}
+		defer n.home.close()
+	}
 	if tun.Shares.Enabled && len(set.Siblings) > 0 {
 		n.arm = newArm(n, nw.Dial)
 	}
@@ -195,6 +206,9 @@
 		ctx, cancel = context.WithTimeout(ctx, pollTime)
 		defer cancel()
 	}
+	if q.Kind == peer.KindConfig && n.home != nil {
+		return n.home.forward(ctx, q)
+	}
 	if p := n.ctl.Answer(ctx, q); p != nil {
 		return p
 	}
@@ -269,6 +283,11 @@
 	return &peer.Promise{Given: n.elector.Promise(ctx, q.Leader, q.Term)}
 }
 
+// Follow implements peer.Handler: only a leader of the home region answers.
+func (n *Node) Follow(ctx context.Context, q *dynconfig.Request) *dynconfig.Reply {
+	return n.ctl.FollowHome(ctx, q)
+}
+
 // Sync implements peer.Handler: only a leader gives shares.
 func (n *Node) Sync(ctx context.Context, r *share.Request) *share.Reply { return n.ctl.Sync(ctx, r) }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/dynconfig"
 	"vetchstream/internal/share"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -57,6 +58,9 @@
 	// KindCalendar is a request about reservations and maintenance; its body is an
 	// Operation.
 	KindCalendar = "calendar"
+	// KindConfig is a request about the configuration of the regions; its body is an
+	// Operation.
+	KindConfig = "config"
 )
 
 // Request is a request that reached another node than the leader.
@@ -90,6 +94,7 @@
 	VerbResume = "resume"
 	VerbUndo   = "undo"
 	VerbCancel = "cancel"
+	VerbCheck  = "check"
 )
 
 // Reply is an HTTP answer in short: the status, the body's value encoded, and
@@ -112,6 +117,9 @@
 	Local(ctx context.Context, r *Request) *Reply
 	// Sync answers a holder's request as leader, and refuses it otherwise.
 	Sync(ctx context.Context, r *share.Request) *share.Reply
+	// Follow answers the leader of a region as leader of the home region, and refuses it
+	// otherwise.
+	Follow(ctx context.Context, r *dynconfig.Request) *dynconfig.Reply
 	// Promise answers a leader that asks this member not to campaign for a while.
 	Promise(ctx context.Context, r *Plea) *Promise
 }
@@ -146,6 +154,7 @@
 		method("Ping", func(h Handler, _ context.Context, _ *none) *Hello { v := h.Hello(); return &v }),
 		method("Forward", func(h Handler, ctx context.Context, r *Request) *Reply { return h.Local(ctx, r) }),
 		method("Promise", func(h Handler, ctx context.Context, r *Plea) *Promise { return h.Promise(ctx, r) }),
+		method("Follow", func(h Handler, ctx context.Context, r *dynconfig.Request) *dynconfig.Reply { return h.Follow(ctx, r) }),
 		method("Sync", func(h Handler, ctx context.Context, r *share.Request) *share.Reply { return h.Sync(ctx, r) }),
 	},
 }
@@ -259,6 +268,11 @@
 	return invoke[share.Reply](ctx, m, leader, "Sync", r)
 }
 
+// Follow asks a member of the home region for what is granted to this one.
+func (m *Mesh) Follow(ctx context.Context, member string, r *dynconfig.Request) (*dynconfig.Reply, error) {
+	return invoke[dynconfig.Reply](ctx, m, member, "Follow", r)
+}
+
 // Promise asks a sibling not to campaign for a while.
 func (m *Mesh) Promise(ctx context.Context, member string, r *Plea) (*Promise, error) {
 	return invoke[Promise](ctx, m, member, "Promise", r)
