--- a/internal/dynconfig/explore_test.go
+++ b/internal/dynconfig/explore_test.go
@@ -130,6 +130,8 @@
 			for region, gr := range r.Grants {
 				gr.Held = gr.Limit
 				r.Grants[region] = gr
+				g.home.followers[region].says[r.Name] = Statement{Team: r.Name, Seq: gr.Seq, Limit: gr.Limit, Held: gr.Limit}
+				g.home.dirty[r.Name] = true
 			}
 		}
 	}
@@ -184,6 +186,15 @@
 			g.keep(u)
 			return true
 		}),
+		act("remove", 1, func(g *game, _ *site, _ int) bool {
+			u, err := g.home.Propose(&Change{Remove: []string{theTeam}})
+			if err != nil || g.wants >= 3 {
+				return false
+			}
+			g.wants++
+			g.keep(u)
+			return true
+		}),
 		act("step", 1, func(g *game, _ *site, _ int) bool {
 			u := g.home.Step(10)
 			if u.Empty() {
@@ -333,6 +344,9 @@
 			}
 		}
 		f := g.home.followers[n]
+		if r := g.home.teams[theTeam]; r != nil {
+			p.Say(r.Removed)
+		}
 		p.Say(" ", f.stated, f.says[theTeam], f.after)
 	}
 	for i := range g.sites {
@@ -379,7 +393,9 @@
 	for range 40 {
 		for i := range g.sites {
 			s := &g.sites[i]
-			if r := g.home.teams[theTeam]; r != nil {
+			if r := g.home.teams[theTeam]; r != nil && r.Removed {
+				s.used = 0
+			} else if r != nil {
 				s.used = min(s.used, r.Shares[names[i]].Limit.CPUs) // its tasks end
 			}
 			if s.asked != nil {
@@ -397,9 +413,12 @@
 			g.keep(u)
 		}
 	}
+	if u := g.home.Step(10); !u.Empty() {
+		return "the home goes on storing"
+	}
 	want := g.home.teams[theTeam]
 	for i, n := range names {
-		if share, _ := g.sites[i].replica.Share(theTeam, g.sites[i].uses(g)); want != nil && share.Limit != want.Shares[n].Limit {
+		if share, _ := g.sites[i].replica.Share(theTeam, g.sites[i].uses(g)); want != nil && share.Limit != g.home.share(want, n).Limit || want != nil && want.Removed && share.Limit != (Amount{}) {
 			return fmt.Sprintf("region %s has %v, not %v", n, share.Limit, want.Shares[n].Limit)
 		}
 	}
@@ -429,8 +448,8 @@
 		{"as it is, a has all", none, settled},
 		{"as it is, all has moved to b", none, moved},
 		{"as it is, a's leader ended while it stored", none, underWay},
-		{"given back without an acknowledgement", acknowledged, settled},
-		{"what is in use does not count", usesCount, slices.Concat(settled, step("start", 0), step("change", 1))},
+		{"given back without an acknowledgement", acknowledged, slices.Concat(settled, step("change", 1), step("step", 0))},
+		{"what is in use does not count", usesCount, slices.Concat(settled, step("start", 0), step("change", 1), round)},
 		{"raised before all regions have stated", statedFirst, settled},
 		{"an older request is heard", newestOnly, settled},
 		{"the reply to a request that was given up is taken", oneRequest, settled},
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -37,6 +37,9 @@
 	term, number uint64
 	// heard is when the region last asked.
 	heard time.Time
+	// lacks are the teams whose shares are not in force there, with the first revision that
+	// is not.
+	lacks map[string]uint64
 	// since is when it came to the revision that it is at.
 	at    uint64
 	since time.Time
@@ -60,7 +63,10 @@
 		h.dirty[r.Name] = true
 	}
 	for _, region := range regions {
-		h.followers[region] = &follower{says: map[string]Statement{}}
+		h.followers[region] = &follower{says: map[string]Statement{}, lacks: map[string]uint64{}}
+	}
+	for name := range h.teams {
+		h.compare(name)
 	}
 	return h
 }
@@ -98,6 +104,7 @@
 	for _, s := range q.Statements {
 		f.says[s.Team] = s
 		h.dirty[s.Team] = true
+		h.compare(s.Team)
 	}
 	h.note(q.Region, now)
 	return nil
@@ -178,6 +185,7 @@
 	h.head = Head{max(h.head.Revision, u.Head.Revision), max(h.head.Seq, u.Head.Seq)}
 	for _, r := range u.Records {
 		h.teams[r.Name] = r
+		h.compare(r.Name)
 		h.dirty[r.Name] = true // a raise may follow from a lowering that needs no word
 	}
 }
@@ -247,7 +255,8 @@
 func (h *Home) share(r *Record, region string) Share {
 	g, f := r.Grants[region], h.followers[region]
 	s := f.says[r.Name]
-	if r.Removed && g.Removed && f.stated && s.Seq == g.Seq && !s.Busy {
+	closed := s.Seq == g.Seq || g.Limit == Amount{} // once closed it stays so, unless a late job shows up
+	if r.Removed && g.Removed && f.stated && !s.Busy && closed {
 		return Share{}
 	}
 	return r.share(region)
--- a/internal/dynconfig/status.go
+++ b/internal/dynconfig/status.go
@@ -79,18 +79,32 @@
 	return f.stated && g.Seq > 0 && f.says[r.Name].Seq == g.Seq && g.Limit == share.Limit && g.Guarantee == share.Guarantee.lower(share.Limit) && g.Removed == r.Removed
 }
 
+// compare notes in which regions a team's share is not in force.
+func (h *Home) compare(name string) {
+	r := h.teams[name]
+	if r == nil {
+		return
+	}
+	for region, f := range h.followers {
+		if h.inForce(r, region) {
+			delete(f.lacks, name)
+		} else if _, lacks := f.lacks[name]; !lacks {
+			f.lacks[name] = r.Revision
+		}
+	}
+}
+
 // revision is the last revision of which everything is in force in a region, and the
 // teams of which it is not.
 func (h *Home) revision(region string) (revision uint64, waiting []string) {
-	revision = h.head.Revision
-	for name, r := range h.teams {
-		if !h.inForce(r, region) {
-			waiting = append(waiting, name)
-			revision = min(revision, r.Revision-1)
-		}
+	f := h.followers[region]
+	if !f.stated {
+		return 0, slices.Collect(maps.Keys(f.lacks))
 	}
-	if !h.followers[region].stated {
-		revision = 0
+	revision = h.head.Revision
+	for name, first := range f.lacks {
+		waiting = append(waiting, name)
+		revision = min(revision, first-1)
 	}
 	return revision, waiting
 }
--- a/internal/emulate/store.go
+++ b/internal/emulate/store.go
@@ -139,6 +139,34 @@
 	return nil
 }
 
+// Snapshot is what there is below a prefix.
+func (s *Store) Snapshot(prefix string) (entries []state.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, e := range s.kv {
+		if strings.HasPrefix(k, prefix) {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// Restore puts what is below a prefix back to a snapshot, past every condition, as a
+// service that has lost its last moments does.
+func (s *Store) Restore(prefix string, entries []state.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.kv {
+		if strings.HasPrefix(k, prefix) {
+			delete(s.kv, k)
+		}
+	}
+	for _, e := range entries {
+		s.kv[e.Key] = e
+	}
+	s.bump()
+}
+
 // Job finds the description of a job among the records that controllers keep:
 // the emulated workers read there what users would have uploaded for them.
 func (s *Store) Job(id string) *job.Spec {
--- /dev/null
+++ b/internal/node/regions_test.go
@@ -0,0 +1,426 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/dynconfig"
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// greenLimit is what team green, which no platform's file names, may use in all regions.
+const greenLimit = 12
+
+// homeHost is how controllers of other regions name those of the home region.
+const homeHost = "home/"
+
+// regionBed is several regions of three controllers each; the first is the home region.
+type regionBed struct {
+	t    *testing.T
+	sims []*sim
+	most float64 // that green has used at a time
+	stop chan struct{}
+	done sync.WaitGroup
+	ids  int
+}
+
+func newRegionBed(t *testing.T, regions int) (*regionBed, func()) {
+	b := &regionBed{t: t, stop: make(chan struct{})}
+	names := make([]string, regions)
+	for i := range names {
+		names[i] = fmt.Sprintf("region-%d", i)
+	}
+	var closers []func()
+	for i := range regions {
+		s, closeAll := newSim(t, 1, func(c *emulate.Config) { c.Limits = nil }, func(_ *config.Settings, tun *config.Tuning) {
+			tun.Regions = config.Regions{Name: names[i], Home: names[0], All: names}
+			for j := range controllers {
+				tun.Regions.HomeAddresses = append(tun.Regions.HomeAddresses, fmt.Sprintf("%sn%d:81", homeHost, j))
+			}
+		})
+		s.abroad = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return b.sims[0].net.Dialer(fmt.Sprintf("abroad-%d", i))(ctx, network, strings.TrimPrefix(addr, homeHost))
+		}
+		b.sims = append(b.sims, s)
+		closers = append(closers, closeAll)
+		for _, zone := range []string{"a", "b", "c"} {
+			s.Boot("small", zone, false, 0)
+		}
+	}
+	b.done.Go(b.judge)
+	return b, func() {
+		close(b.stop)
+		b.done.Wait()
+		for _, f := range closers {
+			f()
+		}
+	}
+}
+
+// judge adds up what green uses in all regions, again and again.
+func (b *regionBed) judge() {
+	for {
+		select {
+		case <-b.stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+		sum := 0.0
+		for _, s := range b.sims {
+			sum += s.Uses("green")
+		}
+		b.most = max(b.most, sum)
+	}
+}
+
+// apart cuts a region from the home region, or joins it again.
+func (b *regionBed) apart(region int, on bool) {
+	name := fmt.Sprintf("abroad-%d", region)
+	if !on {
+		b.sims[0].cutLinks(name, nil)
+		return
+	}
+	b.sims[0].cutLinks(name, func(from, to string) bool { return from == name || to == name })
+}
+
+// ask makes a request at a region until it has a clear answer.
+func (b *regionBed) ask(region int, method, path string, doc, out any) int {
+	b.t.Helper()
+	body, err := wire.Marshal(doc)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	s := b.sims[region]
+	hc := s.client(5 * time.Second)
+	for try := range 120 {
+		req, err := http.NewRequest(method, "http://"+s.door(try)+path, bytes.NewReader(body))
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		res, err := hc.Do(req)
+		if err == nil {
+			answer, rerr := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			if rerr == nil && res.StatusCode < 500 {
+				if out != nil {
+					_ = wire.Unmarshal(answer, out) // a refusal has another body
+				}
+				return res.StatusCode
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return 0
+}
+
+// greenParts is a change that gives each region a part of green's limit.
+func greenParts(cpus ...float64) map[string]any {
+	regions := map[string]any{}
+	for i, n := range cpus {
+		regions[fmt.Sprintf("region-%d", i)] = map[string]any{"limit": map[string]any{"cpus": n}, "guarantee": map[string]any{"cpus": n / 2}}
+	}
+	return map[string]any{"teams": []any{map[string]any{"name": "green", "limit": map[string]any{"cpus": float64(greenLimit)}, "regions": regions}}}
+}
+
+// apply makes a change at a region and returns its revision.
+func (b *regionBed) apply(region int, change map[string]any) uint64 {
+	b.t.Helper()
+	var out struct {
+		Revision uint64 `codec:"revision"`
+	}
+	if got := b.ask(region, http.MethodPost, "/api/config", change, &out); got != http.StatusOK {
+		b.t.Errorf("a change got %d", got)
+	}
+	return out.Revision
+}
+
+// inForce waits until a revision is in force in all regions, and returns how long it took.
+func (b *regionBed) inForce(revision uint64, within time.Duration) time.Duration {
+	b.t.Helper()
+	begun := time.Now()
+	var s dynconfig.Status
+	for time.Since(begun) < within {
+		b.ask(0, http.MethodGet, "/api/config/status", nil, &s)
+		behind := func(r dynconfig.RegionStatus) bool { return r.Revision < revision }
+		if len(s.Regions) > 0 && !slices.ContainsFunc(s.Regions, behind) {
+			return time.Since(begun)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	b.t.Errorf("revision %d is not in force after %v: %+v", revision, within, s)
+	return within
+}
+
+// works hands in jobs of green in all regions, one after the other, for a while.
+func (b *regionBed) works(d time.Duration) {
+	for i, s := range b.sims {
+		for n := 0; time.Duration(n)*4*time.Second < d; n++ {
+			b.ids++
+			sp := &job.Spec{ID: fmt.Sprintf("run-%d%04d", i+1, b.ids), Class: "c", Team: "green", ShapeName: "array", RankName: "standard", Tasks: 6, CPUs: 1, MemGB: 0.5, EstimateS: 5, Spot: true}
+			at := time.Duration(n) * 4 * time.Second
+			s.Go(func() { s.live(sp, at, 0) })
+		}
+	}
+}
+
+// ends waits until all jobs are over, and judges what was seen.
+func (b *regionBed) ends(within time.Duration) {
+	b.t.Helper()
+	begun := time.Now()
+	open := func() (n int) {
+		for _, s := range b.sims {
+			n += len(s.Open())
+		}
+		return n
+	}
+	for open() > 0 && time.Since(begun) < within {
+		time.Sleep(time.Second)
+	}
+	if n := open(); n > 0 {
+		b.t.Errorf("%d jobs are not over", n)
+		for _, s := range b.sims {
+			b.t.Log(s.Open())
+		}
+	}
+	for i, s := range b.sims {
+		for _, broken := range s.Broken() {
+			b.t.Errorf("region %d: %s", i, broken)
+		}
+	}
+	if b.most > greenLimit+1e-6 {
+		b.t.Errorf("green has used %g of %d", b.most, greenLimit)
+	}
+	if b.most < greenLimit/2 {
+		b.t.Errorf("green has used %g at the most: the day tells nothing", b.most)
+	}
+}
+
+// late lets a part of a region's transactions be carried out late, or at once with their
+// answers lost.
+func late(region int, d time.Duration) func(*regionBed) {
+	return func(b *regionBed) {
+		r := rng(uint64(region))
+		b.sims[region].store.Late(func() time.Duration {
+			switch r.IntN(6) {
+			case 0:
+				return time.Duration(2+r.IntN(8)) * time.Second
+			case 1:
+				return -time.Second
+			}
+			return 0
+		})
+		time.Sleep(d)
+		b.sims[region].store.Late(nil)
+	}
+}
+
+// in lets a fault of one region happen.
+func in(region int, f func(*sim)) func(*regionBed) {
+	return func(b *regionBed) { f(b.sims[region]) }
+}
+
+// cutOff cuts a region from the home region for a while.
+func cutOff(region int, d time.Duration) func(*regionBed) {
+	return func(b *regionBed) {
+		b.apart(region, true)
+		time.Sleep(d)
+		b.apart(region, false)
+	}
+}
+
+// putBack gives a region's store an older state of what it holds of the configuration, and
+// of the term, as one that has lost its last moments, and ends the leader.
+func putBack(region int) func(*regionBed) {
+	return func(b *regionBed) {
+		s := b.sims[region]
+		older := s.store.Snapshot("t/")
+		time.Sleep(8 * time.Second) // a change is made meanwhile
+		s.store.Restore("t/", older)
+		lostMoments(s)
+	}
+}
+
+// TestRegions: while the parts of a limit move from region to region and back, the regions
+// together never use more than it, whatever fails, and what was decided comes into force.
+func TestRegions(t *testing.T) {
+	sec := time.Second
+	tests := []struct {
+		name   string
+		faults []func(*regionBed)
+	}{
+		{"calm", nil},
+		{"home's leader ends, twice", []func(*regionBed){in(0, crash(1)), in(0, crash(1))}},
+		{"a region's leader ends, twice", []func(*regionBed){in(1, crash(1)), in(1, crash(1))}},
+		{"both at once", []func(*regionBed){func(b *regionBed) {
+			b.done.Go(func() { crash(1)(b.sims[1]) })
+			crash(1)(b.sims[0])
+		}}},
+		{"a region is cut off, and its leader ends", []func(*regionBed){func(b *regionBed) {
+			b.done.Go(func() { cutOff(1, 40*sec)(b) })
+			time.Sleep(5 * sec)
+			crash(1)(b.sims[1])
+		}}},
+		{"home is gone altogether", []func(*regionBed){in(0, crash(3))}},
+		{"a region's state service is out, then refuses its leader", []func(*regionBed){in(1, outage(8*sec)), in(1, refuseLeader(9*sec))}},
+		{"home's state service is out, then refuses its leader", []func(*regionBed){in(0, outage(8*sec)), in(0, refuseLeader(9*sec))}},
+		{"late transactions and lost answers", []func(*regionBed){func(b *regionBed) {
+			b.done.Go(func() { late(0, 25*sec)(b) })
+			b.done.Go(func() { late(1, 25*sec)(b) })
+			time.Sleep(10 * sec)
+			crash(1)(b.sims[1])
+		}}},
+		{"home's store is put back", []func(*regionBed){putBack(0)}},
+		{"a region's store is put back", []func(*regionBed){putBack(1)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, closeAll := newRegionBed(t, 2)
+				defer closeAll()
+				time.Sleep(8 * sec)
+				b.inForce(b.apply(0, greenParts(8, 4)), 19*sec)
+				b.works(80 * sec)
+				b.done.Go(func() {
+					time.Sleep(10 * sec)
+					for _, f := range tt.faults {
+						f(b)
+						time.Sleep(3 * sec)
+					}
+				})
+				var last uint64
+				for i := range 9 {
+					time.Sleep(8 * sec)
+					parts := [][]float64{{2, 10}, {9, 3}, {6, 6}}[i%3]
+					last = b.apply(i%2, greenParts(parts...))
+				}
+				time.Sleep(30 * sec)
+				last = max(last, b.apply(1, greenParts(5, 7)))
+				b.inForce(last, 19*sec)
+				b.ends(3 * time.Minute)
+			})
+		})
+	}
+}
+
+// TestRegionsApart: a region that is cut off for an hour keeps its part and goes on, and
+// has everything within 19 seconds of being found again.
+func TestRegionsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, closeAll := newRegionBed(t, 2)
+		defer closeAll()
+		time.Sleep(8 * time.Second)
+		b.inForce(b.apply(0, greenParts(8, 4)), 19*time.Second)
+		b.apart(1, true)
+		var last uint64
+		for i := range 400 {
+			last = b.apply(0, greenParts([][]float64{{12, 0}, {4, 8}}[i%2]...))
+			time.Sleep(9 * time.Second)
+		}
+		b.works(8 * time.Second)
+		time.Sleep(20 * time.Second)
+		if used := b.sims[1].Starts(); used == 0 {
+			t.Error("the region that is cut off starts nothing")
+		}
+		var s dynconfig.Status
+		b.ask(0, http.MethodGet, "/api/config/status", nil, &s)
+		if r := s.Regions[1]; r.SilentS < 3500 || r.Behind < 390 || len(r.Waits) != 1 || !slices.Equal(r.Waits[0].For, []string{"region-1"}) {
+			t.Errorf("status of the region that is cut off: %+v", r)
+		}
+		b.apart(1, false)
+		b.inForce(last, 19*time.Second)
+		b.ends(2 * time.Minute)
+		if n := b.sims[0].store.Count("t/"); n > 4 {
+			t.Errorf("%d keys of the configuration are left", n)
+		}
+	})
+}
+
+// TestChanges: what operators are told.
+func TestChanges(t *testing.T) {
+	team := func(name string, edit func(map[string]any)) map[string]any {
+		doc := greenParts(8, 4)
+		one := doc["teams"].([]any)[0].(map[string]any)
+		one["name"] = name
+		if edit != nil {
+			edit(one)
+		}
+		return doc
+	}
+	tests := []struct {
+		name   string
+		change map[string]any
+		query  string
+		want   int
+	}{
+		{"a team", team("green", nil), "", http.StatusOK},
+		{"only checked", team("green", nil), "?dry_run=true", http.StatusOK},
+		{"unknown field", map[string]any{"teems": []any{}}, "", http.StatusBadRequest},
+		{"nothing", map[string]any{}, "", http.StatusBadRequest},
+		{"named twice", map[string]any{"teams": team("x", nil)["teams"], "remove": []any{"x"}}, "", http.StatusBadRequest},
+		{"parts above the limit", greenParts(9, 4), "", http.StatusUnprocessableEntity},
+		{"guarantee above its part", team("green", func(m map[string]any) {
+			m["regions"] = map[string]any{"region-0": map[string]any{"limit": map[string]any{"cpus": 1.0, "gpus": 0.0}, "guarantee": map[string]any{"cpus": 2.0}}}
+		}), "", http.StatusUnprocessableEntity},
+		{"unknown region", greenParts(4, 4, 4), "", http.StatusUnprocessableEntity},
+		{"another revision came first", map[string]any{"base_revision": 99, "teams": team("green", nil)["teams"]}, "", http.StatusConflict},
+		{"removed, no such team", map[string]any{"remove": []any{"nobody"}}, "", http.StatusUnprocessableEntity},
+		{"removed with a job that is not over", map[string]any{"remove": []any{"green"}}, "", http.StatusUnprocessableEntity},
+		{"removed", map[string]any{"remove": []any{"blue"}}, "", http.StatusOK},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b, closeAll := newRegionBed(t, 2)
+		defer closeAll()
+		time.Sleep(8 * time.Second)
+		b.inForce(b.apply(0, greenParts(8, 4)), 19*time.Second)
+		b.works(4 * time.Second)
+		time.Sleep(2 * time.Second)
+		for _, tt := range tests {
+			for region := range b.sims {
+				if got := b.ask(region, http.MethodPost, "/api/config"+tt.query, tt.change, nil); got != tt.want {
+					t.Errorf("%s at region %d: %d, want %d", tt.name, region, got, tt.want)
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		hc := b.sims[1].client(5 * time.Second)
+		taken := &job.Spec{ID: "run-73", Team: "red", ShapeName: "array", RankName: "standard", Tasks: 1, CPUs: 1, MemGB: 1, EstimateS: 1, Spot: true}
+		for _, of := range []string{"blue", "red"} {
+			sp := *taken
+			sp.Team = of
+			res, err := hc.Post("http://"+b.sims[1].door(0)+"/api/jobs", wire.ContentType, bytes.NewReader(submission(&sp)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if refused := res.StatusCode == http.StatusUnprocessableEntity; refused != (of == "blue") {
+				t.Errorf("a job of %s got %d", of, res.StatusCode)
+			}
+		}
+		b.sims[1].Go(func() { b.sims[1].live(taken, 0, 0) })
+		b.apart(1, true)
+		res, err := hc.Get("http://" + b.sims[1].door(0) + "/api/config/status")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+			t.Errorf("without the home region: %d", res.StatusCode)
+		}
+		b.apart(1, false)
+		b.most = greenLimit
+		b.ends(2 * time.Minute)
+	})
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -97,8 +97,10 @@
 	cuts  map[string]func(from, to string) bool
 	tune  func(*config.Settings, *config.Tuning)
 	asks  atomic.Int64
-	drawn bool        // its troubles are drawn
-	close atomic.Bool // users look at all controllers within milliseconds after an answer
+	// abroad dials controllers of the home region; nil: there is one region.
+	abroad func(ctx context.Context, network, addr string) (net.Conn, error)
+	drawn  bool        // its troubles are drawn
+	close  atomic.Bool // users look at all controllers within milliseconds after an answer
 }
 
 // gate stops what a process sends and takes in while it stands still. A message
@@ -179,7 +181,11 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err() // a killed process sends nothing more
 		}
-		conn, err := dial(c, network, addr)
+		to := dial
+		if strings.HasPrefix(addr, homeHost) {
+			to = s.abroad
+		}
+		conn, err := to(c, network, addr)
 		if err != nil {
 			return nil, err
 		}
