Scale run: changes of the configuration, limits judged over all regions; parts that differ for rounding alone

Cause: parts of a limit that add up to it but for the rounding of their sum were never raised: 5 of 19 changes of a scale run were not in force at its end. Change: amounts are compared with the slack of such sums; the scale run changes quotas while the load lasts, with relays between the regions, and adds up what each team uses in all of them.

--- a/internal/dynconfig/amount.go
+++ b/internal/dynconfig/amount.go
@@ -42,5 +42,8 @@
 func (a Amount) lower(b Amount) Amount  { return Amount{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs)} }
 func (a Amount) higher(b Amount) Amount { return Amount{max(a.CPUs, b.CPUs), max(a.GPUs, b.GPUs)} }
 
+// near reports whether the two differ for the rounding of sums alone.
+func (a Amount) near(b Amount) bool { return a.within(b) && b.within(a) }
+
 // within reports whether no resource exceeds b's.
 func (a Amount) within(b Amount) bool { return a.CPUs <= b.CPUs+slack && a.GPUs <= b.GPUs+slack }
--- /dev/null
+++ b/internal/dynconfig/change_test.go
@@ -0,0 +1,40 @@
+package dynconfig
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRounding: parts that add up to the limit but for their rounding come into force.
+func TestRounding(t *testing.T) {
+	g := newGame(none)
+	part := func(v float64) Part { return Part{Limit: &Quota{CPUs: &v}} }
+	limit := 0.3
+	for i, parts := range [][2]float64{{0.1, 0.2}, {0.2, 0.1}, {0.3, 0}, {0.15, 0.15}} {
+		u, refusal := g.home.Propose(&Change{Teams: []TeamChange{{Name: theTeam, Limit: &Quota{CPUs: &limit}, Regions: map[string]Part{"a": part(parts[0]), "b": part(parts[1])}}}})
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		g.keep(u)
+		for range 20 {
+			for j := range g.sites {
+				s := &g.sites[j]
+				q := s.replica.Request(s.uses(g))
+				entries := s.replica.Answered(q, g.answer(q))
+				s.put(entries)
+				s.counts(entries)
+			}
+			if u := g.home.Step(10); !u.Empty() {
+				g.keep(u)
+			}
+		}
+		for _, r := range g.home.Status(time.Time{}).Regions {
+			if r.Revision != uint64(i+1) {
+				t.Errorf("parts %v: %+v", parts, r)
+			}
+		}
+		if why := g.Broken(); why != "" {
+			t.Error(why)
+		}
+	}
+}
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -303,10 +303,10 @@
 	g, share := r.Grants[region], h.share(r, region)
 	free := r.Limit.less(r.held(region))
 	limit := g.Limit.higher(share.Limit.lower(free))
-	if limit == g.Limit {
+	if limit.near(g.Limit) {
 		return false
 	}
-	if limit != share.Limit && !worth(g.Limit, limit, share.Limit) {
+	if !limit.near(share.Limit) && !worth(g.Limit, limit, share.Limit) {
 		return false
 	}
 	head.Seq++
--- a/internal/dynconfig/status.go
+++ b/internal/dynconfig/status.go
@@ -76,7 +76,7 @@
 func (h *Home) inForce(r *Record, region string) bool {
 	g, f := r.Grants[region], h.followers[region]
 	share := h.share(r, region)
-	return f.stated && g.Seq > 0 && f.says[r.Name].Seq == g.Seq && g.Limit == share.Limit && g.Guarantee == share.Guarantee.lower(share.Limit) && g.Removed == r.Removed
+	return f.stated && g.Seq > 0 && f.says[r.Name].Seq == g.Seq && g.Limit.near(share.Limit) && g.Guarantee.near(share.Guarantee.lower(share.Limit)) && g.Removed == r.Removed
 }
 
 // compare notes in which regions a team's share is not in force.
@@ -141,7 +141,7 @@
 func (h *Home) wait(r *Record, region string) Wait {
 	g, share := r.Grants[region], h.share(r, region)
 	w := Wait{Team: r.Name, Has: h.followers[region].says[r.Name].Limit.quota(), Wants: share.Limit.quota(), For: []string{}}
-	if g.Limit == share.Limit {
+	if g.Limit.near(share.Limit) {
 		w.For = append(w.For, region) // it has only to take what it was told
 		return w
 	}
--- a/internal/emulate/users.go
+++ b/internal/emulate/users.go
@@ -154,6 +154,21 @@
 	return cpus
 }
 
+// UsesAll is how many CPUs the tasks of each team take.
+func (w *World) UsesAll() map[string]float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]float64{}
+	for _, k := range w.workers {
+		for _, t := range k.tasks {
+			if t.spec != nil && k.on(t) {
+				out[t.spec.Team] += t.spec.CPUs
+			}
+		}
+	}
+	return out
+}
+
 // With picks up to n machines that have a task of one of the jobs.
 func (w *World) With(jobs []*job.Spec, n int) (out []*Worker) {
 	w.mu.Lock()
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -72,7 +72,7 @@
 	}
 	r.world = emulate.New(emulate.Config{Network: r.network, Store: r.store, Types: []wire.MachineType{typ}, Most: p.workers, Controllers: workersSee,
 		Lease: leaseS * time.Second, Cancel: cancelS * time.Second, Report: reportS * time.Second, GangWait: gangWaitS * time.Second,
-		Fetch: fetchTime, ListLag: listLagS * time.Second, Limits: r.limits(), Started: waits.started, Log: o.Log})
+		Fetch: fetchTime, ListLag: listLagS * time.Second, Started: waits.started, Log: o.Log})
 	set, err := r.settings(l)
 	if err != nil {
 		return nil, err
@@ -106,14 +106,6 @@
 	return names
 }
 
-func (r *region) limits() map[string]emulate.Limit {
-	out := map[string]emulate.Limit{}
-	for _, t := range r.teamNames() {
-		out[t] = emulate.Limit{CPUs: r.limit()}
-	}
-	return out
-}
-
 // serve answers at an address of its own.
 func (r *region) serve(l *emulate.Loopback, name string, h http.Handler) (addr string, err error) {
 	ln, err := l.Listen(r.name + "/" + name + ":0")
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -31,14 +31,16 @@
 	Starts     int     `json:"starts"`
 	StartsPerS float64 `json:"starts_per_s"`
 	// RunningPeak is the largest number of tasks on their machines at a time.
-	RunningPeak int            `json:"running_peak"`
-	RunS        float64        `json:"task_run_s"`
-	Jobs        jobCounts      `json:"jobs"`
-	RulesBroken []string       `json:"rules_broken"`
-	Worker      workerTraffic  `json:"worker"`
-	UrgentMs    quantiles      `json:"urgent_start_ms"`
-	OtherMs     quantiles      `json:"other_start_ms"`
-	Regions     []regionReport `json:"regions"`
+	RunningPeak int           `json:"running_peak"`
+	RunS        float64       `json:"task_run_s"`
+	Jobs        jobCounts     `json:"jobs"`
+	RulesBroken []string      `json:"rules_broken"`
+	Worker      workerTraffic `json:"worker"`
+	// Configuration is how long changes of the teams took.
+	Configuration configurationReport `json:"configuration"`
+	UrgentMs      quantiles           `json:"urgent_start_ms"`
+	OtherMs       quantiles           `json:"other_start_ms"`
+	Regions       []regionReport      `json:"regions"`
 	// StandInsCPU is the processor that emulated workers, state services, clouds and users
 	// took together, in cores, and StandInsMB their memory.
 	StandInsCPU float64 `json:"stand_ins_cpu"`
@@ -154,6 +156,9 @@
 	fmt.Fprintf(w, "a worker sends %.0f and receives %.0f bytes a second (most: %.0f together), %.2f messages a second\n", p.Worker.Sent, p.Worker.Received, p.Worker.Most, p.Worker.Messages)
 	fmt.Fprintf(w, "start of urgent tasks, ms: %d of them, p50 %d, p99 %d, most %d; of others: %d, p50 %d, p99 %d, most %d\n",
 		p.UrgentMs.Count, p.UrgentMs.P50, p.UrgentMs.P99, p.UrgentMs.Most, p.OtherMs.Count, p.OtherMs.P50, p.OtherMs.P99, p.OtherMs.Most)
+	c := &p.Configuration
+	fmt.Fprintf(w, "configuration: %d changes, %d refused, %d not in force at the end; in force everywhere, ms: p50 %d, p99 %d, most %d\n",
+		c.Changes, c.Refused, c.Unsettled, c.InForceMs.P50, c.InForceMs.P99, c.InForceMs.Most)
 	fmt.Fprintf(w, "stand-ins: %.2f cores, %.0f MB; all processes %.0f MB\n", p.StandInsCPU, p.StandInsMB, p.TotalMB)
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "REGION\tZONES\tWORKERS\tSTARTS/S\tREPORTS/S\tDIRECT/S\tSTATE REQ/S\tWRITES/S\tKEYS")
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -99,7 +99,11 @@
 		}
 	}
 	for _, region := range r.regions {
-		if err := region.writeTuning(nil); err != nil {
+		extra, err := r.tuning(region)
+		if err != nil {
+			return err
+		}
+		if err := region.writeTuning(extra); err != nil {
 			return err
 		}
 		for _, c := range region.controllers {
@@ -157,7 +161,7 @@
 
 // measure lets the load and the troubles happen, and reports.
 func (r *run) measure(ctx context.Context, tookReady time.Duration) (*Report, error) {
-	load, cancel := context.WithTimeoutCause(ctx, r.options.Duration, nil)
+	load, cancel := context.WithTimeout(ctx, r.options.Duration)
 	defer cancel()
 	begun := time.Now()
 	before := r.reading()
@@ -176,7 +180,10 @@
 	for i, t := range r.options.Troubles {
 		wg.Go(func() { r.play(load, t, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
 	}
-	err := r.watch(load)
+	operators := newOperators(r)
+	random := rand.New(rand.NewPCG(r.options.Seed, uint64(len(r.regions))))
+	wg.Go(func() { operators.work(load, r.options.Changes, random) })
+	err := r.watch(load, operators.judgeLimits)
 	cancel()
 	took := time.Since(begun)
 	report := r.report(before, r.reading(), took, tookReady, ownCPU()-cpu)
@@ -187,12 +194,15 @@
 		region.users.close()
 	}
 	wg.Wait()
+	operators.watchers.Wait()
+	report.Configuration = operators.report()
 	return report, ctx.Err()
 }
 
 // watch samples the processes until the load ends, or the memory does.
-func (r *run) watch(ctx context.Context) error {
+func (r *run) watch(ctx context.Context, judge func()) error {
 	for sleep(ctx, sampleEvery) {
+		judge()
 		if r.sample() > r.memoryMB {
 			return errMemory
 		}
