--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,15 +77,15 @@
 type EventKind uint8
 
 const (
-	// Started: the slot was first seen running.
+	// Started means that the slot was first seen running.
 	Started EventKind = iota
-	// Ended: the worker reports the exit; the slot stays until it is cleared.
+	// Ended means that the worker reports the exit; the slot stays until it is cleared.
 	Ended
-	// Gone: the slot has certainly left without a word about its result.
+	// Gone means that the slot has certainly left without a word about its result.
 	Gone
-	// Never: the launch was certainly not executed.
+	// Never means that the launch was certainly not executed.
 	Never
-	// Sickened: the worker says that a replica that was good is bad.
+	// Sickened means that the worker says that a replica that was good is bad.
 	Sickened
 )
 
--- a/internal/hosts/cloud.go
+++ b/internal/hosts/cloud.go
@@ -19,9 +19,9 @@
 )
 
 var (
-	// ErrNoCapacity: none available for this type, zone and kind.
+	// ErrNoCapacity means that none is available for this type, zone and kind.
 	ErrNoCapacity = errors.New("no capacity")
-	// ErrCloud: the cloud did not do it now; it may be asked again.
+	// ErrCloud means that the cloud did not do it now; it may be asked again.
 	ErrCloud = errors.New("cloud trouble")
 )
 
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -30,6 +30,7 @@
 // Rank is a job's priority; higher goes first.
 type Rank uint8
 
+// The ranks of the protocol.
 const (
 	Idle Rank = iota
 	Standard
--- a/internal/node/lag_test.go
+++ b/internal/node/lag_test.go
@@ -9,8 +9,8 @@
 // them, and as caught up only when it has been in time for longer.
 func TestLag(t *testing.T) {
 	type span struct {
-		late time.Duration
-		for_ time.Duration
+		late  time.Duration
+		lasts time.Duration
 	}
 	ms := time.Millisecond
 	tests := []struct {
@@ -31,7 +31,7 @@
 			var l lag
 			now := time.Unix(1000, 0)
 			for _, s := range tt.spans {
-				for range s.for_ / lagEvery {
+				for range s.lasts / lagEvery {
 					now = now.Add(lagEvery)
 					l.late(s.late, now)
 				}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -10,21 +10,21 @@
 type State string
 
 const (
-	// Pending: stored, and nothing has been changed.
+	// Pending is stored, and nothing has been changed.
 	Pending State = "pending"
-	// Advancing: the replicas of a batch are being changed.
+	// Advancing means that the replicas of a batch are being changed.
 	Advancing State = "advancing"
-	// Soaking: the batch is changed and passes, and has to for a while.
+	// Soaking means that the batch is changed and passes, and has to for a while.
 	Soaking State = "soaking"
-	// Paused: nothing is changed until an operator, or the reason's end, resumes it.
+	// Paused means that nothing is changed until an operator, or the reason's end, resumes it.
 	Paused State = "paused"
-	// Undoing: batches are taken back, the last one first.
+	// Undoing means that batches are taken back, the last one first.
 	Undoing State = "rolling back"
-	// Done: every replica is of the new version.
+	// Done means that every replica is of the new version.
 	Done State = "done"
-	// Undone: every replica is of the old version again.
+	// Undone means that every replica is of the old version again.
 	Undone State = "rolled back"
-	// Failed: it was given up: the service was cancelled, or its old version does not
+	// Failed means that it was given up: the service was cancelled, or its old version does not
 	// come back up either.
 	Failed State = "failed"
 )
@@ -80,7 +80,9 @@
 const (
 	// Unknown is not healthy.
 	Unknown Health = iota
+	// Healthy means that the last check passed.
 	Healthy
+	// Unhealthy means that it did not.
 	Unhealthy
 )
 
--- a/internal/scale/users.go
+++ b/internal/scale/users.go
@@ -99,7 +99,6 @@
 	run     time.Duration
 	next    *atomic.Int64 // of the jobs' ids, in all regions
 	client  *http.Client
-	log     func(string, ...any)
 
 	submitted, accepted, refused, done atomic.Int64
 	slots                              chan struct{}
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -224,11 +224,11 @@
 type Route uint8
 
 const (
-	// Serve: the leader answers it.
+	// Serve means that the leader answers it.
 	Serve Route = iota
-	// Send: the worker is sent to the holder that is named.
+	// Send means that the worker is sent to the holder that is named.
 	Send
-	// Wait: the holder is changing; the report is looked at again once it is known.
+	// Wait means that the holder is changing; the report is looked at again once it is known.
 	Wait
 )
 
--- a/internal/share/hold.go
+++ b/internal/share/hold.go
@@ -14,14 +14,14 @@
 type Verdict uint8
 
 const (
-	// Elsewhere: the machine is not in the share; the leader knows who has it.
+	// Elsewhere means that the machine is not in the share; the leader knows who has it.
 	Elsewhere Verdict = iota
-	// Lapsed: it is, but the grant has ended. Never answered with 200: the leader may
+	// Lapsed means that it is in the share, but the grant has ended. Never answered with 200: the leader may
 	// have given the machine to another.
 	Lapsed
-	// Answered: the orders are the answer.
+	// Answered means that the orders are the answer.
 	Answered
-	// Asked: the report says something new. The orders are the answer if none comes
+	// Asked means that the report says something new. The orders are the answer if none comes
 	// from the leader in time; until then the worker waits.
 	Asked
 )
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -25,17 +25,17 @@
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
 var (
-	// ErrNotFound: there is no such key or lease.
+	// ErrNotFound means that there is no such key or lease.
 	ErrNotFound = errors.New("not found")
-	// ErrRefused: the request was certainly not executed.
+	// ErrRefused means that the request was certainly not executed.
 	ErrRefused = errors.New("state service refused")
-	// ErrUnknown: no clear answer came; the request may be executed now or later.
+	// ErrUnknown means that no clear answer came; the request may be executed now or later.
 	ErrUnknown = errors.New("state service did not answer")
-	// ErrConflict: a condition of the transaction does not hold.
+	// ErrConflict means that a condition of the transaction does not hold.
 	ErrConflict = errors.New("condition failed")
-	// ErrRejected: the service holds the request to be malformed, or too large.
+	// ErrRejected means that the service holds the request to be malformed, or too large.
 	ErrRejected = errors.New("state service rejected the request")
-	// ErrGone: a watch was asked for changes that are no longer kept.
+	// ErrGone means that a watch was asked for changes that are no longer kept.
 	ErrGone = errors.New("history is gone")
 )
 
