--- a/cmd/vetchstream/main.go
+++ b/cmd/vetchstream/main.go
@@ -26,6 +26,9 @@
 // usageError marks a mistake in the call, which exits with 2.
 type usageError struct{ error }
 
+// flagError marks a flag that cannot be used, which exits with 2 and is told in one line.
+type flagError struct{ error }
+
 func main() {
 	os.Exit(run(rootCommand(time.Sleep), os.Stderr))
 }
@@ -38,6 +41,10 @@
 		return 0
 	}
 	fmt.Fprintln(out, "vetchstream:", err)
+	var flag flagError
+	if errors.As(err, &flag) {
+		return 2
+	}
 	var usage usageError
 	if errors.As(err, &usage) {
 		fmt.Fprintln(out, cmd.UsageString())
--- a/cmd/vetchstream/scale.go
+++ b/cmd/vetchstream/scale.go
@@ -27,23 +27,24 @@
 		Long: "scale starts the controllers of several regions as processes of this program, on emulated state services and clouds,\nwith thousands of emulated workers and users, and measures what each role takes. See docs/CAPACITY.md.\n\n" + gone,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if output != "table" && output != "json" {
-				return usageError{fmt.Errorf("--output %q is neither table nor json", output)}
+				return flagError{fmt.Errorf("--output %q is neither table nor json", output)}
 			}
 			if troubles != "" {
 				b, err := os.ReadFile(troubles)
 				if err != nil {
-					return usageError{fmt.Errorf("--troubles: %w", err)}
+					return flagError{fmt.Errorf("--troubles: %w", err)}
 				}
 				if o.Troubles, err = scale.ParseTroubles(b); err != nil {
-					return usageError{err}
+					return flagError{err}
 				}
 			}
 			if err := o.Check(); err != nil {
-				return usageError{err}
+				return flagError{err}
 			}
 			return runScale(cmd, o, output)
 		},
 	}
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return flagError{err} })
 	f := cmd.Flags()
 	f.Float64Var(&o.Factor, "factor", 0.02, "part of the planned size: 1 is 4,600 workers and 3,200 task starts a second")
 	f.IntVar(&o.Regions, "regions", scale.PlannedRegions, "number of regions; the first holds a third of the workers")
