Configuration across regions: records that cannot be read, refusals while a quota is about to change

Cause: an entry that cannot be read would have kept a region from being led; and a job was refused for good (422) where the region's part is about to be raised, or is not confirmed. Change: such a team starts nothing until it is told again, and the home region makes its records anew from what the regions hold; a region knows what it is to have, and says 503 to what fits only that.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -229,8 +229,13 @@
 
 // verdict is the refusal of a job that can never run, or cannot be judged yet;
 // nil: it may be taken in.
-func (c *Controller) verdict(spec *job.Spec, types []wire.MachineType, team *config.Team) *peer.Reply {
-	why, known := canNever(spec, types, team)
+func (c *Controller) verdict(spec *job.Spec, types []wire.MachineType, team quota) *peer.Reply {
+	why, known := canNever(spec, types, team.now)
+	if why != "" && team.soon != nil {
+		if later, _ := canNever(spec, types, team.soon); later == "" {
+			return Later("the team's quota is about to change")
+		}
+	}
 	switch {
 	case !known:
 		return Later("machine types are not known yet")
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -396,7 +396,7 @@
 			}
 			s := &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 1, CPUs: 1, MemGB: 1}
 			tt.edit(s)
-			why, known := canNever(s, r.names.list(), r.teams.find(s.Team))
+			why, known := canNever(s, r.names.list(), r.teams.find(s.Team).now)
 			if (why != "") != tt.never || known != tt.known {
 				t.Errorf("%q, known %v", why, known)
 			}
--- a/internal/control/home_teams.go
+++ b/internal/control/home_teams.go
@@ -76,22 +76,25 @@
 	return head, records, err
 }
 
-// load takes in what earlier leaders have stored.
-func (ht *homeTeams) load(stored state.Entry, entries []state.Entry) error {
+// load takes in what earlier leaders have stored. What cannot be read is made anew from
+// what the regions say that they hold.
+func (ht *homeTeams) load(stored state.Entry, entries []state.Entry) {
 	if !ht.on() {
-		return nil
+		return
 	}
 	var head dynconfig.Head
 	if stored.Version != 0 {
 		if err := wire.Unmarshal(stored.Value, &head); err != nil {
-			return err
+			ht.log.Error("the position of the configuration cannot be read", "error", err)
+			head = dynconfig.Head{}
 		}
 	}
 	var records []*dynconfig.Record
 	for _, e := range entries {
 		r := &dynconfig.Record{}
-		if err := wire.Unmarshal(e.Value, r); err != nil {
-			return err
+		if err := wire.Unmarshal(e.Value, r); err != nil || homePrefix+r.Name != e.Key {
+			ht.log.Error("a team of the configuration cannot be read", "key", e.Key, "error", err)
+			continue
 		}
 		if r.Grants == nil {
 			r.Grants = map[string]dynconfig.Grant{}
@@ -99,7 +102,6 @@
 		records = append(records, r)
 	}
 	ht.home, ht.head = dynconfig.NewHome(ht.term, ht.c.Tuning.Regions.All, head, records), stored.Version
-	return nil
 }
 
 // hear takes in a region's request.
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -325,12 +325,8 @@
 	tk.holds.reset()
 	tk.drains.reset()
 	tk.names.learn(types)
-	if err := tk.teams.load(ts); err != nil {
-		return err
-	}
-	if err := tk.homeTeams.load(head, hts); err != nil {
-		return err
-	}
+	tk.teams.load(ts)
+	tk.homeTeams.load(head, hts)
 	if err := tk.registry.load(hs, ns); err != nil {
 		return err
 	}
--- a/internal/control/teams.go
+++ b/internal/control/teams.go
@@ -78,25 +78,27 @@
 	return tm.c.State.Commit(tm.ctx, state.Txn{If: []state.Cond{tm.fence, {Key: unconfirmedKey}}, Writes: []state.Write{put}})
 }
 
-// load takes in the entries of earlier leaders, before any job is bound to its team. An
-// entry that cannot be read ends the loading: the limit that it names is not known.
-func (tm *teams) load(stored []state.Entry) error {
+// load takes in the entries of earlier leaders, before any job is bound to its team. Where
+// an entry cannot be read its limit is not known: the team starts nothing until the home
+// region has told it once more.
+func (tm *teams) load(stored []state.Entry) {
 	if !tm.on() {
-		return nil
+		return
 	}
 	tm.versions = map[string]uint64{}
 	var entries []dynconfig.Entry
 	for _, s := range stored {
+		name := s.Key[len(regionPrefix):]
 		var e dynconfig.Entry
-		if err := wire.Unmarshal(s.Value, &e); err != nil {
-			return err
+		if err := wire.Unmarshal(s.Value, &e); err != nil || e.Team != name {
+			tm.log.Error("what is granted of a team cannot be read, it starts nothing until it is told again", "team", name, "error", err)
+			e = dynconfig.Entry{Team: name}
 		}
 		entries = append(entries, e)
 		tm.versions[e.Team] = s.Version
 		tm.names.addTeam(e.Team)
 	}
 	tm.replica = dynconfig.NewReplica(tm.c.Tuning.Regions.Name, tm.term, tm.c.fileShares(), entries, tm.marker != 0)
-	return nil
 }
 
 // fileShares are the teams of the platform's file.
@@ -153,17 +155,25 @@
 // uses is asked where limits are confirmed and what is in use does not matter.
 func (tm *teams) uses(string) (dynconfig.Amount, bool) { return dynconfig.Amount{}, false }
 
-// find is a team that takes jobs; nil: there is none of that name.
-func (tm *teams) find(name string) *config.Team {
+// find is a team that takes jobs.
+func (tm *teams) find(name string) quota {
 	if tm.replica == nil {
-		return tm.c.fileTeam(name)
+		return quota{now: tm.c.fileTeam(name)}
 	}
 	share, known := tm.replica.Share(name, tm.uses)
-	if !known {
-		return nil
+	if !known && !tm.replica.Unconfirmed() {
+		return quota{}
 	}
-	t := teamOf(name, share)
-	return &t
+	return quotaOf(name, share, tm.replica.Wants(name))
+}
+
+// quota is a team that takes jobs, as it is now and as it is to be; now is nil where there
+// is no such team, soon where no change is under way.
+type quota struct{ now, soon *config.Team }
+
+func quotaOf(name string, share dynconfig.Share, wants dynconfig.Amount) quota {
+	now, soon := teamOf(name, share), teamOf(name, dynconfig.Share{Limit: wants})
+	return quota{&now, &soon}
 }
 
 // sequence changes whenever a team does.
@@ -360,26 +370,46 @@
 }
 
 // storedTeam is a team as the region's leader has last stored it, for a node that does not
-// lead, with the condition under which that holds; nil: there is none of that name.
-func (c *Controller) storedTeam(ctx context.Context, name string) (*config.Team, []state.Cond, error) {
+// lead, with the condition under which that holds.
+func (c *Controller) storedTeam(ctx context.Context, name string) (quota, []state.Cond, error) {
 	if c.Tuning.Regions.Name == "" || !job.ValidTeam(name) {
-		return c.fileTeam(name), nil, nil
+		return quota{now: c.fileTeam(name)}, nil, nil
 	}
 	e, err := c.State.Get(ctx, regionPrefix+name)
 	if errors.Is(err, state.ErrNotFound) {
-		return c.fileTeam(name), []state.Cond{{Key: regionPrefix + name}}, nil
+		return c.unnamedTeam(ctx, name)
 	}
 	if err != nil {
-		return nil, nil, err
+		return quota{}, nil, err
 	}
 	conds := []state.Cond{{Key: regionPrefix + name, Version: e.Version}}
 	var entry dynconfig.Entry
 	if err := wire.Unmarshal(e.Value, &entry); err != nil {
-		return nil, nil, err
+		return quota{}, nil, err
 	}
 	if entry.Removed {
-		return nil, conds, nil
+		return quota{}, conds, nil
+	}
+	return quotaOf(name, dynconfig.Share{Limit: entry.Limit, Guarantee: entry.Guarantee}, entry.Wants), conds, nil
+}
+
+// errUnconfirmed is returned for a team of which the region's state service may have lost
+// what was granted.
+var errUnconfirmed = errors.New("the region's quotas are not confirmed yet")
+
+// unnamedTeam is a team of which nothing is granted here. That it is none at all is sure
+// only where the region's quotas are confirmed.
+func (c *Controller) unnamedTeam(ctx context.Context, name string) (quota, []state.Cond, error) {
+	conds := []state.Cond{{Key: regionPrefix + name}}
+	if t := c.fileTeam(name); t != nil {
+		return quota{now: t}, conds, nil
+	}
+	_, err := c.State.Get(ctx, unconfirmedKey)
+	switch {
+	case err == nil:
+		return quota{}, nil, errUnconfirmed
+	case errors.Is(err, state.ErrNotFound):
+		return quota{}, conds, nil
 	}
-	t := teamOf(name, dynconfig.Share{Limit: entry.Limit, Guarantee: entry.Guarantee})
-	return &t, conds, nil
+	return quota{}, nil, err
 }
--- a/internal/dynconfig/explore_test.go
+++ b/internal/dynconfig/explore_test.go
@@ -449,7 +449,7 @@
 		{"as it is, all has moved to b", none, moved},
 		{"as it is, a's leader ended while it stored", none, underWay},
 		{"given back without an acknowledgement", acknowledged, slices.Concat(settled, step("change", 1), step("step", 0))},
-		{"what is in use does not count", usesCount, slices.Concat(settled, step("start", 0), step("change", 1), round)},
+		{"what is in use does not count", usesCount, slices.Concat(settled, step("start", 0), step("change", 1), round, round)},
 		{"raised before all regions have stated", statedFirst, settled},
 		{"an older request is heard", newestOnly, settled},
 		{"the reply to a request that was given up is taken", oneRequest, settled},
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -125,7 +125,7 @@
 func (h *Home) grants(region string, after uint64) (out []Entry, more bool) {
 	for _, r := range h.teams {
 		if g, ok := r.Grants[region]; ok && g.Seq > after {
-			out = append(out, Entry{Team: r.Name, Seq: g.Seq, Revision: r.Revision, Limit: g.Limit, Guarantee: g.Guarantee, Removed: g.Removed})
+			out = append(out, Entry{Team: r.Name, Seq: g.Seq, Revision: r.Revision, Limit: g.Limit, Guarantee: g.Guarantee, Wants: g.Wants, Removed: g.Removed})
 		}
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Seq, b.Seq) })
@@ -230,7 +230,7 @@
 		}
 		share := h.share(r, region)
 		limit := g.Limit.lower(share.Limit)
-		next := Grant{g.Seq, limit, share.Guarantee.lower(limit), r.Removed, g.Held}
+		next := Grant{g.Seq, limit, share.Guarantee.lower(limit), share.Limit, r.Removed, g.Held}
 		if next != g || g.Seq == 0 {
 			moved = true
 			head.Seq++
@@ -289,7 +289,9 @@
 		// It has yet to take the grant. It may hold more than is known where its own store
 		// was put back.
 		held := g.Held.higher(s.Held).higher(s.Limit)
-		return Grant{g.Seq, g.Limit, g.Guarantee, g.Removed, held}, held != g.Held
+		changed := held != g.Held
+		g.Held = held
+		return g, changed
 	}
 	held := g.Limit.higher(s.Held)
 	// What is given back is stored with the raise that rests on it, or once it is all.
@@ -310,7 +312,7 @@
 		return false
 	}
 	head.Seq++
-	r.Grants[region] = Grant{head.Seq, limit, share.Guarantee.lower(limit), r.Removed, g.Held.higher(limit)}
+	r.Grants[region] = Grant{head.Seq, limit, share.Guarantee.lower(limit), share.Limit, r.Removed, g.Held.higher(limit)}
 	return true
 }
 
--- a/internal/dynconfig/record.go
+++ b/internal/dynconfig/record.go
@@ -33,7 +33,9 @@
 	Seq       uint64 `codec:"seq"`
 	Limit     Amount `codec:"limit"`
 	Guarantee Amount `codec:"guarantee"`
-	Removed   bool   `codec:"removed,omitempty"`
+	// Wants is the limit that the region is to have once it is free.
+	Wants   Amount `codec:"wants"`
+	Removed bool   `codec:"removed,omitempty"`
 	// Held is the most that the region may use, by an earlier grant or by what has not
 	// ended yet, until it says otherwise. The sum of all regions never rises above the
 	// team's limit.
@@ -76,7 +78,9 @@
 	Revision  uint64 `codec:"revision"`
 	Limit     Amount `codec:"limit"`
 	Guarantee Amount `codec:"guarantee"`
-	Removed   bool   `codec:"removed,omitempty"`
+	// Wants is the limit that the region is to have once it is free.
+	Wants   Amount `codec:"wants"`
+	Removed bool   `codec:"removed,omitempty"`
 }
 
 // Statement is what a region says of a team.
--- a/internal/dynconfig/replica.go
+++ b/internal/dynconfig/replica.go
@@ -129,6 +129,19 @@
 	return s, known
 }
 
+// Wants is the limit that a team is to have in the region, which may be more than it has
+// now; what is not confirmed, or could not be read (sequence 0), may become any.
+func (r *Replica) Wants(team string) Amount {
+	e, ok := r.teams[team]
+	switch {
+	case r.unconfirmed, ok && e.Seq == 0:
+		return NoLimit()
+	case ok:
+		return e.Wants
+	}
+	return r.file[team].Limit
+}
+
 // Granted are the teams that the home region has granted something, by their names.
 func (r *Replica) Granted() []string { return slices.Sorted(maps.Keys(r.teams)) }
 
--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -253,6 +253,19 @@
 	}
 }
 
+// spoil makes all records of the configuration in a region unreadable, and ends its leader.
+func spoil(region int) func(*regionBed) {
+	return func(b *regionBed) {
+		s := b.sims[region]
+		for _, e := range s.store.Snapshot("t/") {
+			if err := s.store.Put(e.Key, "spoilt"); err != nil {
+				panic(err)
+			}
+		}
+		crash(1)(s)
+	}
+}
+
 // TestRegions: while the parts of a limit move from region to region and back, the regions
 // together never use more than it, whatever fails, and what was decided comes into force.
 func TestRegions(t *testing.T) {
@@ -284,6 +297,7 @@
 		}}},
 		{"home's store is put back", []func(*regionBed){putBack(0)}},
 		{"a region's store is put back", []func(*regionBed){putBack(1)}},
+		{"records cannot be read", []func(*regionBed){spoil(0), spoil(1)}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
