Configuration across regions: a team whose record was lost is refused nothing for good

Where the home region loses its record and its own entry alike, it goes on with a part of 0 there, and jobs got 422. Change: such a record is marked, and until the team is changed again nobody knows what the regions are to have: 503.

--- a/internal/dynconfig/change.go
+++ b/internal/dynconfig/change.go
@@ -153,7 +153,8 @@
 // changed checks a team and returns its record.
 func (h *Home) changed(c *TeamChange, field string) (*Record, *Refusal) {
 	r := h.base(c.Name)
-	r.Removed, r.Limit, r.Shares = false, c.Limit.amount(Unlimited), map[string]Share{}
+	r.Removed, r.Adopted = false, false
+	r.Limit, r.Shares = c.Limit.amount(Unlimited), map[string]Share{}
 	sum, floor := Amount{}, Amount{}
 	for _, region := range slices.Sorted(maps.Keys(c.Regions)) {
 		at := field + ".regions." + region
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -200,7 +200,7 @@
 // adopt makes the record of a team that a region has a grant for and the store has lost:
 // it goes on with what the regions have. nil: no region has one.
 func (h *Home) adopt(name string) *Record {
-	r := &Record{Name: name, Shares: map[string]Share{}, Grants: map[string]Grant{}}
+	r := &Record{Name: name, Adopted: true, Shares: map[string]Share{}, Grants: map[string]Grant{}}
 	granted := false
 	for region, f := range h.followers {
 		s, ok := f.says[name]
@@ -230,7 +230,7 @@
 		}
 		share := h.share(r, region)
 		limit := g.Limit.lower(share.Limit)
-		next := Grant{g.Seq, limit, share.Guarantee.lower(limit), share.Limit, r.Removed, g.Held}
+		next := Grant{g.Seq, limit, share.Guarantee.lower(limit), r.wants(share), r.Removed, g.Held}
 		if next != g || g.Seq == 0 {
 			moved = true
 			head.Seq++
@@ -312,7 +312,7 @@
 		return false
 	}
 	head.Seq++
-	r.Grants[region] = Grant{head.Seq, limit, share.Guarantee.lower(limit), share.Limit, r.Removed, g.Held.higher(limit)}
+	r.Grants[region] = Grant{head.Seq, limit, share.Guarantee.lower(limit), r.wants(share), r.Removed, g.Held.higher(limit)}
 	return true
 }
 
--- a/internal/dynconfig/record.go
+++ b/internal/dynconfig/record.go
@@ -22,6 +22,9 @@
 	Shares map[string]Share `codec:"shares"`
 	// Removed: no region takes jobs of the team any more.
 	Removed bool `codec:"removed,omitempty"`
+	// Adopted: the record was lost, and made anew from what the regions hold. Until the
+	// team is changed again it is not known what they are to have.
+	Adopted bool `codec:"adopted,omitempty"`
 	// Revision is that of the team's last change.
 	Revision uint64 `codec:"revision"`
 	// Grants are what each region has been told.
@@ -51,6 +54,14 @@
 	return s
 }
 
+// wants is the limit that a region is to have, as far as it is known.
+func (r *Record) wants(share Share) Amount {
+	if r.Adopted {
+		return NoLimit()
+	}
+	return share.Limit
+}
+
 // held adds up what is held for all regions but one.
 func (r *Record) held(but string) (sum Amount) {
 	for region, g := range r.Grants {
