--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -1,4 +1,4 @@
-// Package api is the HTTP door for users, workers and health checks. A request
+// Package api is the HTTP listener for users, workers and health checks. A request
 // that reaches another node than the leader is handed on over peer.
 package api
 
@@ -21,7 +21,7 @@
 	"vetchstream/internal/wire"
 )
 
-// Backend answers the requests that the door lets in.
+// Backend answers the requests that the listener lets in.
 type Backend interface {
 	// Answer answers a user's request, wherever the leader is.
 	Answer(ctx context.Context, q *peer.Request) *peer.Reply
@@ -37,13 +37,13 @@
 
 type workKey struct{}
 
-// WithWork hands the door of a connection's requests whom to tell whether its worker
+// WithWork hands the listener of a connection's requests whom to tell whether its worker
 // has tasks.
 func WithWork(ctx context.Context, told func(work bool)) context.Context {
 	return context.WithValue(ctx, workKey{}, told)
 }
 
-// Server is the door.
+// Server is the listener.
 type Server struct {
 	back  Backend
 	log   *slog.Logger
@@ -53,7 +53,7 @@
 	sent map[string]time.Time // when a worker was last redirected, by its host
 }
 
-// New makes a door before a backend.
+// New makes a listener before a backend.
 func New(back Backend, log *slog.Logger, m *meter.Meter) *Server {
 	return &Server{back: back, log: log, meter: m, sent: map[string]time.Time{}}
 }
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -20,13 +20,13 @@
 // admitted while they could not reach the leader.
 type admission struct {
 	*core
-	names   *names
-	book    *book
-	endings *endings
-	writer  *writer
-	results *results
-	groups  *groups
-	teams   *teams
+	names    *names
+	jobTable *jobTable
+	endings  *endings
+	writer   *writer
+	results  *results
+	groups   *groups
+	teams    *teams
 
 	limit     *rate.Limiter // of the writes of acceptances
 	pending   map[string]*arrival
@@ -107,10 +107,10 @@
 
 // has reports whether a job is known here, over, being stored or being read.
 func (ad *admission) has(id string) bool {
-	return ad.endings.over(id) || ad.pending[id] != nil || ad.book.get(id) != nil
+	return ad.endings.over(id) || ad.pending[id] != nil || ad.jobTable.get(id) != nil
 }
 
-// admitted takes in a job whose record this reign may not have made itself.
+// admitted takes in a job whose record this term may not have made itself.
 func (ad *admission) admitted(id string) {
 	if ad.groups.has(id) {
 		// Admitted by another node as well: one record is enough.
@@ -134,7 +134,7 @@
 			if now != nil && now.Phase == "" {
 				ad.ahead(func() {
 					if !ad.has(id) {
-						ad.book.add(now, v, time.Now())
+						ad.jobTable.add(now, v, time.Now())
 					}
 				})
 			}
@@ -196,7 +196,7 @@
 			back(p)
 			return
 		}
-		if ad.book.sound(id) != nil {
+		if ad.jobTable.sound(id) != nil {
 			ad.endings.readBack(id, settled(Later("job is ending")), recorded, back)
 			return
 		}
@@ -410,8 +410,8 @@
 			version = 0
 		}
 		for _, x := range in {
-			if ad.book.sound(x.rec.Spec.ID) == nil {
-				ad.book.add(x.rec, version, time.Now())
+			if ad.jobTable.sound(x.rec.Spec.ID) == nil {
+				ad.jobTable.add(x.rec, version, time.Now())
 			}
 			ad.done(x, reply(http.StatusCreated, recordStatus(x.rec)))
 		}
@@ -440,8 +440,8 @@
 				// user would be told that it waits.
 				ad.done(in, ad.endings.past(id))
 				return
-			case ad.book.sound(id) == nil:
-				ad.book.add(found, version, time.Now())
+			case ad.jobTable.sound(id) == nil:
+				ad.jobTable.add(found, version, time.Now())
 			}
 			ad.done(in, recorded(found))
 		})
--- a/internal/control/agenda_requests.go
+++ b/internal/control/calendar_requests.go
@@ -15,7 +15,7 @@
 )
 
 // operate answers a request about the calendar.
-func (ag *agenda) operate(op *peer.Operation, back func(*peer.Reply)) {
+func (ag *calendarStore) operate(op *peer.Operation, back func(*peer.Reply)) {
 	refuse := func(status int, why string) { back(reply(status, wire.Error{Error: why})) }
 	switch {
 	case !ag.on():
@@ -44,7 +44,7 @@
 }
 
 // sees reports whether there is a reservation that the team may see.
-func (ag *agenda) sees(team, name string) bool {
+func (ag *calendarStore) sees(team, name string) bool {
 	b := ag.bookings[name]
 	return b != nil && (team == "" || team == b.entry.Team)
 }
@@ -53,7 +53,7 @@
 const pageSize = 50
 
 // page lists entries by name, from after the given one on.
-func (ag *agenda) page(op *peer.Operation) any {
+func (ag *calendarStore) page(op *peer.Operation) any {
 	var names []string
 	if op.Window {
 		names = slices.Collect(maps.Keys(ag.windows))
@@ -82,7 +82,7 @@
 	return map[string]any{"reservations": bookings, "more": more}
 }
 
-func (ag *agenda) status(name string) calendar.Status {
+func (ag *calendarStore) status(name string) calendar.Status {
 	b := ag.bookings[name]
 	s := calendar.Tell(b.rec, b.entry, ag.clock(time.Now()))
 	s.Held = ag.holds.count(name)
@@ -94,7 +94,7 @@
 	return s
 }
 
-func (ag *agenda) windowStatus(name string) calendar.WindowStatus {
+func (ag *calendarStore) windowStatus(name string) calendar.WindowStatus {
 	p := ag.cal.Windows()[name]
 	s := calendar.TellWindow(p, ag.clock(time.Now()))
 	s.Machines, s.Busy, s.Late = ag.drains.state(p)
@@ -102,7 +102,7 @@
 }
 
 // reserve takes in a reservation, if it fits.
-func (ag *agenda) reserve(body []byte, team string, back func(*peer.Reply)) {
+func (ag *calendarStore) reserve(body []byte, team string, back func(*peer.Reply)) {
 	refuse := func(status int, why string) { back(reply(status, wire.Error{Error: why})) }
 	at := ag.clock(time.Now())
 	r, err := calendar.ParseReservation(body, ag.limits(), at)
@@ -146,12 +146,12 @@
 }
 
 // tooLarge reports whether a record exceeds what the state service takes.
-func (ag *agenda) tooLarge(w state.Write) bool {
+func (ag *calendarStore) tooLarge(w state.Write) bool {
 	return float64(recordSize(w.Value)) > ag.c.Settings.Facts.State.ValueKB*1024*pageShare
 }
 
 // plan takes in a maintenance window, and moves the reservations on its machines.
-func (ag *agenda) plan(body []byte, back func(*peer.Reply)) {
+func (ag *calendarStore) plan(body []byte, back func(*peer.Reply)) {
 	refuse := func(status int, why string) { back(reply(status, wire.Error{Error: why})) }
 	at := ag.clock(time.Now())
 	w, err := calendar.ParseWindow(body, ag.limits(), at)
@@ -221,7 +221,7 @@
 }
 
 // cancel removes a reservation or a window. What runs goes on as ordinary work.
-func (ag *agenda) cancel(op *peer.Operation, back func(*peer.Reply)) {
+func (ag *calendarStore) cancel(op *peer.Operation, back func(*peer.Reply)) {
 	gone := reply(http.StatusNotFound, wire.Error{Error: "no entry of that name"})
 	if op.Window {
 		if ag.windows[op.Service] == 0 {
--- a/internal/control/agenda.go
+++ b/internal/control/calendar_store.go
@@ -23,13 +23,13 @@
 	changesKey = "c/changes"
 )
 
-// agenda keeps the calendar: it takes in reservations and maintenance windows,
+// calendarStore keeps the calendar: it takes in reservations and maintenance windows,
 // stores them under the term before anybody is told, and decides what has become of
 // each occurrence. What follows on the machines is the holds' and the drains' duty.
-type agenda struct {
+type calendarStore struct {
 	*core
 	names    *names
-	book     *book
+	jobTable *jobTable
 	takeover *takeover
 	holds    *holds
 	drains   *drains
@@ -71,32 +71,34 @@
 	from int64
 }
 
-func newAgenda(co *core) *agenda {
-	ag := &agenda{core: co}
+func newCalendarStore(co *core) *calendarStore {
+	ag := &calendarStore{core: co}
 	return ag
 }
 
-func (ag *agenda) reset() {
+func (ag *calendarStore) reset() {
 	ag.bookings, ag.windows, ag.claims = map[string]*booking{}, map[string]uint64{}, map[claim]*job.Job{}
 	ag.cal, ag.made, ag.near = calendar.New(ag.facts(nil, nil)), madeOf{}, nil
 }
 
 // on reports whether the calendar is switched on.
-func (ag *agenda) on() bool { return ag.c.Tuning.Calendar.Enabled }
+func (ag *calendarStore) on() bool { return ag.c.Tuning.Calendar.Enabled }
 
 // empty reports whether there is nothing to do for it.
-func (ag *agenda) empty() bool { return len(ag.bookings) == 0 && len(ag.windows) == 0 }
+func (ag *calendarStore) empty() bool { return len(ag.bookings) == 0 && len(ag.windows) == 0 }
 
-// clock is the time of day as this reign goes on from its begin: a jump of the
+// clock is the time of day as this term goes on from its begin: a jump of the
 // machine's clock must not let every slot of a year lapse at once.
-func (ag *agenda) clock(now time.Time) time.Time { return ag.since.Round(0).Add(now.Sub(ag.since)) }
+func (ag *calendarStore) clock(now time.Time) time.Time {
+	return ag.since.Round(0).Add(now.Sub(ag.since))
+}
 
-func (ag *agenda) limits() calendar.Limits {
+func (ag *calendarStore) limits() calendar.Limits {
 	t := &ag.c.Tuning.Calendar
 	return calendar.Limits{Days: t.Days, Entries: t.Most, PerTeam: t.PerTeam, Windows: t.Windows, Occurrences: t.Occurrences}
 }
 
-func (ag *agenda) facts(types []wire.MachineType, zones []string) calendar.Facts {
+func (ag *calendarStore) facts(types []wire.MachineType, zones []string) calendar.Facts {
 	counted := func(typ, _ string) int {
 		if n, ok := ag.c.Tuning.Calendar.CountOn[typ]; ok {
 			return n
@@ -107,7 +109,7 @@
 }
 
 // list reads the records; none while the calendar is switched off.
-func (ag *agenda) list() (bookings, windows []state.Entry, err error) {
+func (ag *calendarStore) list() (bookings, windows []state.Entry, err error) {
 	if !ag.on() {
 		return nil, nil, nil
 	}
@@ -124,7 +126,7 @@
 }
 
 // load takes in the records of earlier leaders.
-func (ag *agenda) load(bookings, windows []state.Entry) {
+func (ag *calendarStore) load(bookings, windows []state.Entry) {
 	ag.reset()
 	ag.remake()
 	// A record that cannot be read is left as it is: it must not keep the cluster from
@@ -158,14 +160,14 @@
 	}
 }
 
-func (ag *agenda) adopt(rec *calendar.Record, e *calendar.Entry, version uint64) {
+func (ag *calendarStore) adopt(rec *calendar.Record, e *calendar.Entry, version uint64) {
 	ag.near = nil
 	ag.cal.Add(e)
 	ag.bookings[rec.Spec.Name] = &booking{rec: rec, entry: e, version: version}
 }
 
 // remake fits the calendar to a price list that has become longer.
-func (ag *agenda) remake() {
+func (ag *calendarStore) remake() {
 	types, zones := ag.names.list(), ag.names.zoneNames()
 	if n := (madeOf{len(types), len(zones), ag.teams.sequence()}); n != ag.made {
 		ag.made = n
@@ -180,12 +182,12 @@
 	}
 }
 
-// agendaEvery spaces the looks at the calendar.
-const agendaEvery = 250 * time.Millisecond
+// calendarEvery spaces the looks at the calendar.
+const calendarEvery = 250 * time.Millisecond
 
 // step decides occurrences and lets holds and drains follow.
-func (ag *agenda) step(now time.Time) {
-	if !ag.on() || now.Sub(ag.stepAt) < agendaEvery {
+func (ag *calendarStore) step(now time.Time) {
+	if !ag.on() || now.Sub(ag.stepAt) < calendarEvery {
 		return
 	}
 	ag.stepAt = now
@@ -210,7 +212,7 @@
 const keepDays = 7
 
 // tidy removes an entry that is long over, one at a time.
-func (ag *agenda) tidy(at time.Time) {
+func (ag *calendarStore) tidy(at time.Time) {
 	before := at.AddDate(0, 0, -keepDays).UnixMilli()
 	if ag.writing {
 		return
@@ -243,10 +245,10 @@
 }
 
 // claimed finds out which job claims which occurrence: the first that was submitted.
-func (ag *agenda) claimed() {
+func (ag *calendarStore) claimed() {
 	clear(ag.claims)
-	for _, j := range ag.book.all() {
-		if j.Booking == "" || j.Phase+j.Closing != "" || ag.book.stranger(j) {
+	for _, j := range ag.jobTable.all() {
+		if j.Booking == "" || j.Phase+j.Closing != "" || ag.jobTable.stranger(j) {
 			continue
 		}
 		c, why := ag.claimOf(j)
@@ -265,7 +267,7 @@
 
 // claimOf is the occurrence that a job asks for. A claim that fits none is no
 // mistake: the job competes like any other, and its user is told why.
-func (ag *agenda) claimOf(j *job.Job) (c claim, misfits string) {
+func (ag *calendarStore) claimOf(j *job.Job) (c claim, misfits string) {
 	b := ag.bookings[j.Booking]
 	if b == nil {
 		return claim{}, "does not exist"
@@ -284,7 +286,7 @@
 }
 
 // waits reports whether a job is to wait for its slot to begin.
-func (ag *agenda) waits(j *job.Job, now time.Time) bool {
+func (ag *calendarStore) waits(j *job.Job, now time.Time) bool {
 	if j.Booking == "" || !ag.on() {
 		return false
 	}
@@ -304,8 +306,8 @@
 }
 
 // due lists the occurrences that room is to be held for, by reservation.
-func (ag *agenda) due(now time.Time, lead func(*calendar.Entry) time.Duration) map[string]due {
-	if ag.near == nil || now.Sub(ag.nearAt) >= agendaEvery {
+func (ag *calendarStore) due(now time.Time, lead func(*calendar.Entry) time.Duration) map[string]due {
+	if ag.near == nil || now.Sub(ag.nearAt) >= calendarEvery {
 		ag.near, ag.nearAt = map[string]due{}, now
 		at := ag.clock(now)
 		for name, b := range ag.bookings {
@@ -322,17 +324,17 @@
 }
 
 // around finds other machines for a slot.
-func (ag *agenda) around(s *slot, most func(typ, zone string) int) []calendar.Share {
+func (ag *calendarStore) around(s *slot, most func(typ, zone string) int) []calendar.Share {
 	return ag.cal.Around(s.name, s.span, most)
 }
 
 // planned are the maintenance windows, by name; plans reports whether there are any.
-func (ag *agenda) planned() map[string]*calendar.Plan { return ag.cal.Windows() }
+func (ag *calendarStore) planned() map[string]*calendar.Plan { return ag.cal.Windows() }
 
-func (ag *agenda) plans() bool { return len(ag.windows) > 0 }
+func (ag *calendarStore) plans() bool { return len(ag.windows) > 0 }
 
 // decide stores what has become of the next occurrence.
-func (ag *agenda) decide(b *booking, at time.Time) {
+func (ag *calendarStore) decide(b *booking, at time.Time) {
 	if b.writing || ag.writing || b.rec.Next > at.UnixMilli() {
 		return
 	}
@@ -369,7 +371,7 @@
 }
 
 // commit runs a fenced transaction until its outcome is clear, and hands it to the actor.
-func (ag *agenda) commit(key string, was uint64, conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
+func (ag *calendarStore) commit(key string, was uint64, conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
 	go func() {
 		v, err := ag.settle(key, was, conds, writes)
 		if ag.ctx.Err() == nil {
@@ -379,7 +381,7 @@
 }
 
 // store stores a change of the calendar, one at a time.
-func (ag *agenda) store(conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
+func (ag *calendarStore) store(conds []state.Cond, writes []state.Write, then func(version uint64, err error)) {
 	put, err := state.Put(changesKey, struct{}{})
 	if err != nil {
 		then(0, err)
@@ -398,7 +400,7 @@
 
 // change runs a change of the calendar, or lets it wait for the one before: what
 // fits is decided beside what is stored.
-func (ag *agenda) change(f func(), back func(*peer.Reply)) {
+func (ag *calendarStore) change(f func(), back func(*peer.Reply)) {
 	switch {
 	case !ag.writing:
 		f()
@@ -413,7 +415,7 @@
 const mostChanges = 64
 
 // stored goes on after a change.
-func (ag *agenda) stored() {
+func (ag *calendarStore) stored() {
 	ag.writing = false
 	ag.stepAt = time.Time{}
 	ag.changed()
@@ -425,7 +427,7 @@
 }
 
 // remove deletes a record.
-func (ag *agenda) remove(key string, version uint64, then func()) {
+func (ag *calendarStore) remove(key string, version uint64, then func()) {
 	ag.store([]state.Cond{{Key: key, Version: version}}, []state.Write{{Delete: key}}, func(_ uint64, err error) {
 		if err == nil {
 			then()
@@ -433,13 +435,13 @@
 	})
 }
 
-func (ag *agenda) forget(name string) {
+func (ag *calendarStore) forget(name string) {
 	ag.near = nil
 	ag.cal.Remove(name)
 	delete(ag.bookings, name)
 }
 
-func (ag *agenda) forgetWindow(name string) {
+func (ag *calendarStore) forgetWindow(name string) {
 	ag.cal.RemoveWindow(name)
 	delete(ag.windows, name)
 }
--- a/internal/control/agenda_test.go
+++ b/internal/control/calendar_store_test.go
@@ -15,7 +15,7 @@
 
 // booked is a leader with n reservations of one team, an hour apart, stored by an
 // earlier one.
-func booked(tb testing.TB, n int) *reign {
+func booked(tb testing.TB, n int) *leaderTerm {
 	tb.Helper()
 	r := bench(tb, config.Team{Name: "red"})
 	r.c.Tuning.Calendar.Enabled = true
@@ -42,9 +42,9 @@
 	}
 	// What cannot be read must not keep the cluster from being led.
 	stored = append(stored, state.Entry{Key: bookingPrefix + "broken", Value: wire.Raw{0xa0}, Version: 1})
-	r.agenda.load(stored, []state.Entry{{Key: windowPrefix + "broken", Value: wire.Raw{0xa0}, Version: 1}})
-	if len(r.agenda.bookings) != n {
-		tb.Fatalf("%d of %d reservations were loaded", len(r.agenda.bookings), n)
+	r.calendarStore.load(stored, []state.Entry{{Key: windowPrefix + "broken", Value: wire.Raw{0xa0}, Version: 1}})
+	if len(r.calendarStore.bookings) != n {
+		tb.Fatalf("%d of %d reservations were loaded", len(r.calendarStore.bookings), n)
 	}
 	return r
 }
@@ -56,7 +56,7 @@
 		team, booking string
 		tasks         int
 		cpus          float64
-		at            time.Duration // of the submission, from the begin of the reign
+		at            time.Duration // of the submission, from the begin of the term
 	}
 	tests := []struct {
 		name   string
@@ -79,14 +79,14 @@
 			r := booked(t, 2)
 			var jobs []*job.Job
 			for i, a := range tt.jobs {
-				jobs = append(jobs, r.book.add(&job.Record{At: r.since.Add(a.at).UnixMilli(), Spec: job.Spec{ID: fmt.Sprintf("run-%d", i), Team: a.team,
+				jobs = append(jobs, r.jobTable.add(&job.Record{At: r.since.Add(a.at).UnixMilli(), Spec: job.Spec{ID: fmt.Sprintf("run-%d", i), Team: a.team,
 					ShapeName: "ensemble", RankName: "idle", Tasks: a.tasks, CPUs: a.cpus, Booking: a.booking}}, 1, r.since))
 			}
 			now := r.since.Add(time.Second)
-			r.agenda.step(now)
+			r.calendarStore.step(now)
 			var waits []string
 			for i, j := range jobs {
-				if r.agenda.waits(j, now) {
+				if r.calendarStore.waits(j, now) {
 					waits = append(waits, fmt.Sprint(i))
 				}
 			}
@@ -106,11 +106,11 @@
 	r := booked(t, 1)
 	now := r.since.Add(time.Hour) // the slot begins, and lasts half an hour
 	add := func(id, booking string) *job.Job {
-		return r.book.add(&job.Record{At: r.since.UnixMilli(), Spec: job.Spec{ID: id, Team: "red", ShapeName: "ensemble", RankName: "idle",
+		return r.jobTable.add(&job.Record{At: r.since.UnixMilli(), Spec: job.Spec{ID: id, Team: "red", ShapeName: "ensemble", RankName: "idle",
 			Tasks: 2, CPUs: 4, EstimateS: 2400, Booking: booking}}, 1, r.since)
 	}
 	claimer, other := add("run-1", "r0"), add("run-2", "")
-	r.agenda.step(now)
+	r.calendarStore.step(now)
 	if got := r.holds.needs(claimer, now); got > 1800 {
 		t.Errorf("the claimer needs its machines for %.0f s", got)
 	}
@@ -120,14 +120,14 @@
 }
 
 // BenchmarkAgenda is a look at the calendar, as it comes four times a second.
-func BenchmarkAgenda(b *testing.B) {
+func BenchmarkCalendarStore(b *testing.B) {
 	for _, n := range []int{100, 1000, 10_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := booked(b, n)
 			at := r.since.Add(time.Second)
 			for b.Loop() {
-				at = at.Add(agendaEvery)
-				r.agenda.step(at)
+				at = at.Add(calendarEvery)
+				r.calendarStore.step(at)
 			}
 		})
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,11 +45,11 @@
 type Controller struct {
 	Deps
 	direct *http.Client
-	groups groupShelf
+	groups groupReader
 
-	mu    sync.Mutex
-	reign *reign
-	types []wire.MachineType // the last price list, kept over terms
+	mu         sync.Mutex
+	leaderTerm *leaderTerm
+	types      []wire.MachineType // the last price list, kept over terms
 }
 
 // DirectCalls is how many direct commands may be under way at a time: a whole
@@ -58,7 +58,7 @@
 
 // New makes a controller that does not lead yet.
 func New(d Deps) *Controller {
-	return &Controller{Deps: d, groups: groupShelf{state: d.State},
+	return &Controller{Deps: d, groups: groupReader{state: d.State},
 		direct: DirectClient(d.Dial, DirectCalls(d.Settings.Facts.Resources.MaxSockets))}
 }
 
@@ -80,26 +80,26 @@
 	return state.Budget{RPS: reads * set.Facts.State.RPS, WriteRPS: writes * set.Facts.State.WriteRPS}
 }
 
-// Lead runs one reign until its context ends.
-func (c *Controller) Lead(ctx context.Context, l lead.Reign) {
+// Lead runs one term until its context ends.
+func (c *Controller) Lead(ctx context.Context, l lead.Term) {
 	c.State.SetBudget(StateBudget(c.Settings, true))
 	defer c.State.SetBudget(StateBudget(c.Settings, false))
-	r := newReign(ctx, c, l)
+	r := newLeaderTerm(ctx, c, l)
 	c.mu.Lock()
-	c.reign = r
+	c.leaderTerm = r
 	c.mu.Unlock()
 	c.Meter.Set(meter.Leading, 1)
 	r.run()
 	c.Meter.Set(meter.Leading, 0)
 	c.mu.Lock()
-	c.reign = nil
+	c.leaderTerm = nil
 	c.mu.Unlock()
 }
 
-func (c *Controller) current() *reign {
+func (c *Controller) current() *leaderTerm {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.reign
+	return c.leaderTerm
 }
 
 // Leading reports whether the node leads and is entitled to.
@@ -140,40 +140,40 @@
 	if (q.Kind == peer.KindSubmit || q.Kind == peer.KindStatus) && !r.takeover.loaded() {
 		return nil // any node can answer that from the state service, sooner
 	}
-	var do func(*reign, func(*peer.Reply))
+	var do func(*leaderTerm, func(*peer.Reply))
 	box := r.users
 	switch q.Kind {
 	case peer.KindSubmit:
 		id, spec, err := submission(q.Body)
-		do = func(r *reign, back func(*peer.Reply)) { r.admission.submit(id, spec, err, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.admission.submit(id, spec, err, back) }
 	case peer.KindStatus:
-		do = func(r *reign, back func(*peer.Reply)) { r.admission.status(q.ID, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.admission.status(q.ID, back) }
 	case peer.KindAbort:
-		do = func(r *reign, back func(*peer.Reply)) { r.endings.abort(q.ID, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.endings.abort(q.ID, back) }
 	case peer.KindRollout:
 		var op peer.Operation
 		if err := wire.Unmarshal(q.Body, &op); err != nil {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
 		}
-		do = func(r *reign, back func(*peer.Reply)) { r.rollouts.operate(&op, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.rollouts.operate(&op, back) }
 	case peer.KindCalendar:
 		var op peer.Operation
 		if err := wire.Unmarshal(q.Body, &op); err != nil {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
 		}
-		do = func(r *reign, back func(*peer.Reply)) { r.agenda.operate(&op, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.calendarStore.operate(&op, back) }
 	case peer.KindConfig:
 		var op peer.Operation
 		if err := wire.Unmarshal(q.Body, &op); err != nil {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed request"})
 		}
-		do = func(r *reign, back func(*peer.Reply)) { r.homeTeams.operate(&op, back) }
+		do = func(r *leaderTerm, back func(*peer.Reply)) { r.homeTeams.operate(&op, back) }
 	case peer.KindReport:
 		m := &wire.Report{}
 		if err := wire.Unmarshal(q.Body, m); err != nil || m.Host == "" || m.Session == 0 {
 			return reply(http.StatusBadRequest, wire.Error{Error: "malformed report"})
 		}
-		do, box = func(r *reign, back func(*peer.Reply)) { r.report(m, q.Via, back) }, r.inbox
+		do, box = func(r *leaderTerm, back func(*peer.Reply)) { r.report(m, q.Via, back) }, r.inbox
 	default:
 		return reply(http.StatusBadRequest, wire.Error{Error: "unknown request"})
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -19,7 +19,7 @@
 	"vetchstream/internal/wire"
 )
 
-func bench(t testing.TB, teams ...config.Team) *reign {
+func bench(t testing.TB, teams ...config.Team) *leaderTerm {
 	t.Helper()
 	set := &config.Settings{Member: "n0"}
 	set.Facts.Workers.LeaseS = 10
@@ -30,18 +30,18 @@
 		Entitled: func(uint64) bool { return false }, Deposed: func(uint64) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // nothing that is started in the background may run on
-	return newReign(ctx, c, lead.Reign{Term: 7, Since: time.Unix(1000, 0)})
+	return newLeaderTerm(ctx, c, lead.Term{Term: 7, Since: time.Unix(1000, 0)})
 }
 
-func (r *reign) host(name string) *fleet.Host { return r.fleet.Add(name, time.Unix(1000, 0)) }
+func (r *leaderTerm) host(name string) *fleet.Host { return r.fleet.Add(name, time.Unix(1000, 0)) }
 
-func (r *reign) learn(types []wire.MachineType) {
+func (r *leaderTerm) learn(types []wire.MachineType) {
 	r.names.learn(types)
-	r.book.rebind()
+	r.jobTable.rebind()
 }
 
-func (r *reign) array(id string) *job.Job {
-	return r.book.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "array", RankName: "idle", Tasks: 100, CPUs: 1}}, 1, time.Unix(1000, 0))
+func (r *leaderTerm) array(id string) *job.Job {
+	return r.jobTable.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "array", RankName: "idle", Tasks: 100, CPUs: 1}}, 1, time.Unix(1000, 0))
 }
 
 // TestBlame: who is at fault when tasks fail, the machine or the job.
@@ -157,14 +157,14 @@
 			r := bench(t, config.Team{Name: "red"}, config.Team{Name: "blue"})
 			r.learn([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
 			for id, team := range map[string]string{"run-1": "red", "run-2": "blue", "run-3": "red"} {
-				r.book.add(&job.Record{Spec: job.Spec{ID: id, Team: team, ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}, 1, time.Unix(1000, 0))
+				r.jobTable.add(&job.Record{Spec: job.Spec{ID: id, Team: team, ShapeName: "array", RankName: "idle", Tasks: 1, CPUs: 1}}, 1, time.Unix(1000, 0))
 			}
 			h := r.host("h1")
 			r.names.describe(h, "small", "a", false)
 			for _, id := range tt.old {
 				team := -1
-				if r.book.get(id) != nil {
-					team = r.book.get(id).TeamIdx
+				if r.jobTable.get(id) != nil {
+					team = r.jobTable.get(id).TeamIdx
 				}
 				h.Old = append(h.Old, fleet.Past{ID: id, Team: team})
 			}
@@ -173,7 +173,7 @@
 			got := r.takeover.blocked(teams)
 			names := ""
 			for _, id := range []string{"run-1", "run-2", "run-3"} {
-				if got[r.book.get(id)] {
+				if got[r.jobTable.get(id)] {
 					names += id
 				}
 			}
@@ -414,8 +414,8 @@
 			r.learn([]wire.MachineType{{Name: "small", CPUs: 4, MemGB: 16, Zones: []string{"a", "b"}}})
 			r.names.zone("a")
 			need := place.Amount{CPUs: 4}
-			gang := r.book.add(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 4, OneZone: true}}, 1, r.since)
-			r.machines.want([]hosts.Want{{Demand: &place.Demand{ID: r.book.index(gang), Shape: job.Gang, Need: need, Zone: -1, OneZone: true, InZone: make([]int, 2)}, Count: 2, Chosen: -7}})
+			gang := r.jobTable.add(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 4, OneZone: true}}, 1, r.since)
+			r.machines.want([]hosts.Want{{Demand: &place.Demand{ID: r.jobTable.index(gang), Shape: job.Gang, Need: need, Zone: -1, OneZone: true, InZone: make([]int, 2)}, Count: 2, Chosen: -7}})
 			for range slots {
 				r.holds.wants = append(r.holds.wants, hosts.Want{Demand: &place.Demand{Shape: job.Gang, Need: need, Zone: 0, InZone: make([]int, 2)}, Count: 1})
 			}
--- a/internal/control/drains.go
+++ b/internal/control/drains.go
@@ -17,11 +17,11 @@
 // comes late does what is left of it, and nothing once the window is over.
 type drains struct {
 	*core
-	names  *names
-	book   *book
-	agenda *agenda
-	holds  *holds
-	work   *work
+	names         *names
+	jobTable      *jobTable
+	calendarStore *calendarStore
+	holds         *holds
+	work          *work
 
 	// next is the first window, not over, of each machine that has one.
 	next   map[*fleet.Host]*calendar.Plan
@@ -42,7 +42,7 @@
 }
 
 // on reports whether machines are drained.
-func (dr *drains) on() bool { return dr.agenda.on() && dr.c.Tuning.Calendar.Drain }
+func (dr *drains) on() bool { return dr.calendarStore.on() && dr.c.Tuning.Calendar.Drain }
 
 // takes reports whether a window is about a machine.
 func (dr *drains) takes(p *calendar.Window, h *fleet.Host) bool {
@@ -81,8 +81,8 @@
 	}
 	dr.looked = now
 	clear(dr.next)
-	at := dr.agenda.clock(now).UnixMilli()
-	for _, p := range dr.agenda.planned() {
+	at := dr.calendarStore.clock(now).UnixMilli()
+	for _, p := range dr.calendarStore.planned() {
 		if p.Span().To <= at {
 			continue
 		}
@@ -96,7 +96,7 @@
 
 // windowOf is a machine's next window; nil: it has none.
 func (dr *drains) windowOf(h *fleet.Host, now time.Time) *calendar.Plan {
-	if !dr.on() || !dr.agenda.plans() {
+	if !dr.on() || !dr.calendarStore.plans() {
 		return nil
 	}
 	dr.look(now)
@@ -119,7 +119,7 @@
 	if p == nil {
 		return
 	}
-	at := dr.agenda.clock(now)
+	at := dr.calendarStore.clock(now)
 	m.Leaves, m.LeavesIn = true, time.UnixMilli(p.Span().From).Add(-dr.handBack()).Sub(at).Seconds()
 	m.Draining = at.UnixMilli() >= p.DrainAt()
 }
@@ -129,8 +129,8 @@
 	if !dr.on() {
 		return false
 	}
-	at := dr.agenda.clock(now).UnixMilli()
-	for _, p := range dr.agenda.planned() {
+	at := dr.calendarStore.clock(now).UnixMilli()
+	for _, p := range dr.calendarStore.planned() {
 		if p.Offers(typ, zone) && at >= p.DrainAt() && at < p.Span().To {
 			return true
 		}
@@ -141,16 +141,16 @@
 // due reports whether a machine's maintenance has begun.
 func (dr *drains) due(h *fleet.Host, now time.Time) bool {
 	p := dr.windowOf(h, now)
-	return p != nil && dr.agenda.clock(now).UnixMilli() >= p.Span().From
+	return p != nil && dr.calendarStore.clock(now).UnixMilli() >= p.Span().From
 }
 
 // step moves what can be moved, and stops at last what has not ended.
 func (dr *drains) step(now time.Time) {
-	if !dr.on() || !dr.agenda.plans() {
+	if !dr.on() || !dr.calendarStore.plans() {
 		return
 	}
 	dr.look(now)
-	at := dr.agenda.clock(now)
+	at := dr.calendarStore.clock(now)
 	for s := range dr.late {
 		if !s.On() || s.Stopping || dr.next[s.Host] == nil {
 			delete(dr.late, s)
@@ -162,7 +162,7 @@
 			dr.empty(h, p, at, now)
 		}
 	}
-	for name, p := range dr.agenda.planned() {
+	for name, p := range dr.calendarStore.planned() {
 		dr.tell(name, p, at)
 	}
 }
--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -27,7 +27,7 @@
 // jobs from what is known of them.
 type endings struct {
 	*core
-	book      *book
+	jobTable  *jobTable
 	results   *results
 	work      *work
 	writer    *writer
@@ -110,11 +110,11 @@
 // From the moment the commit of its end is sent another node may have read and
 // told that end, while this one does not know of it yet: only a fresh read can say.
 func (en *endings) known(id string) *peer.Reply {
-	if j := en.book.sound(id); j != nil {
+	if j := en.jobTable.sound(id); j != nil {
 		if j.Closing != "" && j.Phase == "" {
 			return nil
 		}
-		return reply(http.StatusOK, j.Status(en.book.running(j)))
+		return reply(http.StatusOK, j.Status(en.jobTable.running(j)))
 	}
 	return en.past(id)
 }
@@ -160,7 +160,7 @@
 		back(absent)
 		return
 	}
-	j := en.book.sound(id)
+	j := en.jobTable.sound(id)
 	if j == nil {
 		en.abortUnknown(id, absent, back)
 		return
@@ -230,7 +230,7 @@
 			case errors.Is(err, state.ErrConflict):
 				found, _, err := lookup(en.ctx, en.c.State, id)
 				if err != nil || found == nil || found.Phase == "" {
-					// Deposed, or not to be told now: the reign ends or the loop goes on.
+					// Deposed, or not to be told now: the term ends or the loop goes on.
 					en.pause(200 * time.Millisecond)
 					continue
 				}
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -26,7 +26,7 @@
 	for _, tt := range tests {
 		r := bench(t)
 		now := time.Unix(1000, 0)
-		j := r.book.add(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "ensemble", RankName: "standard", Tasks: 3, CPUs: 1}}, 1, now)
+		j := r.jobTable.add(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "ensemble", RankName: "standard", Tasks: 3, CPUs: 1}}, 1, now)
 		j.GangAttempt = 5
 		for i, phase := range tt.phases {
 			s := r.fleet.Assign(r.host("h1"), fleet.Key{Job: j, Task: int32(i + 1), Attempt: 5}, now)
--- a/internal/control/shelf.go
+++ b/internal/control/group_reader.go
@@ -54,11 +54,11 @@
 	return rec, err
 }
 
-// groupShelf reads the records of groups for a node that does not lead. Which
+// groupReader reads the records of groups for a node that does not lead. Which
 // group a job is in does not follow from its id, so one listing serves all who
 // wait: those who come while it is under way share the next one, because what
 // has begun before they asked may be older than what another node has told.
-type groupShelf struct {
+type groupReader struct {
 	state *state.Client
 
 	mu   sync.Mutex
@@ -78,7 +78,7 @@
 
 // find returns a job's entry; nil: no group has it, and with errUnreadable: none that
 // can be read.
-func (s *groupShelf) find(ctx context.Context, id string) (*job.Record, error) {
+func (s *groupReader) find(ctx context.Context, id string) (*job.Record, error) {
 	s.mu.Lock()
 	l := s.next
 	if l == nil {
@@ -102,7 +102,7 @@
 }
 
 // serve makes listings for as long as somebody waits for one.
-func (s *groupShelf) serve() {
+func (s *groupReader) serve() {
 	for {
 		s.mu.Lock()
 		l := s.next
@@ -117,7 +117,7 @@
 	}
 }
 
-func (s *groupShelf) read() (map[string]*job.Record, error) {
+func (s *groupReader) read() (map[string]*job.Record, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTime)
 	defer cancel()
 	entries, _, err := s.state.List(ctx, job.GroupPrefix)
--- a/internal/control/groups_test.go
+++ b/internal/control/groups_test.go
@@ -285,7 +285,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		c.Lead(ctx, lead.Reign{Term: term, TermVersion: version, Since: time.Now()})
+		c.Lead(ctx, lead.Term{Term: term, TermVersion: version, Since: time.Now()})
 	}()
 	st.stop = sync.OnceFunc(func() { cancel(); <-ended })
 	t.Cleanup(st.stop)
@@ -626,7 +626,7 @@
 		owned := func() bool {
 			has := make(chan bool, 1)
 			r := st.current()
-			r.ahead(func() { has <- r.book.get("run-5") != nil })
+			r.ahead(func() { has <- r.jobTable.get("run-5") != nil })
 			return <-has
 		}
 		time.Sleep(auditEvery / 2)
@@ -830,7 +830,7 @@
 					t.Errorf("answer %d %s", p.Status, told.Phase)
 				}
 				owned := make(chan bool, 1)
-				r.ahead(func() { owned <- r.book.get("run-5") != nil })
+				r.ahead(func() { owned <- r.jobTable.get("run-5") != nil })
 				if has := <-owned; has != (phase == "") {
 					t.Errorf("looked after: %v", has)
 				}
--- a/internal/control/holds.go
+++ b/internal/control/holds.go
@@ -22,18 +22,18 @@
 // follows from the calendar and from what is seen, so it is not stored.
 type holds struct {
 	*core
-	names    *names
-	book     *book
-	agenda   *agenda
-	drains   *drains
-	machines *machines
-	planner  *planner
-	rollouts *rollouts
+	names         *names
+	jobTable      *jobTable
+	calendarStore *calendarStore
+	drains        *drains
+	machines      *machines
+	planner       *planner
+	rollouts      *rollouts
 
 	slots map[string]*slot // by reservation
 	held  map[*fleet.Host]*slot
 	boots map[int]*calendar.Pace    // seconds, by machine type
-	hired map[*fleet.Host]bool      // rented in this reign and not up yet
+	hired map[*fleet.Host]bool      // rented in this term and not up yet
 	paces map[string]*calendar.Pace // run time over estimate, by class
 	wants []hosts.Want
 }
@@ -70,7 +70,7 @@
 // rented notes that a machine's boot can be timed. One that was met when it was up
 // would show boots that take no time, and slots would be rented too late.
 func (hd *holds) rented(h *fleet.Host) {
-	if hd.agenda.on() {
+	if hd.calendarStore.on() {
 		hd.hired[h] = true
 	}
 }
@@ -91,7 +91,7 @@
 // job are alike: to count them all would make a class look surer than it is, and the
 // next job's tasks would overrun the start of a slot.
 func (hd *holds) ran(j *job.Job, secs float64) {
-	if !hd.agenda.on() || j.RunCount != 1 {
+	if !hd.calendarStore.on() || j.RunCount != 1 {
 		return
 	}
 	p := hd.paces[j.Class]
@@ -151,7 +151,7 @@
 func (hd *holds) needs(j *job.Job, now time.Time) float64 {
 	ends := hd.endsIn(j)
 	if s := hd.slots[j.Booking]; s != nil && s.claimer == j {
-		left := time.UnixMilli(s.span.To).Sub(hd.agenda.clock(now)) - hd.drains.handBack()
+		left := time.UnixMilli(s.span.To).Sub(hd.calendarStore.clock(now)) - hd.drains.handBack()
 		ends = min(ends, max(0, left.Seconds()))
 	}
 	return ends
@@ -193,17 +193,17 @@
 		}
 		lead = max(lead, p.Bound(t.BootS))
 	}
-	return config.Seconds(lead) + 3*hd.reportTime() + 2*agendaEvery
+	return config.Seconds(lead) + 3*hd.reportTime() + 2*calendarEvery
 }
 
 // gather brings the slots up to date: which there are, which machines are held for
 // them, and what has to be rented.
 func (hd *holds) gather(now time.Time) {
-	if !hd.agenda.on() {
+	if !hd.calendarStore.on() {
 		return
 	}
 	hd.wants = nil
-	due := hd.agenda.due(now, hd.lead)
+	due := hd.calendarStore.due(now, hd.lead)
 	for name, s := range hd.slots {
 		if d, ok := due[name]; !ok || d.span != s.span {
 			hd.drop(s)
@@ -253,13 +253,13 @@
 // watch notes when the claimer runs whole.
 func (hd *holds) watch(s *slot, now time.Time) {
 	if s.claimer != nil && s.ran != s.claimer.ID && hd.whole(s.claimer) {
-		s.ran, s.runAt = s.claimer.ID, hd.agenda.clock(now)
+		s.ran, s.runAt = s.claimer.ID, hd.calendarStore.clock(now)
 	}
 }
 
 // whole reports whether all of a job that has not ended runs.
 func (hd *holds) whole(j *job.Job) bool {
-	n := hd.book.running(j)
+	n := hd.jobTable.running(j)
 	return n > 0 && (j.Waiting() == 0 || j.Over()) && (j.Shape != job.Gang || n == j.Tasks)
 }
 
@@ -290,7 +290,7 @@
 
 // hold chooses the machines for a slot, and asks for those that are missing.
 func (hd *holds) hold(s *slot, e *calendar.Entry, now time.Time) {
-	until := time.UnixMilli(s.span.From).Sub(hd.agenda.clock(now)).Seconds()
+	until := time.UnixMilli(s.span.From).Sub(hd.calendarStore.clock(now)).Seconds()
 	if !s.renting && until <= hd.rentLead(e).Seconds() {
 		s.renting = true
 		hd.log.Info("gathering room for a slot", "reservation", s.name, "start", time.UnixMilli(s.span.From).UTC(), "machines", s.shares)
@@ -429,7 +429,7 @@
 		}
 		return n
 	}
-	other := hd.agenda.around(s, most)
+	other := hd.calendarStore.around(s, most)
 	if other == nil || missing(other) >= missing(s.shares) {
 		return false, true // no better: a slot must not wander
 	}
@@ -510,10 +510,10 @@
 	}
 	m.HeldFor = place.Nobody
 	if s.claimer != nil {
-		m.HeldFor = hd.book.index(s.claimer)
+		m.HeldFor = hd.jobTable.index(s.claimer)
 	}
 	if hd.c.Tuning.Calendar.Backfill {
-		m.HeldIn = time.UnixMilli(s.span.From).Sub(hd.agenda.clock(now)).Seconds()
+		m.HeldIn = time.UnixMilli(s.span.From).Sub(hd.calendarStore.clock(now)).Seconds()
 	}
 }
 
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -9,8 +9,8 @@
 	"vetchstream/internal/wire"
 )
 
-// book holds the jobs that the leader looks after, under a dense index each.
-type book struct {
+// jobTable holds the jobs that the leader looks after, under a dense index each.
+type jobTable struct {
 	*core
 	names    *names
 	registry *registry
@@ -27,22 +27,22 @@
 	strangers map[*job.Job]bool
 }
 
-func newBook(co *core) *book {
-	bk := &book{core: co, strangers: map[*job.Job]bool{}}
+func newJobTable(co *core) *jobTable {
+	bk := &jobTable{core: co, strangers: map[*job.Job]bool{}}
 	bk.reset()
 	return bk
 }
 
 // reset forgets the jobs of a load that failed half-way.
-func (bk *book) reset() {
+func (bk *jobTable) reset() {
 	bk.jobs, bk.ids, bk.byID = map[string]*job.Job{}, map[*job.Job]int{}, map[int]*job.Job{}
 }
 
 // get returns the job of that id, a stranger too; nil: there is none.
-func (bk *book) get(id string) *job.Job { return bk.jobs[id] }
+func (bk *jobTable) get(id string) *job.Job { return bk.jobs[id] }
 
 // sound returns the job of that id if its record is known.
-func (bk *book) sound(id string) *job.Job {
+func (bk *jobTable) sound(id string) *job.Job {
 	if j := bk.jobs[id]; j != nil && !bk.strangers[j] {
 		return j
 	}
@@ -50,22 +50,22 @@
 }
 
 // all are the jobs by their ids.
-func (bk *book) all() map[string]*job.Job { return bk.jobs }
+func (bk *jobTable) all() map[string]*job.Job { return bk.jobs }
 
-// index is a job's dense index, from 1; 0: it is not in the book.
-func (bk *book) index(j *job.Job) int { return bk.ids[j] }
+// index is a job's dense index, from 1; 0: it is not in the job table.
+func (bk *jobTable) index(j *job.Job) int { return bk.ids[j] }
 
 // at is the job of an index.
-func (bk *book) at(index int) *job.Job { return bk.byID[index] }
+func (bk *jobTable) at(index int) *job.Job { return bk.byID[index] }
 
 // stranger reports whether a job's record is not known yet.
-func (bk *book) stranger(j *job.Job) bool { return bk.strangers[j] }
+func (bk *jobTable) stranger(j *job.Job) bool { return bk.strangers[j] }
 
 // strange are the jobs whose records are not known yet.
-func (bk *book) strange() map[*job.Job]bool { return bk.strangers }
+func (bk *jobTable) strange() map[*job.Job]bool { return bk.strangers }
 
 // rebind maps names anew, after a price list.
-func (bk *book) rebind() {
+func (bk *jobTable) rebind() {
 	for _, j := range bk.jobs {
 		bk.bind(j)
 	}
@@ -76,7 +76,7 @@
 	}
 }
 
-func (bk *book) add(rec *job.Record, version uint64, submitted time.Time) *job.Job {
+func (bk *jobTable) add(rec *job.Record, version uint64, submitted time.Time) *job.Job {
 	j := job.New(rec, submitted)
 	j.Version = version
 	bk.jobs[j.ID] = j
@@ -90,7 +90,7 @@
 }
 
 // bind maps a job's names to indices.
-func (bk *book) bind(j *job.Job) {
+func (bk *jobTable) bind(j *job.Job) {
 	if t := bk.names.team(j.Team); t >= 0 {
 		j.TeamIdx = t
 	}
@@ -105,7 +105,7 @@
 }
 
 // find returns the job of a task that a report names.
-func (bk *book) find(id string) *job.Job {
+func (bk *jobTable) find(id string) *job.Job {
 	if j := bk.jobs[id]; j != nil {
 		return j
 	}
@@ -121,7 +121,7 @@
 	return j
 }
 
-func (bk *book) identify(j *job.Job, id string) {
+func (bk *jobTable) identify(j *job.Job, id string) {
 	for bk.ctx.Err() == nil {
 		rec, version, err := lookup(bk.ctx, bk.c.State, id)
 		if errors.Is(err, errUnreadable) {
@@ -153,8 +153,8 @@
 }
 
 // latestStart is when a job has to start to meet its aims, in seconds from the
-// start of the reign.
-func (bk *book) latestStart(j *job.Job) float64 {
+// start of the term.
+func (bk *jobTable) latestStart(j *job.Job) float64 {
 	at := j.Submitted.Sub(bk.since).Seconds()
 	best := math.Inf(1)
 	if j.DeadlineS != nil {
@@ -180,7 +180,7 @@
 	return best
 }
 
-func (bk *book) running(j *job.Job) (n int) {
+func (bk *jobTable) running(j *job.Job) (n int) {
 	for s := range bk.fleet.On(j) {
 		if s.Phase == wire.Running || s.Phase == wire.Saving {
 			n++
@@ -195,7 +195,7 @@
 }
 
 // sweep drops jobs that are over once nothing of them is on any machine.
-func (bk *book) sweep() {
+func (bk *jobTable) sweep() {
 	for id, j := range bk.jobs {
 		if (j.Phase != "" || bk.strangers[j]) && len(bk.fleet.On(j)) == 0 {
 			bk.registry.orphan(id)
--- a/internal/control/reign.go
+++ b/internal/control/leader_term.go
@@ -18,7 +18,7 @@
 	"vetchstream/internal/wire"
 )
 
-// core is what the parts of a reign have in common: who leads, since when, the
+// core is what the parts of a term have in common: who leads, since when, the
 // actor's inbox, and the ledger of what may be on each machine (package fleet,
 // which guards its own state).
 type core struct {
@@ -94,37 +94,37 @@
 // changed asks for a plan.
 func (co *core) changed() { co.dirty = true }
 
-// reign is the actor: it composes the parts, each of which owns the state of one
+// leaderTerm is the actor: it composes the parts, each of which owns the state of one
 // duty. All of it is touched by the actor's goroutine alone; I/O runs in
 // goroutines of its own, which post their results. A part reaches another
 // through its methods, never its fields (TestParts).
-type reign struct {
+type leaderTerm struct {
 	*core
-	names     *names
-	book      *book
-	admission *admission
-	endings   *endings
-	results   *results
-	registry  *registry
-	machines  *machines
-	takeover  *takeover
-	commands  *commands
-	planner   *planner
-	work      *work
-	writer    *writer
-	groups    *groups
-	rollouts  *rollouts
-	agenda    *agenda
-	holds     *holds
-	drains    *drains
-	shares    *shares
-	teams     *teams
-	homeTeams *homeTeams
+	names         *names
+	jobTable      *jobTable
+	admission     *admission
+	endings       *endings
+	results       *results
+	registry      *registry
+	machines      *machines
+	takeover      *takeover
+	commands      *commands
+	planner       *planner
+	work          *work
+	writer        *writer
+	groups        *groups
+	rollouts      *rollouts
+	calendarStore *calendarStore
+	holds         *holds
+	drains        *drains
+	shares        *shares
+	teams         *teams
+	homeTeams     *homeTeams
 
 	scanAt time.Time
 }
 
-func newReign(ctx context.Context, c *Controller, l lead.Reign) *reign {
+func newLeaderTerm(ctx context.Context, c *Controller, l lead.Term) *leaderTerm {
 	f := &c.Settings.Facts
 	co := &core{c: c, ctx: ctx, log: c.Log.With("term", l.Term), debug: c.Log.Enabled(ctx, slog.LevelDebug),
 		term: l.Term, since: l.Since, alive: l.Alive, fence: state.Cond{Key: lead.KeyTerm, Version: l.TermVersion},
@@ -134,52 +134,52 @@
 		return rate.NewLimiter(rate.Limit(of*budget.WriteRPS), max(2, int(of*budget.WriteRPS)))
 	}
 	ends := share(endingShare)
-	r := &reign{core: co, names: newNames(f.Zones, f.Teams), book: newBook(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
-		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), agenda: newAgenda(co), shares: newShares(co), holds: newHolds(co), drains: newDrains(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
+	r := &leaderTerm{core: co, names: newNames(f.Zones, f.Teams), jobTable: newJobTable(co), admission: newAdmission(co, share(admitShare), f.State.TxnOps, f.State.ValueKB, f.Resources.MaxSockets),
+		endings: newEndings(co, ends), groups: newGroups(co, ends), rollouts: newRollouts(co), calendarStore: newCalendarStore(co), shares: newShares(co), holds: newHolds(co), drains: newDrains(co), results: newResults(co), registry: newRegistry(co, f.State.ValueKB),
 		machines: newMachines(co), takeover: &takeover{core: co}, commands: &commands{core: co, most: DirectCalls(f.Resources.MaxSockets)},
 		teams: newTeams(co, l.Restored), homeTeams: newHomeTeams(co),
 		planner: newPlanner(co), work: &work{core: co}, writer: &writer{core: co, batch: f.State.TxnOps}}
 	r.wire()
-	r.agenda.reset()
+	r.calendarStore.reset()
 	return r
 }
 
 // wire tells each part whom it may ask.
-func (r *reign) wire() {
-	r.book.names, r.book.registry, r.book.planner, r.book.work = r.names, r.registry, r.planner, r.work
-	r.admission.names, r.admission.book, r.admission.endings, r.admission.writer = r.names, r.book, r.endings, r.writer
-	r.endings.book, r.endings.results, r.endings.work, r.endings.writer, r.endings.admission = r.book, r.results, r.work, r.writer, r.admission
+func (r *leaderTerm) wire() {
+	r.jobTable.names, r.jobTable.registry, r.jobTable.planner, r.jobTable.work = r.names, r.registry, r.planner, r.work
+	r.admission.names, r.admission.jobTable, r.admission.endings, r.admission.writer = r.names, r.jobTable, r.endings, r.writer
+	r.endings.jobTable, r.endings.results, r.endings.work, r.endings.writer, r.endings.admission = r.jobTable, r.results, r.work, r.writer, r.admission
 	r.results.writer = r.writer
-	r.registry.names, r.registry.book, r.registry.takeover, r.registry.writer = r.names, r.book, r.takeover, r.writer
-	r.machines.names, r.machines.book, r.machines.registry, r.machines.takeover = r.names, r.book, r.registry, r.takeover
+	r.registry.names, r.registry.jobTable, r.registry.takeover, r.registry.writer = r.names, r.jobTable, r.takeover, r.writer
+	r.machines.names, r.machines.jobTable, r.machines.registry, r.machines.takeover = r.names, r.jobTable, r.registry, r.takeover
 	r.machines.planner, r.machines.work, r.machines.writer = r.planner, r.work, r.writer
-	r.takeover.names, r.takeover.book, r.takeover.registry, r.takeover.machines = r.names, r.book, r.registry, r.machines
+	r.takeover.names, r.takeover.jobTable, r.takeover.registry, r.takeover.machines = r.names, r.jobTable, r.registry, r.machines
 	r.takeover.admission, r.takeover.endings, r.takeover.results = r.admission, r.endings, r.results
 	r.commands.work, r.commands.takeover = r.work, r.takeover
-	r.planner.names, r.planner.book, r.planner.registry, r.planner.machines = r.names, r.book, r.registry, r.machines
+	r.planner.names, r.planner.jobTable, r.planner.registry, r.planner.machines = r.names, r.jobTable, r.registry, r.machines
 	r.planner.takeover, r.planner.work = r.takeover, r.work
-	r.work.names, r.work.book, r.work.registry, r.work.machines = r.names, r.book, r.registry, r.machines
+	r.work.names, r.work.jobTable, r.work.registry, r.work.machines = r.names, r.jobTable, r.registry, r.machines
 	r.work.endings, r.work.results = r.endings, r.results
 	r.writer.registry = r.registry
 	r.shares.names, r.shares.machines, r.shares.takeover, r.shares.work, r.shares.commands = r.names, r.machines, r.takeover, r.work, r.commands
 	r.commands.shares, r.machines.shares, r.takeover.shares = r.shares, r.shares, r.shares
-	r.rollouts.names, r.rollouts.book, r.rollouts.endings, r.rollouts.work, r.rollouts.takeover = r.names, r.book, r.endings, r.work, r.takeover
+	r.rollouts.names, r.rollouts.jobTable, r.rollouts.endings, r.rollouts.work, r.rollouts.takeover = r.names, r.jobTable, r.endings, r.work, r.takeover
 	r.rollouts.groups, r.work.rollouts, r.takeover.rollouts = r.groups, r.rollouts, r.rollouts
-	r.agenda.names, r.agenda.book, r.agenda.takeover, r.agenda.holds, r.agenda.drains = r.names, r.book, r.takeover, r.holds, r.drains
-	r.holds.names, r.holds.book, r.holds.agenda, r.holds.drains, r.holds.machines = r.names, r.book, r.agenda, r.drains, r.machines
+	r.calendarStore.names, r.calendarStore.jobTable, r.calendarStore.takeover, r.calendarStore.holds, r.calendarStore.drains = r.names, r.jobTable, r.takeover, r.holds, r.drains
+	r.holds.names, r.holds.jobTable, r.holds.calendarStore, r.holds.drains, r.holds.machines = r.names, r.jobTable, r.calendarStore, r.drains, r.machines
 	r.holds.planner, r.holds.rollouts = r.planner, r.rollouts
-	r.drains.names, r.drains.book, r.drains.agenda, r.drains.holds, r.drains.work = r.names, r.book, r.agenda, r.holds, r.work
-	r.planner.agenda, r.planner.holds, r.planner.drains = r.agenda, r.holds, r.drains
+	r.drains.names, r.drains.jobTable, r.drains.calendarStore, r.drains.holds, r.drains.work = r.names, r.jobTable, r.calendarStore, r.holds, r.work
+	r.planner.calendarStore, r.planner.holds, r.planner.drains = r.calendarStore, r.holds, r.drains
 	r.machines.holds, r.machines.drains, r.work.holds = r.holds, r.drains, r.holds
-	r.takeover.agenda, r.takeover.holds, r.takeover.drains = r.agenda, r.holds, r.drains
-	r.teams.names, r.teams.book, r.teams.takeover, r.teams.admission, r.teams.homeTeams = r.names, r.book, r.takeover, r.admission, r.homeTeams
-	r.planner.teams, r.admission.teams, r.agenda.teams, r.rollouts.teams = r.teams, r.teams, r.teams, r.teams
+	r.takeover.calendarStore, r.takeover.holds, r.takeover.drains = r.calendarStore, r.holds, r.drains
+	r.teams.names, r.teams.jobTable, r.teams.takeover, r.teams.admission, r.teams.homeTeams = r.names, r.jobTable, r.takeover, r.admission, r.homeTeams
+	r.planner.teams, r.admission.teams, r.calendarStore.teams, r.rollouts.teams = r.teams, r.teams, r.teams, r.teams
 	r.takeover.teams, r.takeover.homeTeams = r.teams, r.homeTeams
 	r.groups.writer, r.groups.results = r.writer, r.results
-	r.admission.groups, r.admission.results, r.endings.groups, r.book.groups, r.takeover.groups = r.groups, r.results, r.groups, r.groups, r.groups
+	r.admission.groups, r.admission.results, r.endings.groups, r.jobTable.groups, r.takeover.groups = r.groups, r.results, r.groups, r.groups, r.groups
 }
 
-func (r *reign) run() {
+func (r *leaderTerm) run() {
 	if !r.takeover.load() {
 		return
 	}
@@ -220,7 +220,7 @@
 const turnEvery = 100 * time.Millisecond
 
 // serve takes what users ask, and stores what they have submitted.
-func (r *reign) serve() {
+func (r *leaderTerm) serve() {
 	for n := len(r.users); n > 0; n-- {
 		f := <-r.users
 		f()
@@ -233,7 +233,7 @@
 
 // report takes in a worker's check-in and answers it; via is the member that has
 // handed it on.
-func (r *reign) report(m *wire.Report, via string, back func(*peer.Reply)) {
+func (r *leaderTerm) report(m *wire.Report, via string, back func(*peer.Reply)) {
 	now := time.Now()
 	if r.machines.gone(m.Host) {
 		// A late message of a machine that is gone must not bring it back.
@@ -275,7 +275,7 @@
 const scanEvery = 100 * time.Millisecond
 
 // turn is what the actor does after each batch of messages.
-func (r *reign) turn(now time.Time) {
+func (r *leaderTerm) turn(now time.Time) {
 	scan := now.Sub(r.scanAt) >= scanEvery
 	if scan {
 		r.scanAt = now
@@ -305,11 +305,11 @@
 		return
 	}
 	r.rollouts.step(now)
-	r.agenda.step(now)
+	r.calendarStore.step(now)
 	r.planner.expire(now)
 	r.c.Meter.Set(meter.Machines, len(r.fleet.Hosts))
-	r.c.Meter.Set(meter.Jobs, len(r.book.all()))
+	r.c.Meter.Set(meter.Jobs, len(r.jobTable.all()))
 	r.commands.fence(now)
-	r.book.sweep()
+	r.jobTable.sweep()
 	r.registry.sweepNotes()
 }
--- a/internal/control/parts_test.go
+++ b/internal/control/parts_test.go
@@ -29,8 +29,8 @@
 		all = append(all, parsed)
 	}
 	fields := structs(all)
-	parts := map[string]bool{} // a part is held by the reign under the name of its type
-	for name, typ := range fields["reign"] {
+	parts := map[string]bool{} // a part is held by the term under the name of its type
+	for name, typ := range fields["leaderTerm"] {
 		parts[name] = typ == name
 	}
 	if len(parts) < 10 {
@@ -56,7 +56,7 @@
 					return true
 				}
 				// The composition itself may tie a part to another.
-				if to, has := fields[inner.Sel.Name][outer.Sel.Name]; has && !(owner == "reign" && parts[to]) {
+				if to, has := fields[inner.Sel.Name][outer.Sel.Name]; has && !(owner == "leaderTerm" && parts[to]) {
 					t.Errorf("%s: %s reaches into %s.%s", set.Position(outer.Pos()), fn.Name.Name, inner.Sel.Name, outer.Sel.Name)
 				}
 				return true
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -33,16 +33,16 @@
 // planner makes plans and carries them out: what is placed, stopped and kept.
 type planner struct {
 	*core
-	names    *names
-	book     *book
-	registry *registry
-	machines *machines
-	takeover *takeover
-	work     *work
-	agenda   *agenda
-	holds    *holds
-	drains   *drains
-	teams    *teams
+	names         *names
+	jobTable      *jobTable
+	registry      *registry
+	machines      *machines
+	takeover      *takeover
+	work          *work
+	calendarStore *calendarStore
+	holds         *holds
+	drains        *drains
+	teams         *teams
 
 	keeps     map[*fleet.Host]keep
 	attempts  uint64 // made in this term
@@ -86,9 +86,9 @@
 	if !pl.takeover.settle(now) {
 		return
 	}
-	if len(pl.book.strange()) > 0 {
+	if len(pl.jobTable.strange()) > 0 {
 		// What a stranger takes is not counted for any team yet.
-		for j := range pl.book.strange() {
+		for j := range pl.jobTable.strange() {
 			if len(j.Live) > 0 {
 				return
 			}
@@ -108,7 +108,7 @@
 	plan := place.Make(in)
 	attempts := map[*job.Job]uint64{}
 	for _, a := range plan.Assign {
-		j := pl.book.at(in.Demands[a.Demand].ID)
+		j := pl.jobTable.at(in.Demands[a.Demand].ID)
 		h := ms[a.Machine]
 		n := attempts[j]
 		switch {
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, p := range plan.Preempt {
-		j, h := pl.book.at(in.Demands[p.Demand].ID), ms[p.Machine]
+		j, h := pl.jobTable.at(in.Demands[p.Demand].ID), ms[p.Machine]
 		pl.log.Info("making room", "job", j.ID, "host", h.Name, "stops", len(p.Victims))
 		pl.keeps[h] = keep{job: j, until: now.Add(15 * time.Second)}
 		for _, v := range p.Victims {
@@ -148,7 +148,7 @@
 		if plan.Short[i] == 0 {
 			continue
 		}
-		j := pl.book.at(d.ID)
+		j := pl.jobTable.at(d.ID)
 		if pl.holds.covers(j) {
 			continue
 		}
@@ -163,7 +163,7 @@
 			if i == 5 {
 				break
 			}
-			j := pl.book.at(w.Demand.ID)
+			j := pl.jobTable.at(w.Demand.ID)
 			pl.log.Info("no machine has room", "job", j.ID, "class", j.Class, "tasks", w.Count, "waited", w.Waited)
 		}
 	}
@@ -192,7 +192,7 @@
 			Guarantee: place.Amount{CPUs: t.CPUs, GPUs: t.GPUs},
 			Limit:     place.Amount{CPUs: t.CPUsMax, GPUs: t.GPUsMax}})
 	}
-	for _, j := range pl.book.all() {
+	for _, j := range pl.jobTable.all() {
 		if j.TeamIdx < 0 {
 			continue
 		}
@@ -216,17 +216,17 @@
 			slowest = min(slowest, r)
 		}
 	}
-	for _, j := range pl.book.all() {
-		if j.Phase != "" || j.Closing != "" || pl.book.stranger(j) || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] || pl.agenda.waits(j, now) {
+	for _, j := range pl.jobTable.all() {
+		if j.Phase != "" || j.Closing != "" || pl.jobTable.stranger(j) || now.Before(j.NotBefore) || j.TeamIdx < 0 || blocked[j] || pl.calendarStore.waits(j, now) {
 			continue
 		}
 		if j.Waiting() <= 0 || (j.Shape == job.Gang && (j.GangBroken || j.GangRan)) {
 			continue
 		}
-		d := place.Demand{ID: pl.book.index(j), Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
+		d := place.Demand{ID: pl.jobTable.index(j), Shape: j.Shape, Rank: j.Rank, Team: j.TeamIdx,
 			Need: place.Amount{CPUs: j.CPUs, GPUs: j.GPUs, MemGB: j.MemGB}, TypeOK: j.TypeOK, Zone: j.ZoneIdx,
 			OneZone: j.OneZone, Spread: j.Spread, Spot: j.Spot, Image: j.ImageIdx, ImageGB: j.ImageGB, LastMachine: j.LastHost,
-			Total: j.Tasks, Waiting: j.Waiting(), InZone: pl.inZone(j), LatestStart: pl.book.latestStart(j)}
+			Total: j.Tasks, Waiting: j.Waiting(), InZone: pl.inZone(j), LatestStart: pl.jobTable.latestStart(j)}
 		waited := now.Sub(j.WaitFrom)
 		d.Waited = waited.Seconds()
 		d.Overdue = now.Sub(j.Submitted) > overdueAfter && j.DoneCount == 0 && len(j.Live) == 0
@@ -257,7 +257,7 @@
 		if len(d.Pending) == 0 {
 			continue
 		}
-		if pl.agenda.on() {
+		if pl.calendarStore.on() {
 			d.EndsIn, d.Movable = pl.holds.needs(j, now), j.Shape == job.Service || j.Checkpoint > 0
 			d.HeldOnly = j.Booking != "" && pl.holds.enough(j, len(d.Pending))
 		}
@@ -306,7 +306,7 @@
 			}
 		}
 		if k, ok := pl.keeps[h]; ok {
-			m.KeptFor, m.Reserved = pl.book.index(k.job), k.reserved
+			m.KeptFor, m.Reserved = pl.jobTable.index(k.job), k.reserved
 			m.Kept = place.Amount{CPUs: k.job.CPUs, GPUs: k.job.GPUs, MemGB: k.job.MemGB}
 		}
 		pl.holds.mark(&m, h, now)
@@ -319,7 +319,7 @@
 		late := func(j *job.Job) bool {
 			was, known := lates[j]
 			if !known {
-				was = pl.book.latestStart(j)-now.Sub(pl.since).Seconds() < lateS
+				was = pl.jobTable.latestStart(j)-now.Sub(pl.since).Seconds() < lateS
 				lates[j] = was
 			}
 			return was
@@ -391,7 +391,7 @@
 		if s.On() || (s.Job.IsDone(s.Task) && s.Job.Shape != job.Service) {
 			continue
 		}
-		if id := pl.book.index(s.Job); id != 0 {
+		if id := pl.jobTable.index(s.Job); id != 0 {
 			if out == nil {
 				out = map[place.Task]bool{}
 			}
@@ -417,7 +417,7 @@
 	looked := map[*job.Job]bool{}
 	for i := range in.Demands {
 		if in.Demands[i].Preempts {
-			looked[pl.book.at(in.Demands[i].ID)] = true
+			looked[pl.jobTable.at(in.Demands[i].ID)] = true
 		}
 	}
 	for h, k := range pl.keeps {
@@ -426,7 +426,7 @@
 		}
 	}
 	for _, c := range chosen {
-		pl.keeps[ms[c.Machine]] = keep{job: pl.book.at(in.Demands[c.Demand].ID), until: now.Add(4 * preemptEvery), reserved: true}
+		pl.keeps[ms[c.Machine]] = keep{job: pl.jobTable.at(in.Demands[c.Demand].ID), until: now.Add(4 * preemptEvery), reserved: true}
 	}
 }
 
--- a/internal/control/registry.go
+++ b/internal/control/registry.go
@@ -48,7 +48,7 @@
 
 type note struct {
 	id, team string
-	job      *job.Job // nil: not known to this reign, or over
+	job      *job.Job // nil: not known to this term, or over
 	// sure is what the record says whatever became of the last write; want is
 	// what it has to say.
 	sure, want job.Set
@@ -107,7 +107,7 @@
 type registry struct {
 	*core
 	names    *names
-	book     *book
+	jobTable *jobTable
 	takeover *takeover
 	writer   *writer
 
@@ -534,7 +534,7 @@
 		return
 	}
 	for id, n := range g.notes {
-		if g.book.get(id) == nil {
+		if g.jobTable.get(id) == nil {
 			g.forget(n)
 		}
 	}
--- a/internal/control/registry_test.go
+++ b/internal/control/registry_test.go
@@ -12,14 +12,14 @@
 	"vetchstream/internal/wire"
 )
 
-// shelf is the state service as the registry sees it.
-type shelf struct {
+// fakeState is the state service as the registry sees it.
+type fakeState struct {
 	rev uint64
 	kv  map[string]state.Entry
 }
 
 // apply runs a transaction, or reports that a condition fails.
-func (s *shelf) apply(txn state.Txn) (uint64, error) {
+func (s *fakeState) apply(txn state.Txn) (uint64, error) {
 	for _, c := range txn.If[1:] {
 		if s.kv[c.Key].Version != c.Version {
 			return 0, state.ErrConflict
@@ -33,7 +33,7 @@
 }
 
 // names reads which machines the stored records name for a job.
-func (s *shelf) names(t *testing.T, id string) map[int]bool {
+func (s *fakeState) names(t *testing.T, id string) map[int]bool {
 	t.Helper()
 	out := map[int]bool{}
 	for _, e := range s.kv {
@@ -57,14 +57,14 @@
 }
 
 type registryBed struct {
-	*reign
-	t     *testing.T
-	shelf *shelf
-	now   time.Time
+	*leaderTerm
+	t         *testing.T
+	fakeState *fakeState
+	now       time.Time
 }
 
 func newRegistryBed(t *testing.T) *registryBed {
-	b := &registryBed{reign: bench(t), t: t, shelf: &shelf{kv: map[string]state.Entry{}}, now: time.Unix(1000, 0)}
+	b := &registryBed{leaderTerm: bench(t), t: t, fakeState: &fakeState{kv: map[string]state.Entry{}}, now: time.Unix(1000, 0)}
 	b.learn([]wire.MachineType{{Name: "small", CPUs: 8, MemGB: 16, Zones: []string{"a"}}})
 	b.registry.limit = newRegistry(b.core, 16).limit
 	b.takeover.ready = true
@@ -91,7 +91,7 @@
 	found := map[*page]uint64{}
 	if errors.Is(err, state.ErrConflict) {
 		for _, s := range out {
-			found[s.page] = b.shelf.kv[s.page.key].Version
+			found[s.page] = b.fakeState.kv[s.page.key].Version
 		}
 	}
 	b.registry.stored(out, version, found, err)
@@ -111,7 +111,7 @@
 	if h == nil {
 		h = b.fleet.AddAt(name, 64*words-1, b.now)
 	}
-	b.registry.note(b.book.get(id), h)
+	b.registry.note(b.jobTable.get(id), h)
 }
 
 // noted puts a job's note on a page.
@@ -128,8 +128,8 @@
 // stored records name for it.
 func (b *registryBed) sound() {
 	b.t.Helper()
-	for id, j := range b.book.all() {
-		named := b.shelf.names(b.t, id)
+	for id, j := range b.jobTable.all() {
+		named := b.fakeState.names(b.t, id)
 		for i := range 64 * len(j.Noted) {
 			if j.Noted.Has(i) && !named[i] {
 				b.t.Errorf("job %s may be launched on machine %d, which no record names", id, i)
@@ -141,7 +141,7 @@
 // TestRegistry: point 6 of docs/safety.md, for records that cover many machines.
 func TestRegistry(t *testing.T) {
 	gang := func(b *registryBed, id string) *job.Job {
-		return b.book.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 1}}, 1, b.now)
+		return b.jobTable.add(&job.Record{Spec: job.Spec{ID: id, ShapeName: "ensemble", RankName: "idle", Tasks: 2, CPUs: 1}}, 1, b.now)
 	}
 	tests := []struct {
 		name string
@@ -152,7 +152,7 @@
 			for i := range 60 {
 				b.assign(j, int32(i), b.up(fmt.Sprintf("h%d", i)))
 			}
-			if n := len(b.store(b.shelf.apply).Writes); n != 2 {
+			if n := len(b.store(b.fakeState.apply).Writes); n != 2 {
 				b.t.Errorf("%d writes, want 2: a page of machines and one of jobs", n)
 			}
 			for i := range 60 {
@@ -169,8 +169,8 @@
 				b.t.Error("launched on the word of an unclear write")
 			}
 			b.assign(j, 1, b.up("h1"))
-			b.store(b.shelf.apply)
-			if _, err := b.shelf.apply(late); err == nil {
+			b.store(b.fakeState.apply)
+			if _, err := b.fakeState.apply(late); err == nil {
 				b.t.Error("the late write was applied")
 			}
 			b.sound()
@@ -179,11 +179,11 @@
 			j := b.array("run-1")
 			b.assign(j, 0, b.up("h0"))
 			late := b.store(lost)
-			if _, err := b.shelf.apply(late); err != nil {
+			if _, err := b.fakeState.apply(late); err != nil {
 				b.t.Fatal(err)
 			}
-			b.store(b.shelf.apply) // conflicts
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply) // conflicts
+			b.store(b.fakeState.apply)
 			if !j.Noted.Has(0) {
 				b.t.Error("not noted after the conflict")
 			}
@@ -191,7 +191,7 @@
 		{"a gang's note shrinks to where it may be, and only then", func(b *registryBed) {
 			j := gang(b, "run-1")
 			b.assign(j, 0, b.up("h0"))
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply)
 			for s := range b.fleet.On(j) {
 				b.fleet.Stop(s, 0)
 			}
@@ -200,7 +200,7 @@
 			if j.Noted.Has(0) || j.Noted.Has(1) {
 				b.t.Error("what only one of the two records names may be launched")
 			}
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply)
 			if j.Noted.Has(0) || !j.Noted.Has(1) {
 				b.t.Error("the new place is not the noted one")
 			}
@@ -209,25 +209,25 @@
 			for i := range 40 {
 				b.assign(b.array(fmt.Sprintf("run-%d", i)), 0, b.up(fmt.Sprintf("h%d", i)))
 			}
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply)
 			b.registry.limit = 1000
 			for i := range 40 {
-				b.assign(b.book.get(fmt.Sprintf("run-%d", i)), 1, b.host(fmt.Sprintf("h%d", (i+1)%40)))
+				b.assign(b.jobTable.get(fmt.Sprintf("run-%d", i)), 1, b.host(fmt.Sprintf("h%d", (i+1)%40)))
 			}
 			for _, p := range b.registry.pages {
 				p.urgent = true
 			}
 			for n := range 30 {
-				b.store([]func(state.Txn) (uint64, error){b.shelf.apply, lost}[n%2])
+				b.store([]func(state.Txn) (uint64, error){b.fakeState.apply, lost}[n%2])
 			}
-			for k, e := range b.shelf.kv {
+			for k, e := range b.fakeState.kv {
 				if len(e.Value) > 1000 {
 					b.t.Errorf("page %s has %d bytes", k, len(e.Value))
 				}
 			}
 			next := newRegistryBed(b.t)
 			var hosts, notes []state.Entry
-			for k, e := range b.shelf.kv {
+			for k, e := range b.fakeState.kv {
 				if k[0] == hostPrefix[0] {
 					hosts = append(hosts, e)
 				} else {
@@ -258,10 +258,10 @@
 			b.grow("run-3", 70)
 			b.store(lost) // and run-4 to where it has made room
 			for range 6 {
-				b.store(b.shelf.apply)
+				b.store(b.fakeState.apply)
 			}
 			for id, w := range map[string]int{"run-1": 60, "run-2": 30, "run-3": 70, "run-4": 15} {
-				if !b.book.get(id).Noted.Has(64*w - 1) {
+				if !b.jobTable.get(id).Noted.Has(64*w - 1) {
 					b.t.Errorf("%s is never noted", id)
 				}
 			}
@@ -273,10 +273,10 @@
 			b.noted(p, "run-2", 10)
 			b.noted(p, "run-3", 30) // goes to a page of its own
 			for w := range 9 {
-				b.store(b.shelf.apply)
+				b.store(b.fakeState.apply)
 				b.grow("run-3", 29-w) // and is in demand before each store
 			}
-			if !b.book.jobs["run-1"].Noted.Has(64*60 - 1) {
+			if !b.jobTable.jobs["run-1"].Noted.Has(64*60 - 1) {
 				b.t.Error("never noted")
 			}
 		}},
@@ -286,7 +286,7 @@
 				b.up(fmt.Sprintf("h%d", i))
 			}
 			for range 10 {
-				b.store(b.shelf.apply)
+				b.store(b.fakeState.apply)
 			}
 			first, last := b.registry.pages[0], b.registry.pages[len(b.registry.pages)-1]
 			b.registry.leave(last.hosts[0])
@@ -296,7 +296,7 @@
 				}
 				b.now = b.now.Add(staleEvery)
 				if out, txn := b.registry.take(b.now, 4, true); len(out) > 0 {
-					version, err := b.shelf.apply(txn)
+					version, err := b.fakeState.apply(txn)
 					b.registry.stored(out, version, nil, err)
 				}
 				if i == 0 && first.stale && last.stale {
@@ -309,7 +309,7 @@
 		}},
 		{"an index is used again only when no record names its machine", func(b *registryBed) {
 			h := b.up("h0")
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply)
 			b.fleet.Remove(h)
 			if b.registry.leave(h) {
 				b.t.Fatal("free while the record names it")
@@ -317,7 +317,7 @@
 			if b.up("h1").Idx == h.Idx {
 				b.t.Error("used again at once")
 			}
-			b.store(b.shelf.apply)
+			b.store(b.fakeState.apply)
 			if got := b.up("h2").Idx; got != h.Idx {
 				b.t.Errorf("index %d, want %d", got, h.Idx)
 			}
@@ -325,8 +325,8 @@
 		{"the note of a job that is over goes when the takeover is settled", func(b *registryBed) {
 			j := b.array("run-1")
 			b.assign(j, 0, b.up("h0"))
-			b.store(b.shelf.apply)
-			delete(b.book.jobs, "run-1")
+			b.store(b.fakeState.apply)
+			delete(b.jobTable.jobs, "run-1")
 			b.takeover.ready = false
 			b.registry.sweepNotes()
 			if b.registry.notes["run-1"] == nil {
@@ -335,8 +335,8 @@
 			b.takeover.ready = true
 			b.registry.sweepNotes()
 			b.now = b.now.Add(time.Minute)
-			b.store(b.shelf.apply)
-			if len(b.shelf.names(b.t, "run-1")) != 0 {
+			b.store(b.fakeState.apply)
+			if len(b.fakeState.names(b.t, "run-1")) != 0 {
 				b.t.Error("still named")
 			}
 		}},
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -19,7 +19,7 @@
 type machines struct {
 	*core
 	names    *names
-	book     *book
+	jobTable *jobTable
 	registry *registry
 	takeover *takeover
 	planner  *planner
@@ -133,7 +133,7 @@
 func (mc *machines) newTypes(types []wire.MachineType) {
 	first := len(mc.names.list()) == 0
 	mc.names.learn(types)
-	mc.book.rebind()
+	mc.jobTable.rebind()
 	mc.c.mu.Lock()
 	mc.c.types = mc.names.list()
 	mc.c.mu.Unlock()
@@ -356,7 +356,7 @@
 			continue
 		}
 		n++
-		j := mc.book.at(d.ID)
+		j := mc.jobTable.at(d.ID)
 		w.Room = make([]int, len(mc.names.zoneNames()))
 		for _, h := range mc.fleet.All() {
 			t := mc.names.typeOf(h)
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -27,7 +27,7 @@
 type rollouts struct {
 	*core
 	names    *names
-	book     *book
+	jobTable *jobTable
 	endings  *endings
 	work     *work
 	takeover *takeover
@@ -115,7 +115,7 @@
 func (ro *rollouts) tie(s *service) {
 	var jobs []*job.Job
 	for _, id := range []string{s.rec.Handle, s.rec.Current, s.rec.Next} {
-		if j := ro.book.sound(id); j != nil && !slices.Contains(jobs, j) {
+		if j := ro.jobTable.sound(id); j != nil && !slices.Contains(jobs, j) {
 			jobs = append(jobs, j)
 		}
 	}
@@ -155,7 +155,7 @@
 
 // advance stores a service's next step, or carries out the one that is stored.
 func (ro *rollouts) advance(s *service, down map[string]bool, now time.Time) {
-	if s.writing || (s.rests && len(s.asked) == 0 && !gone(ro.book.sound(s.rec.Handle))) {
+	if s.writing || (s.rests && len(s.asked) == 0 && !gone(ro.jobTable.sound(s.rec.Handle))) {
 		return
 	}
 	ro.tie(s)
@@ -172,7 +172,7 @@
 		changed, told = changed || did, append(told, tell)
 	}
 	s.asked = nil
-	if next.State != rollout.Failed && ro.book.sound(next.Next) == nil && !next.State.Over() {
+	if next.State != rollout.Failed && ro.jobTable.sound(next.Next) == nil && !next.State.Over() {
 		changed = rollout.Undo(next, now) || changed // its job was cancelled
 	}
 	changed = rollout.Step(next, view, s.gate) || changed
@@ -254,9 +254,9 @@
 
 // view is what is seen of a service.
 func (ro *rollouts) view(s *service, down map[string]bool, now time.Time) *rollout.View {
-	old, next := ro.book.sound(s.rec.Current), ro.book.sound(s.rec.Next)
+	old, next := ro.jobTable.sound(s.rec.Current), ro.jobTable.sound(s.rec.Next)
 	v := &rollout.View{Now: now, Down: down, Old: ro.copies(old, now), New: ro.copies(next, now)}
-	v.Cancelled = gone(ro.book.sound(s.rec.Handle)) || gone(old)
+	v.Cancelled = gone(ro.jobTable.sound(s.rec.Handle)) || gone(old)
 	v.Blind = s.rec.Spec.Check != nil && ro.blind(old, next)
 	if n := len(v.Old); len(v.New) < n {
 		v.New = append(v.New, make([]rollout.Copy, n-len(v.New))...)
@@ -308,14 +308,14 @@
 // apply lets the planner and the workers follow the stored record.
 func (ro *rollouts) apply(s *service, v *rollout.View) {
 	w := rollout.Wanted(s.rec, v)
-	old, next := ro.book.sound(s.rec.Current), ro.book.sound(s.rec.Next)
+	old, next := ro.jobTable.sound(s.rec.Current), ro.jobTable.sound(s.rec.Next)
 	if old != nil {
 		ro.quota(old, func(i int) (bool, string) { return i < len(w.Old) && w.Old[i], "" })
 	}
 	if next != nil {
 		ro.quota(next, func(i int) (bool, string) { return i < len(w.New) && w.New[i].Wanted, w.New[i].Zone })
 	}
-	if h := ro.book.sound(s.rec.Handle); h != nil && h != old && h != next {
+	if h := ro.jobTable.sound(s.rec.Handle); h != nil && h != old && h != next {
 		ro.quota(h, func(int) (bool, string) { return false, "" })
 	}
 	if !s.rec.State.Over() {
@@ -411,7 +411,7 @@
 // status is what an operator is shown.
 func (ro *rollouts) status(s *service) rollout.Status {
 	now := time.Now()
-	return rollout.Tell(s.rec, &rollout.View{Now: now, Old: ro.copies(ro.book.sound(s.rec.Current), now), New: ro.copies(ro.book.sound(s.rec.Next), now)})
+	return rollout.Tell(s.rec, &rollout.View{Now: now, Old: ro.copies(ro.jobTable.sound(s.rec.Current), now), New: ro.copies(ro.jobTable.sound(s.rec.Next), now)})
 }
 
 // start stores a new roll-out together with the job of its next version.
@@ -452,7 +452,7 @@
 		refuse(http.StatusTooManyRequests, "too many services have roll-outs")
 		return
 	}
-	was := ro.book.sound(current)
+	was := ro.jobTable.sound(current)
 	switch {
 	case current == "":
 		refuse(http.StatusBadRequest, "from: missing in a service's first roll-out")
@@ -518,8 +518,8 @@
 				back(p)
 				return
 			}
-			if ro.book.sound(id) == nil {
-				ro.book.add(next, v, time.Now())
+			if ro.jobTable.sound(id) == nil {
+				ro.jobTable.add(next, v, time.Now())
 			}
 			s := &service{rec: rec, version: v}
 			ro.adopt(s)
--- a/internal/control/rollouts_test.go
+++ b/internal/control/rollouts_test.go
@@ -13,7 +13,7 @@
 
 // rolling is a leader with services of which each has a roll-out under way, every
 // old copy running.
-func rolling(tb testing.TB, services, replicas int) (*reign, time.Time) {
+func rolling(tb testing.TB, services, replicas int) (*leaderTerm, time.Time) {
 	tb.Helper()
 	r := bench(tb)
 	r.c.Tuning.Rollouts.Enabled = true
@@ -24,13 +24,13 @@
 	for i := range max(2, services*replicas/20) {
 		h := r.host(fmt.Sprintf("h%d", i))
 		r.names.describe(h, "small", []string{"a", "b"}[i%2], false)
-		r.fleet.Observe(h, &wire.Report{Host: h.Name, Addr: "10.0.0.1:1", Session: 1, Seq: 1, Token: r.term}, true, now, r.book.find)
+		r.fleet.Observe(h, &wire.Report{Host: h.Name, Addr: "10.0.0.1:1", Session: 1, Seq: 1, Token: r.term}, true, now, r.jobTable.find)
 		h.Durable = true
 		hosts = append(hosts, h)
 	}
 	for i := range services {
 		spec := job.Spec{ID: fmt.Sprintf("run-%d", i), ShapeName: "daemon", RankName: "idle", Tasks: replicas, CPUs: 1}
-		old := r.book.add(&job.Record{Spec: spec}, 1, now)
+		old := r.jobTable.add(&job.Record{Spec: spec}, 1, now)
 		zones := make([]string, replicas)
 		for t := range replicas {
 			h := hosts[(i*replicas+t)%len(hosts)]
@@ -39,7 +39,7 @@
 			zones[t] = r.names.zoneNames()[h.Zone]
 		}
 		spec.ID = fmt.Sprintf("run-%d", 10_000+i)
-		r.book.add(&job.Record{Spec: spec}, 1, now)
+		r.jobTable.add(&job.Record{Spec: spec}, 1, now)
 		rs := &rollout.Spec{Service: fmt.Sprintf("s%d", i), To: rollout.Target{ID: spec.ID, Image: "next"}}
 		rec := rollout.New(rs, old.ID, old.ID, zones, now)
 		rec.State = rollout.Advancing
@@ -71,7 +71,7 @@
 			r.takeover.ready = tt.settled
 			r.rollouts.step(now)
 			count := func(id string) (n int) {
-				j := r.book.get(id)
+				j := r.jobTable.get(id)
 				for i := range int32(j.Tasks) {
 					if j.May(i) {
 						n++
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -21,21 +21,21 @@
 // machines may still run what it has not seen.
 type takeover struct {
 	*core
-	names     *names
-	book      *book
-	registry  *registry
-	machines  *machines
-	admission *admission
-	endings   *endings
-	results   *results
-	groups    *groups
-	rollouts  *rollouts
-	agenda    *agenda
-	holds     *holds
-	drains    *drains
-	shares    *shares
-	teams     *teams
-	homeTeams *homeTeams
+	names         *names
+	jobTable      *jobTable
+	registry      *registry
+	machines      *machines
+	admission     *admission
+	endings       *endings
+	results       *results
+	groups        *groups
+	rollouts      *rollouts
+	calendarStore *calendarStore
+	holds         *holds
+	drains        *drains
+	shares        *shares
+	teams         *teams
+	homeTeams     *homeTeams
 
 	ready     bool // every machine of earlier leaders is settled
 	inherited []*fleet.Host
@@ -101,7 +101,7 @@
 func (tk *takeover) loaded() bool { return tk.read.Load() }
 
 // settled reports whether every machine of earlier leaders is settled: nothing
-// is on them but what this reign has seen.
+// is on them but what this term has seen.
 func (tk *takeover) settled() bool { return tk.ready }
 
 // around reports whether work may be placed around the machines that have not been heard
@@ -153,7 +153,7 @@
 	for _, h := range tk.inherited {
 		used := map[int]bool{}
 		for _, past := range h.Old {
-			if j := tk.book.get(past.ID); j != nil {
+			if j := tk.jobTable.get(past.ID); j != nil {
 				out[j] = true
 			}
 			if past.Team >= 0 {
@@ -237,7 +237,7 @@
 	jobs := map[string]bool{}
 	for _, h := range tk.inherited {
 		for _, past := range h.Old {
-			if j := tk.book.get(past.ID); j != nil && j.Phase == "" {
+			if j := tk.jobTable.get(past.ID); j != nil && j.Phase == "" {
 				jobs[past.ID] = true
 			}
 		}
@@ -264,11 +264,11 @@
 		}
 		tk.shares.begin(time.Now())
 		tk.read.Store(true)
-		tk.phases.load, tk.phases.machines, tk.phases.jobs = time.Now(), len(tk.fleet.Hosts), len(tk.book.all())
-		for _, j := range tk.book.all() {
+		tk.phases.load, tk.phases.machines, tk.phases.jobs = time.Now(), len(tk.fleet.Hosts), len(tk.jobTable.all())
+		for _, j := range tk.jobTable.all() {
 			tk.phases.tasks += j.Tasks - j.DoneCount
 		}
-		tk.log.Info("loaded", "jobs", len(tk.book.all()), "hosts", len(tk.fleet.Hosts))
+		tk.log.Info("loaded", "jobs", len(tk.jobTable.all()), "hosts", len(tk.fleet.Hosts))
 		return true
 	}
 	return false
@@ -303,7 +303,7 @@
 	if err != nil {
 		return err
 	}
-	bs, ws, err := tk.agenda.list()
+	bs, ws, err := tk.calendarStore.list()
 	if err != nil {
 		return err
 	}
@@ -318,7 +318,7 @@
 	// From here on nothing of a try that failed half-way may be left.
 	tk.fleet = fleet.New(tk.term, config.Seconds(tk.c.Settings.Facts.Workers.LeaseS))
 	tk.registry.reset()
-	tk.book.reset()
+	tk.jobTable.reset()
 	tk.results.reset()
 	tk.endings.reset()
 	tk.groups.reset()
@@ -339,7 +339,7 @@
 			tk.endings.remember(rec)
 			return
 		}
-		tk.book.add(rec, 0, submitted(rec))
+		tk.jobTable.add(rec, 0, submitted(rec))
 	})
 	unreadable := map[string]bool{}
 	for _, e := range js {
@@ -358,8 +358,8 @@
 			tk.endings.inherit(&rec, e.Version)
 			continue
 		}
-		if tk.book.get(rec.Spec.ID) == nil {
-			tk.book.add(&rec, e.Version, submitted(&rec))
+		if tk.jobTable.get(rec.Spec.ID) == nil {
+			tk.jobTable.add(&rec, e.Version, submitted(&rec))
 		}
 	}
 	for _, e := range ds {
@@ -374,7 +374,7 @@
 				}
 			}
 		}
-		j := tk.book.get(id)
+		j := tk.jobTable.get(id)
 		if unreadable[id] || (j == nil && tk.groups.doubtful()) {
 			continue
 		}
@@ -393,8 +393,8 @@
 	if err := tk.rollouts.load(rs); err != nil {
 		return err
 	}
-	tk.agenda.load(bs, ws)
-	for _, j := range tk.book.all() {
+	tk.calendarStore.load(bs, ws)
+	for _, j := range tk.jobTable.all() {
 		if j.Over() {
 			tk.endings.finish(j, wire.JobDone)
 		}
--- a/internal/control/teams.go
+++ b/internal/control/teams.go
@@ -33,7 +33,7 @@
 type teams struct {
 	*core
 	names     *names
-	book      *book
+	jobTable  *jobTable
 	takeover  *takeover
 	admission *admission
 	homeTeams *homeTeams
@@ -189,7 +189,7 @@
 func (tm *teams) usage() dynconfig.Uses {
 	all := make([]place.Team, len(tm.names.teamNames()))
 	busy := make([]bool, len(all))
-	for _, j := range tm.book.all() {
+	for _, j := range tm.jobTable.all() {
 		if j.TeamIdx < 0 {
 			continue
 		}
@@ -216,7 +216,7 @@
 // known reports whether it is known what the teams use: not before the machines of earlier
 // leaders are met, nor while a machine runs a task of a job whose record is not read.
 func (tm *teams) known() bool {
-	return tm.takeover.around() && len(tm.book.strange()) == 0
+	return tm.takeover.around() && len(tm.jobTable.strange()) == 0
 }
 
 const (
@@ -338,7 +338,7 @@
 	}
 	tm.replica.Stored(entries)
 	if added {
-		tm.book.rebind()
+		tm.jobTable.rebind()
 	}
 	tm.c.Meter.Set(meter.Revision, int(tm.replica.Revision()))
 	tm.changed()
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -14,7 +14,7 @@
 type work struct {
 	*core
 	names    *names
-	book     *book
+	jobTable *jobTable
 	registry *registry
 	machines *machines
 	endings  *endings
@@ -29,7 +29,7 @@
 		wk.names.describe(h, m.Type, m.Zone, m.Spot)
 	}
 	booting, deaf := h.Booting, h.Deaf()
-	res := wk.fleet.Observe(h, m, isReport, now, wk.book.find)
+	res := wk.fleet.Observe(h, m, isReport, now, wk.jobTable.find)
 	if res.Deposed {
 		wk.log.Info("a worker has seen a later term", "host", h.Name, "seen", m.Token)
 		wk.c.Deposed(m.Token)
@@ -131,7 +131,7 @@
 	for _, e := range ev {
 		s, j, h := e.Slot, e.Slot.Job, e.Slot.Host
 		wk.changed()
-		if wk.book.stranger(j) {
+		if wk.jobTable.stranger(j) {
 			s.Settled = e.Kind == fleet.Ended
 			continue
 		}
--- a/internal/emulate/users.go
+++ b/internal/emulate/users.go
@@ -20,7 +20,7 @@
 	starts   map[string]bool      // tasks that did
 	calm     time.Time            // when the last trouble was over; zero: it is not
 	lost     map[string]bool      // jobs that are noted as forgotten
-	cancels  map[string]bool      // jobs that were called off beside what their own users do
+	cancels  map[string]bool      // jobs that were cancelled beside what their own users do
 	idle     map[string]time.Time // job -> since when it waits beside room; not there: it does not
 }
 
@@ -98,7 +98,7 @@
 	return maps.Clone(w.judge.told)
 }
 
-// CallOff picks up to n accepted jobs that run and that nobody has called off, for users
+// CallOff picks up to n accepted jobs that run and that nobody has cancelled, for users
 // who do so now.
 func (w *World) CallOff(r *rand.Rand, n int) (out []*job.Spec) {
 	w.mu.Lock()
@@ -120,7 +120,7 @@
 	return out
 }
 
-// Ends lets f be told of each accepted job that nobody has called off, the moment its last
+// Ends lets f be told of each accepted job that nobody has cancelled, the moment its last
 // task has completed, and notes that its users may call it off now; nil: nobody is told.
 func (w *World) Ends(f func(*job.Spec)) {
 	w.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,7 +108,7 @@
 	Durable bool // in the registry
 	// Inherited: registered by an earlier leader and not settled since.
 	Inherited bool
-	// Old are the jobs that the registry named when this reign began; they hold
+	// Old are the jobs that the registry named when this term began; they hold
 	// until the machine is settled.
 	Old     []Past
 	Born    time.Time
@@ -333,7 +333,7 @@
 
 // Add returns the machine of that name, making it if need be. A machine that is
 // already registered may have been renewed by an earlier leader as late as
-// since, the start of this reign.
+// since, the start of this term.
 func (f *Fleet) Add(name string, since time.Time) *Host {
 	if h := f.Hosts[name]; h != nil {
 		return h
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -30,10 +30,10 @@
 	Term uint64 `codec:"term"`
 }
 
-// Reign is one time in the lead.
-type Reign struct {
+// Term is one time in the lead.
+type Term struct {
 	Term uint64
-	// TermVersion is the version of the term key that this reign wrote.
+	// TermVersion is the version of the term key that this term wrote.
 	TermVersion uint64
 	// Since is a moment at or after the end of every earlier entitlement.
 	Since time.Time
@@ -58,19 +58,19 @@
 	ttl    time.Duration
 	state  *state.Client
 	log    *slog.Logger
-	lead   func(ctx context.Context, r Reign)
-
-	mu       sync.Mutex
-	view     View
-	alive    time.Time // when a leader was last heard of
-	until    time.Time
-	reigning uint64
-	deposed  chan struct{}
-	pledge   *pledge
-	ask      Ask
-	asking   bool
-	carried  bool // the entitlement rests on promises
-	resigns  bool // the lease is not renewed any more
+	lead   func(ctx context.Context, r Term)
+
+	mu          sync.Mutex
+	view        View
+	alive       time.Time // when a leader was last heard of
+	until       time.Time
+	leadingTerm uint64
+	deposed     chan struct{}
+	pledge      *pledge
+	ask         Ask
+	asking      bool
+	carried     bool // the entitlement rests on promises
+	resigns     bool // the lease is not renewed any more
 	// notBefore holds a member back that has given the lead away.
 	notBefore time.Time
 }
@@ -84,9 +84,9 @@
 	e.pledge, e.ask = newPledge(length, siblings, time.Now()), ask
 }
 
-// New makes an elector; lead is run, with a context that ends with the reign,
+// New makes an elector; lead is run, with a context that ends with the term,
 // each time the member takes the lead.
-func New(member string, ttl time.Duration, st *state.Client, log *slog.Logger, lead func(context.Context, Reign)) *Elector {
+func New(member string, ttl time.Duration, st *state.Client, log *slog.Logger, lead func(context.Context, Term)) *Elector {
 	return &Elector{member: member, ttl: ttl, state: st, log: log, lead: lead, pledge: newPledge(0, nil, time.Now())}
 }
 
@@ -103,7 +103,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.reigning != term || term == 0 {
+	if e.leadingTerm != term || term == 0 {
 		return 0
 	}
 	return max(0, e.entitledUntil().Sub(now))
@@ -124,7 +124,7 @@
 // Promise answers a leader that asks whether this member campaigns. It does not for
 // the length of a promise if the state service refuses it as well.
 func (e *Elector) Promise(ctx context.Context, leader string, term uint64) bool {
-	// A member that keeps up a lapsed reign does not promise: if it did not learn here
+	// A member that keeps up a lapsed term does not promise: if it did not learn here
 	// that it is over, nobody would be entitled while the state service is out.
 	e.Heard(leader, term)
 	e.mu.Lock()
@@ -152,7 +152,7 @@
 func (e *Elector) Resign(term uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.reigning == term && term != 0 {
+	if e.leadingTerm == term && term != 0 {
 		e.resigns = true
 	}
 }
@@ -187,7 +187,7 @@
 				return
 			}
 			e.mu.Lock()
-			if e.reigning == term {
+			if e.leadingTerm == term {
 				e.pledge.take(m, asked, time.Now(), e.entitledUntil())
 			}
 			e.mu.Unlock()
@@ -199,7 +199,7 @@
 		e.mu.Lock()
 		e.asking = false
 		now := time.Now()
-		carried := e.reigning == term && now.After(e.until) && now.Before(e.pledge.until())
+		carried := e.leadingTerm == term && now.After(e.until) && now.Before(e.pledge.until())
 		was := e.carried
 		e.carried = carried
 		e.mu.Unlock()
@@ -224,7 +224,7 @@
 	if term > e.view.Term {
 		e.view.Leader, e.view.Term = leader, term
 	}
-	if e.reigning != 0 && term > e.reigning && e.deposed != nil {
+	if e.leadingTerm != 0 && term > e.leadingTerm && e.deposed != nil {
 		e.until = time.Time{}
 		close(e.deposed)
 		e.deposed = nil
@@ -367,14 +367,14 @@
 	e.mu.Lock()
 	alive := e.alive
 	e.mu.Unlock()
-	e.reign(ctx, Reign{Term: term, TermVersion: version, Since: time.Now(), Alive: alive, Restored: restored}, lease, begun)
+	e.leadFor(ctx, Term{Term: term, TermVersion: version, Since: time.Now(), Alive: alive, Restored: restored}, lease, begun)
 }
 
-func (e *Elector) reign(ctx context.Context, r Reign, lease uint64, begun time.Time) {
+func (e *Elector) leadFor(ctx context.Context, r Term, lease uint64, begun time.Time) {
 	rctx, cancel := context.WithCancel(ctx)
 	deposed := make(chan struct{})
 	e.mu.Lock()
-	e.reigning, e.until = r.Term, begun.Add(e.ttl-e.margin())
+	e.leadingTerm, e.until = r.Term, begun.Add(e.ttl-e.margin())
 	e.view = View{Leader: e.member, Term: r.Term, Seen: time.Now()}
 	e.deposed = deposed
 	e.mu.Unlock()
@@ -387,7 +387,7 @@
 	e.renew(rctx, r.Term, lease, deposed)
 	e.mu.Lock()
 	resigned := e.resigns
-	e.reigning, e.until, e.deposed, e.resigns = 0, time.Time{}, nil, false
+	e.leadingTerm, e.until, e.deposed, e.resigns = 0, time.Time{}, nil, false
 	if resigned {
 		e.notBefore = time.Now().Add(resignTime)
 	}
@@ -412,7 +412,7 @@
 }
 
 // renew keeps the lease until it is gone or a later term was heard of. In an
-// outage without promises the entitlement lapses but the reign goes on: leases have
+// outage without promises the entitlement lapses but the term goes on: leases have
 // their full time again afterwards, so the same term may resume once the state
 // service says that the lease is still there. Nobody else's word brings it back.
 func (e *Elector) renew(ctx context.Context, term, lease uint64, deposed <-chan struct{}) {
--- a/internal/lead/pledge.go
+++ b/internal/lead/pledge.go
@@ -54,7 +54,7 @@
 	return true
 }
 
-// rest ends the election, or the reign.
+// rest ends the election, or the term.
 func (p *pledge) rest() {
 	p.campaigns = false
 	clear(p.got)
--- a/internal/lead/pledge_test.go
+++ b/internal/lead/pledge_test.go
@@ -33,7 +33,7 @@
 type member struct {
 	p       *pledge
 	reigns  bool
-	term    int // of its last reign
+	term    int // of its last term
 	until   time.Time
 	trying  bool // an election that has begun and is not settled
 	refused bool // by the state service alone
--- a/internal/node/door.go
+++ b/internal/node/bounded_listener.go
@@ -22,12 +22,12 @@
 	return max(8, n-2*control.DirectCalls(n)-outgoing)
 }
 
-// door limits the connections that are open at a time. At the limit a new one
+// boundedListener limits the connections that are open at a time. At the limit a new one
 // takes the place of the one that has been idle for longest, so that a flood, or
 // a fleet that has moved on to another leader, does not shut out health checks
 // and users. Connections of workers that have tasks yield last: with more machines
 // than sockets their leases would run out while idle machines are served.
-type door struct {
+type boundedListener struct {
 	net.Listener
 	most int
 	// freed tells that a place or an idle connection may have come.
@@ -37,25 +37,25 @@
 
 	mu   sync.Mutex
 	open int
-	// idle and kept hold *doorConn, longest idle first; kept those of workers with tasks.
+	// idle and kept hold *boundedConn, longest idle first; kept those of workers with tasks.
 	idle, kept *list.List
 }
 
-type doorConn struct {
+type boundedConn struct {
 	net.Conn
-	d    *door
+	d    *boundedListener
 	once sync.Once
 	at   *list.Element // nil: a request is under way
 	in   *list.List    // that at is in
 	keep bool          // of a worker with tasks, by its last report
 }
 
-func newDoor(l net.Listener, most int) *door {
-	return &door{Listener: l, most: most, freed: make(chan struct{}, 1), ended: make(chan struct{}), idle: list.New(), kept: list.New()}
+func newBoundedListener(l net.Listener, most int) *boundedListener {
+	return &boundedListener{Listener: l, most: most, freed: make(chan struct{}, 1), ended: make(chan struct{}), idle: list.New(), kept: list.New()}
 }
 
 // Accept waits for a connection and for room for it.
-func (d *door) Accept() (net.Conn, error) {
+func (d *boundedListener) Accept() (net.Conn, error) {
 	c, err := d.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -68,17 +68,17 @@
 			return nil, net.ErrClosed
 		}
 	}
-	return &doorConn{Conn: c, d: d}, nil
+	return &boundedConn{Conn: c, d: d}, nil
 }
 
 // Close stops accepting, also while a connection waits for room.
-func (d *door) Close() error {
+func (d *boundedListener) Close() error {
 	d.once.Do(func() { close(d.ended) })
 	return d.Listener.Close()
 }
 
 // wake lets a connection that waits for room look again.
-func (d *door) wake() {
+func (d *boundedListener) wake() {
 	select {
 	case d.freed <- struct{}{}:
 	default:
@@ -86,20 +86,20 @@
 }
 
 // admit takes a place, for which it closes an idle connection at the limit.
-func (d *door) admit() bool {
+func (d *boundedListener) admit() bool {
 	d.mu.Lock()
 	if d.open < d.most {
 		d.open++
 		d.mu.Unlock()
 		return true
 	}
-	var oldest *doorConn
+	var oldest *boundedConn
 	e := d.idle.Front()
 	if e == nil {
 		e = d.kept.Front()
 	}
 	if e != nil {
-		oldest = e.Value.(*doorConn)
+		oldest = e.Value.(*boundedConn)
 		d.busy(oldest)
 	}
 	d.mu.Unlock()
@@ -117,7 +117,7 @@
 }
 
 // busy takes a connection off the list of idle ones; the caller holds the lock.
-func (d *door) busy(c *doorConn) {
+func (d *boundedListener) busy(c *boundedConn) {
 	if c.at != nil {
 		c.in.Remove(c.at)
 		c.at = nil
@@ -125,15 +125,15 @@
 }
 
 // keeps notes whether the connection is that of a worker with tasks.
-func (c *doorConn) keeps(work bool) {
+func (c *boundedConn) keeps(work bool) {
 	c.d.mu.Lock()
 	c.keep = work
 	c.d.mu.Unlock()
 }
 
 // state follows the server's connections.
-func (d *door) state(conn net.Conn, s http.ConnState) {
-	c, ok := conn.(*doorConn)
+func (d *boundedListener) state(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*boundedConn)
 	if !ok {
 		return
 	}
@@ -151,7 +151,7 @@
 }
 
 // Close closes the connection and gives its place back.
-func (c *doorConn) Close() error {
+func (c *boundedConn) Close() error {
 	c.once.Do(func() {
 		c.d.mu.Lock()
 		c.d.busy(c)
--- a/internal/node/door_test.go
+++ b/internal/node/bounded_listener_test.go
@@ -10,7 +10,7 @@
 
 // TestDoor: a flood of connections must not shut out health checks and users, and
 // one whose request is under way is never closed for another.
-func TestDoor(t *testing.T) {
+func TestBoundedListener(t *testing.T) {
 	tests := []struct {
 		name  string
 		idle  int // connections that are kept open without a request
@@ -28,7 +28,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			d := newDoor(ln, 4)
+			d := newBoundedListener(ln, 4)
 			entered, leave := make(chan struct{}, 16), make(chan struct{})
 			srv := &http.Server{ConnState: d.state, Handler: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 				if q.URL.Path == "/slow" {
@@ -83,7 +83,7 @@
 
 // TestDoorKeeps: connections of workers that have tasks yield last, whatever idles
 // for longer.
-func TestDoorKeeps(t *testing.T) {
+func TestBoundedListenerKeeps(t *testing.T) {
 	tests := []struct {
 		name  string
 		work  []bool // of the connections, in the order in which they became idle
@@ -95,13 +95,13 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDoor(nil, len(tt.work))
+			d := newBoundedListener(nil, len(tt.work))
 			var closed []int
 			for i, work := range tt.work {
 				if !d.admit() {
 					t.Fatal("no room")
 				}
-				c := &doorConn{Conn: closer{closed: func() { closed = append(closed, i) }}, d: d}
+				c := &boundedConn{Conn: closer{closed: func() { closed = append(closed, i) }}, d: d}
 				c.keeps(work)
 				d.state(c, http.StateIdle)
 			}
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// cancelNow calls off up to n jobs that run, within a fifth of a second, at all controllers,
+// cancelNow cancels up to n jobs that run, within a fifth of a second, at all controllers,
 // and lets up to eight machines that have tasks of them hang for a while. At least one of
 // the cancellations has to be told within the time given.
 func cancelNow(seed uint64, n int, hangs, within time.Duration) func(*sim) {
@@ -212,7 +212,7 @@
 	}
 }
 
-// odd lets users repeat submissions of unfinished jobs with another body, call off jobs that
+// odd lets users repeat submissions of unfinished jobs with another body, cancel jobs that
 // are done, and send what can never run or lacks a field.
 func odd(seed uint64, d time.Duration) func(*sim) {
 	return func(s *sim) {
@@ -223,7 +223,7 @@
 			if err != nil {
 				panic(err)
 			}
-			res, err := hc.Post("http://"+s.door(r.IntN(len(s.nodes)))+path, wire.ContentType, bytes.NewReader(b))
+			res, err := hc.Post("http://"+s.server(r.IntN(len(s.nodes)))+path, wire.ContentType, bytes.NewReader(b))
 			if err != nil {
 				return 0, ""
 			}
@@ -306,7 +306,7 @@
 		s.Go(func() {
 			time.Sleep(time.Duration(i) * 1500 * time.Microsecond)
 			hc := s.client(4 * time.Second)
-			before, at := s.Told(spec.ID), "http://"+s.door(i)+"/api/jobs"
+			before, at := s.Told(spec.ID), "http://"+s.server(i)+"/api/jobs"
 			var res *http.Response
 			var err error
 			if i%2 == 0 {
@@ -384,7 +384,7 @@
 	})
 }
 
-// calledOff adds long jobs to a site that nobody calls off but a trouble.
+// calledOff adds long jobs to a site that nobody cancels but a trouble.
 func calledOff(st site) site {
 	begin := st.begin
 	st.begin = func(s *sim, add func(*job.Spec, time.Duration, time.Duration)) {
@@ -643,7 +643,7 @@
 	})
 }
 
-// TestStream: one-task jobs, four a second for minutes, a quarter of them called off, through
+// TestStream: one-task jobs, four a second for minutes, a quarter of them cancelled, through
 // a change of leader, an outage and late transactions. Nothing of them stays under the keys
 // that a leader loads.
 func TestStream(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,16 +37,16 @@
 
 // Node is one controller.
 type Node struct {
-	set     *config.Settings
-	log     *slog.Logger
-	elector *lead.Elector
-	ctl     *control.Controller
-	mesh    *peer.Mesh
-	home    *homeRegion // nil: no regions are named, or this is the home region
-	route   route
-	lag     lag
-	arm     *arm // nil: the machines are not shared
-	yield   yield
+	set         *config.Settings
+	log         *slog.Logger
+	elector     *lead.Elector
+	ctl         *control.Controller
+	mesh        *peer.Mesh
+	home        *homeRegion // nil: no regions are named, or this is the home region
+	route       route
+	lag         lag
+	shareHolder *shareHolder // nil: the machines are not shared
+	yield       yield
 
 	mu      sync.Mutex
 	served  time.Time // when a user last came here
@@ -77,7 +77,7 @@
 		siblings[i] = set.Siblings[i].Member
 	}
 	n.elector.Pledge(time.Duration(tun.PromiseMs)*time.Millisecond, siblings, func(ctx context.Context, sibling string, term uint64) (bool, error) {
-		p, err := n.mesh.Promise(ctx, sibling, &peer.Plea{Leader: set.Member, Term: term})
+		p, err := n.mesh.Promise(ctx, sibling, &peer.PromiseRequest{Leader: set.Member, Term: term})
 		return err == nil && p.Given, err
 	})
 	mesh, err := peer.Dial(set.Siblings, nw.Dial)
@@ -93,7 +93,7 @@
 		defer n.home.close()
 	}
 	if tun.Shares.Enabled && len(set.Siblings) > 0 {
-		n.arm = newArm(n, nw.Dial)
+		n.shareHolder = newShareHolder(n, nw.Dial)
 	}
 
 	pl, err := nw.Listen(set.PeerListen)
@@ -110,9 +110,9 @@
 			return fmt.Errorf("metrics_listen: %w", err)
 		}
 	}
-	d := newDoor(hl, inbound(set))
+	d := newBoundedListener(hl, inbound(set))
 	srv := &http.Server{ConnState: d.state, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		return api.WithWork(ctx, c.(*doorConn).keeps)
+		return api.WithWork(ctx, c.(*boundedConn).keeps)
 	}, Handler: api.New(n, log, m).Handler(), ReadHeaderTimeout: 10 * time.Second,
 		ReadTimeout: 20 * time.Second, WriteTimeout: 20 * time.Second, IdleTimeout: 90 * time.Second,
 		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
@@ -132,8 +132,8 @@
 		n.yield.patience = config.Seconds(tun.YieldS)
 		wg.Go(func() { n.watchLead(ctx) })
 	}
-	if n.arm != nil {
-		wg.Go(func() { n.arm.run(ctx) })
+	if n.shareHolder != nil {
+		wg.Go(func() { n.shareHolder.run(ctx) })
 	}
 	wg.Go(func() {
 		mesh.Pings(ctx, func(h peer.Hello) {
@@ -279,7 +279,7 @@
 const pollTime = 1500 * time.Millisecond
 
 // Promise implements peer.Handler.
-func (n *Node) Promise(ctx context.Context, q *peer.Plea) *peer.Promise {
+func (n *Node) Promise(ctx context.Context, q *peer.PromiseRequest) *peer.Promise {
 	return &peer.Promise{Given: n.elector.Promise(ctx, q.Leader, q.Term)}
 }
 
@@ -294,10 +294,10 @@
 // Report implements api.Backend: a worker is answered by the leader, or by the
 // holder of its machine.
 func (n *Node) Report(ctx context.Context, q *peer.Request) *peer.Reply {
-	if p := n.ctl.Answer(ctx, q); p != nil || n.arm == nil {
+	if p := n.ctl.Answer(ctx, q); p != nil || n.shareHolder == nil {
 		return p
 	}
-	return n.arm.report(ctx, q.Body)
+	return n.shareHolder.report(ctx, q.Body)
 }
 
 // Forward implements api.Backend.
--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -106,7 +106,7 @@
 	s := b.sims[region]
 	hc := s.client(5 * time.Second)
 	for try := range 120 {
-		req, err := http.NewRequest(method, "http://"+s.door(try)+path, bytes.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+s.server(try)+path, bytes.NewReader(body))
 		if err != nil {
 			b.t.Fatal(err)
 		}
@@ -414,7 +414,7 @@
 		for _, of := range []string{"blue", "red"} {
 			sp := *taken
 			sp.Team = of
-			res, err := hc.Post("http://"+b.sims[1].door(0)+"/api/jobs", wire.ContentType, bytes.NewReader(submission(&sp)))
+			res, err := hc.Post("http://"+b.sims[1].server(0)+"/api/jobs", wire.ContentType, bytes.NewReader(submission(&sp)))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -425,7 +425,7 @@
 		}
 		b.sims[1].Go(func() { b.sims[1].live(taken, 0, 0) })
 		b.apart(1, true)
-		res, err := hc.Get("http://" + b.sims[1].door(0) + "/api/config/status")
+		res, err := hc.Get("http://" + b.sims[1].server(0) + "/api/config/status")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/arm.go
+++ b/internal/node/share_holder.go
@@ -13,10 +13,10 @@
 	"vetchstream/internal/wire"
 )
 
-// arm deals with the machines that the leader has given to this node: it answers
+// shareHolder deals with the machines that the leader has given to this node: it answers
 // their reports while the grant holds, tells the leader what they say, and sends
 // the leader's commands to them.
-type arm struct {
+type shareHolder struct {
 	n     *Node
 	hc    *http.Client
 	calls int // direct commands that may be under way
@@ -46,12 +46,12 @@
 	askTime = 250 * time.Millisecond
 )
 
-func newArm(n *Node, dial state.DialFunc) *arm {
+func newShareHolder(n *Node, dial state.DialFunc) *shareHolder {
 	sockets := n.set.Facts.Resources.MaxSockets
 	calls := control.DirectCalls(sockets)
 	// Each controller keeps connections for commands, so each keeps fewer than a leader
 	// that sends all of them.
-	return &arm{n: n, calls: calls, room: control.Room(sockets), asks: map[string]ask{},
+	return &shareHolder{n: n, calls: calls, room: control.Room(sockets), asks: map[string]ask{},
 		hc: control.DirectClient(dial, max(8, calls/4)),
 		// A later process has a later time of day, within its skew; the leader lets in one
 		// that has not once the grants of the process before have ended.
@@ -59,7 +59,7 @@
 }
 
 // run asks the leader for this node's grant until the context ends.
-func (a *arm) run(ctx context.Context) {
+func (a *shareHolder) run(ctx context.Context) {
 	defer a.hc.CloseIdleConnections()
 	for ctx.Err() == nil {
 		begun := time.Now()
@@ -85,7 +85,7 @@
 }
 
 // sync makes one request and reports whether it was answered.
-func (a *arm) sync(ctx context.Context) bool {
+func (a *shareHolder) sync(ctx context.Context) bool {
 	v := a.n.elector.View()
 	a.mu.Lock()
 	if v.Leader == a.n.set.Member {
@@ -128,7 +128,7 @@
 
 // send sends a command of the leader's to a worker. The leader bounds how many are
 // under way.
-func (a *arm) send(ctx context.Context, term uint64, c share.Call) {
+func (a *shareHolder) send(ctx context.Context, term uint64, c share.Call) {
 	status, answer, reached, err := control.Direct(ctx, a.hc, c.Addr, c.Body, func() bool { return a.valid(term) })
 	if err != nil {
 		a.n.log.Debug("direct command failed", "addr", c.Addr, "status", status, "error", err)
@@ -139,14 +139,14 @@
 }
 
 // valid reports whether this node may act for the leader of the term right now.
-func (a *arm) valid(term uint64) bool {
+func (a *shareHolder) valid(term uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.holder.Valid(term, time.Now())
 }
 
 // report answers the report of a machine in the share; nil: it is in none of ours.
-func (a *arm) report(ctx context.Context, body []byte) *peer.Reply {
+func (a *shareHolder) report(ctx context.Context, body []byte) *peer.Reply {
 	m := &wire.Report{}
 	if err := wire.Unmarshal(body, m); err != nil || m.Host == "" || m.Session == 0 {
 		return nil // the leader refuses it
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -249,8 +249,8 @@
 	})
 }
 
-// door is where the i-th try of a user goes.
-func (s *sim) door(i int) string { return fmt.Sprintf("n%d:80", i%len(s.nodes)) }
+// server is where the i-th try of a user goes.
+func (s *sim) server(i int) string { return fmt.Sprintf("n%d:80", i%len(s.nodes)) }
 
 // client is a user's, with that much patience for an answer.
 func (s *sim) client(patience time.Duration) *http.Client {
@@ -267,7 +267,7 @@
 			return false
 		default:
 		}
-		req, err := http.NewRequest(method, "http://"+s.door(first+try)+path, bytes.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+s.server(first+try)+path, bytes.NewReader(body))
 		if err != nil {
 			panic(err)
 		}
@@ -391,7 +391,7 @@
 			return
 		case <-time.After(700 * time.Millisecond):
 		}
-		res, err := hc.Get("http://" + s.door(i) + "/api/jobs/" + spec.ID)
+		res, err := hc.Get("http://" + s.server(i) + "/api/jobs/" + spec.ID)
 		if err != nil {
 			continue
 		}
@@ -725,7 +725,7 @@
 			return
 		case <-time.After(7 * time.Second):
 		}
-		res, err := hc.Get(fmt.Sprintf("http://%s/api/jobs/run-77%05d", s.door(i), i))
+		res, err := hc.Get(fmt.Sprintf("http://%s/api/jobs/run-77%05d", s.server(i), i))
 		if err != nil {
 			continue
 		}
--- a/internal/node/users_test.go
+++ b/internal/node/users_test.go
@@ -51,7 +51,7 @@
 				defer func() { <-gate }()
 				ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 				defer cancel()
-				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.door(i)+"/checkin", bytes.NewReader(c.Body))
+				req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.server(i)+"/checkin", bytes.NewReader(c.Body))
 				if err != nil {
 					panic(err)
 				}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -121,16 +121,16 @@
 	// otherwise.
 	Follow(ctx context.Context, r *dynconfig.Request) *dynconfig.Reply
 	// Promise answers a leader that asks this member not to campaign for a while.
-	Promise(ctx context.Context, r *Plea) *Promise
+	Promise(ctx context.Context, r *PromiseRequest) *Promise
 }
 
-// Plea is what a leader says that the state service does not answer.
-type Plea struct {
+// PromiseRequest is what a leader says that the state service does not answer.
+type PromiseRequest struct {
 	Leader string `codec:"leader"`
 	Term   uint64 `codec:"term"`
 }
 
-// Promise is the answer to a plea.
+// Promise is the answer to a request for a promise.
 type Promise struct {
 	Given bool `codec:"given"`
 }
@@ -153,7 +153,7 @@
 	Methods: []grpc.MethodDesc{
 		method("Ping", func(h Handler, _ context.Context, _ *none) *Hello { v := h.Hello(); return &v }),
 		method("Forward", func(h Handler, ctx context.Context, r *Request) *Reply { return h.Local(ctx, r) }),
-		method("Promise", func(h Handler, ctx context.Context, r *Plea) *Promise { return h.Promise(ctx, r) }),
+		method("Promise", func(h Handler, ctx context.Context, r *PromiseRequest) *Promise { return h.Promise(ctx, r) }),
 		method("Follow", func(h Handler, ctx context.Context, r *dynconfig.Request) *dynconfig.Reply { return h.Follow(ctx, r) }),
 		method("Sync", func(h Handler, ctx context.Context, r *share.Request) *share.Reply { return h.Sync(ctx, r) }),
 	},
@@ -274,7 +274,7 @@
 }
 
 // Promise asks a sibling not to campaign for a while.
-func (m *Mesh) Promise(ctx context.Context, member string, r *Plea) (*Promise, error) {
+func (m *Mesh) Promise(ctx context.Context, member string, r *PromiseRequest) (*Promise, error) {
 	return invoke[Promise](ctx, m, member, "Promise", r)
 }
 
