--- /dev/null
+++ b/internal/fleet/holder.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"time"
+)
+
+// Holder is a controller that answers the reports of machines in the leader's
+// place (package share).
+type Holder struct {
+	Name string
+	// Told is up to when all that it has answered is known. A machine that it deals
+	// with can only be judged as of then: a later answer may have renewed its lease.
+	Told time.Time
+}
+
+// Holder is who answers the machine's reports; nil: the leader.
+func (h *Host) Holder() *Holder { return h.holder }
+
+// Hold notes that a holder may answer the machine's reports from now on.
+func (h *Host) Hold(by *Holder) { h.holder = by }
+
+// Unhold notes that the holder does not any more; it may have until the moment
+// given.
+func (h *Host) Unhold(until time.Time) {
+	if h.holder == nil {
+		return
+	}
+	h.holder = nil
+	if !h.Lost && until.After(h.heard) {
+		h.heard = until
+	}
+}
+
+// asOf is the time up to which all answers to the machine's reports are known.
+func (h *Host) asOf(now time.Time) time.Time {
+	if h.holder != nil && h.holder.Told.Before(now) {
+		return h.holder.Told
+	}
+	return now
+}
+
+// Stale reports whether a report is older than another that was taken in: a copy, or
+// one that was held back. The worker does not wait for its answer any more, so that
+// renews nothing, and what is sent in it arrives nowhere.
+func (h *Host) Stale(session, seq uint64) bool {
+	return session < h.Session || (session == h.Session && seq <= h.reported)
+}
+
+// Renew takes in that the holder has answered a report which said the same as the
+// one before. A launch in an answer to an earlier report did not arrive, or the
+// report would have shown it.
+func (f *Fleet) Renew(h *Host, session, seq uint64, at time.Time) (ev []Event) {
+	if session != h.Session || h.Lost || h.Stale(session, seq) {
+		return nil
+	}
+	h.reported = seq
+	if at.After(h.heard) {
+		h.heard = at
+	}
+	if seq <= h.seq {
+		return nil
+	}
+	h.seq, h.Unheard, h.MuteAt = seq, false, time.Time{}
+	for _, s := range h.Slots {
+		if s.Sent && !s.Seen && !s.Direct && seq > s.viaSeq {
+			ev = append(ev, f.remove(h, s, Never)...)
+		}
+	}
+	if ev != nil {
+		ev = append(ev, f.Deafen(h, at)...)
+		h.Recount()
+	}
+	return ev
+}
+
+// Deafen notes that the worker has not taken in what was sent to it. It gets no
+// launches, and what waits to be sent goes elsewhere, until a message shows that it
+// hears again. What has been sent stays possible: it may have arrived after the
+// worker's last word.
+func (f *Fleet) Deafen(h *Host, now time.Time) []Event {
+	if h.DeafAt.IsZero() {
+		h.DeafAt = now
+	}
+	return f.Withdraw(h)
+}
+
+// Withdraw takes back what waits to be sent to a machine.
+func (f *Fleet) Withdraw(h *Host) (ev []Event) {
+	for _, s := range h.Slots {
+		if !s.Sent {
+			ev = append(ev, f.remove(h, s, Never)...)
+		}
+	}
+	h.Recount()
+	return ev
+}
--- /dev/null
+++ b/internal/fleet/host.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"time"
+	"vetchstream/internal/job"
+	"vetchstream/internal/wire"
+)
+
+// Host is a machine.
+type Host struct {
+	// Idx is dense: it is used again once the machine and its record are gone.
+	Idx     int
+	Name    string
+	Addr    string
+	Type    int
+	Zone    int
+	Spot    bool
+	Known   bool // type and zone are known
+	Durable bool // in the registry
+	// Inherited: registered by an earlier leader and not settled since.
+	Inherited bool
+	// Old are the jobs that the registry named when this term began; they hold
+	// until the machine is settled.
+	Old     []Past
+	Born    time.Time
+	Booting bool // never heard of
+
+	Session uint64
+	seq     uint64
+	// reported is the newest report of the session; seq may be that of a direct answer.
+	reported uint64
+	// DeafAt is since when the worker has shown that it takes in nothing that is sent
+	// to it; zero: it has not. Its reports may come all the while.
+	DeafAt time.Time
+	// Unheard: a direct command had no answer, and nothing was heard since.
+	Unheard bool
+	// MuteAt is since when the worker is known to live and to reach no controller: its
+	// answer to a direct command tells of a new session, and no report has come since.
+	// Whatever is launched there dies with its lease. Zero: it is not.
+	MuteAt time.Time
+	// Fenced: the worker has sent a message with our own term.
+	Fenced bool
+	// heard is the last moment from which an answer of ours, of a holder of ours or of
+	// an earlier leader, may have renewed the worker's lease.
+	heard time.Time
+	// directAt is when a launch was last sent directly. A worker that has begun anew, and
+	// whose messages count as old, may have it for a lease from then.
+	directAt time.Time
+	// holder is the controller that answers the machine's reports; nil: the leader.
+	holder *Holder
+	// Lost: the lease has run out without a message; nothing is on the machine.
+	Lost     bool
+	LostAt   time.Time
+	RecallAt time.Time // zero: no notice
+
+	Slots map[Key]*Slot
+	// Calling: a direct command is under way.
+	Calling bool
+	// NextCall holds back direct commands after failures, Failures in a row.
+	NextCall  time.Time
+	Failures  int
+	Releasing bool
+	Draining  bool // no more launches, ever
+	IdleFrom  time.Time
+
+	// Errors counts unexplained failures in a row; ErrorJobs their jobs.
+	Errors    int
+	ErrorJobs map[*job.Job]bool
+	// Slow counts tasks in a row that ran far longer than elsewhere.
+	Slow int
+	// Images is the cache as far as it can be told, most recent last.
+	Images []Image
+
+	// What the placements take, kept by recount.
+	CPUs, GPUs, MemGB float64
+	Queue, Jobs       int
+	// Exits counts the exits that the worker still reports.
+	Exits int
+
+	messages uint64
+	awake    bool
+}
+
+// Mute reports whether the worker is known to live and to reach no controller.
+func (h *Host) Mute() bool { return !h.MuteAt.IsZero() }
+
+// Deaf reports whether the worker is known not to take in what is sent to it.
+func (h *Host) Deaf() bool { return !h.DeafAt.IsZero() }
+
+// Past is a job that an earlier leader may have launched on a machine. The team
+// is kept for a job that is over, and is -1 where it is not known.
+type Past struct {
+	ID   string
+	Team int
+}
+
+// Image is a cached image.
+type Image struct {
+	Idx int
+	GB  float64
+}
+
+// Has reports whether the image is thought to be cached.
+func (h *Host) Has(image int) bool {
+	for _, i := range h.Images {
+		if i.Idx == image {
+			return true
+		}
+	}
+	return false
+}
+
+// Touch notes the use of an image; cacheGB bounds the cache.
+func (h *Host) Touch(image int, gb, cacheGB float64) {
+	for i, im := range h.Images {
+		if im.Idx == image {
+			h.Images = append(append(h.Images[:i:i], h.Images[i+1:]...), im)
+			return
+		}
+	}
+	h.Images = append(h.Images, Image{image, gb})
+	sum := 0.0
+	for _, im := range h.Images {
+		sum += im.GB
+	}
+	for len(h.Images) > 1 && sum > cacheGB {
+		sum -= h.Images[0].GB
+		h.Images = h.Images[1:]
+	}
+}
+
+// Recount sums up what the placements take.
+func (h *Host) Recount() {
+	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs, h.Exits = 0, 0, 0, 0, 0, 0
+	for _, s := range h.Slots {
+		if !s.On() {
+			h.Exits++
+			continue
+		}
+		h.CPUs += s.Job.CPUs
+		h.GPUs += s.Job.GPUs
+		h.MemGB += s.Job.MemGB
+		h.Jobs++
+		if s.Phase != wire.Running && s.Phase != wire.Saving {
+			h.Queue++
+		}
+	}
+}
+
+// Silent is how long no report has come from the machine.
+func (h *Host) Silent(now time.Time) time.Duration { return now.Sub(h.heard) }
+
+// Busy reports whether anything may be on the machine.
+func (h *Host) Busy() bool { return h.Jobs > 0 }
+
+// Usable reports whether the machine may get launches.
+func (h *Host) Usable() bool {
+	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() && !h.Deaf() && !h.Unheard && !h.Mute()
+}
