--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -72,24 +72,47 @@
 	})
 }
 
+// chunk is a part of a job's results.
+type chunk struct {
+	j *job.Job
+	c int
+}
+
+// resultsTxn is a transaction of results, with what it settles.
+type resultsTxn struct {
+	txn    state.Txn
+	chunks []chunk
+	settle map[*job.Job][]*fleet.Slot
+}
+
 // flush stores results, so that the workers may forget them.
 func (rs *results) flush(now time.Time) {
 	if rs.flushing || now.Before(rs.flushAt) || rs.c.State.Spare() < rs.writer.size() {
 		return
 	}
-	type part struct {
-		j *job.Job
-		c int
+	t := rs.gather()
+	if len(t.chunks) == 0 {
+		return
 	}
-	var parts []part
-	txn := state.Txn{If: []state.Cond{rs.fence}}
-	settle := map[*job.Job][]*fleet.Slot{}
+	// On each chunk's version: a try without an answer that is carried out after a newer
+	// one would take results back, and their tasks would run again after a change of
+	// leader.
+	rs.flushing, rs.flushAt = true, now.Add(time.Second)
+	go func() {
+		found, err := rs.commit(t)
+		rs.post(func() { rs.flushed(t, found, err) })
+	}()
+}
+
+// gather takes what fits into a transaction.
+func (rs *results) gather() *resultsTxn {
+	t := &resultsTxn{txn: state.Txn{If: []state.Cond{rs.fence}}, settle: map[*job.Job][]*fleet.Slot{}}
 	for j := range rs.unstored {
 		if j.Closing != "" || j.Phase != "" {
 			continue
 		}
 		dirty := j.Dirty()
-		if n := len(txn.Writes); len(dirty) == 0 || (n > 0 && n+len(dirty) > rs.writer.size()) {
+		if n := len(t.txn.Writes); len(dirty) == 0 || (n > 0 && n+len(dirty) > rs.writer.size()) {
 			continue
 		}
 		for _, c := range dirty {
@@ -99,57 +122,57 @@
 			}
 			v := j.ChunkVersion(c)
 			j.MarkSaved(c, v) // it may exist from the moment the commit is sent
-			parts, txn.Writes = append(parts, part{j, c}), append(txn.Writes, w)
-			txn.If = append(txn.If, state.Cond{Key: w.Put, Version: v})
+			t.chunks, t.txn.Writes = append(t.chunks, chunk{j, c}), append(t.txn.Writes, w)
+			t.txn.If = append(t.txn.If, state.Cond{Key: w.Put, Version: v})
 		}
-		settle[j] = rs.unstored[j]
+		t.settle[j] = rs.unstored[j]
 		delete(rs.unstored, j)
 	}
-	if len(parts) == 0 {
-		return
+	return t
+}
+
+// commit runs the transaction once, and returns the versions of the chunks as far as they
+// are known.
+func (rs *results) commit(t *resultsTxn) (found map[chunk]uint64, err error) {
+	version, err := rs.c.State.Commit(rs.ctx, t.txn)
+	found = map[chunk]uint64{}
+	if err != nil {
+		rs.pause(settlePause)
 	}
-	// On each chunk's version: a try without an answer that is carried out after a newer
-	// one would take results back, and their tasks would run again after a change of
-	// leader.
-	rs.flushing, rs.flushAt = true, now.Add(time.Second)
-	go func() {
-		version, err := rs.c.State.Commit(rs.ctx, txn)
-		found := map[part]uint64{}
-		if err != nil {
-			rs.pause(200 * time.Millisecond)
+	for _, p := range t.chunks {
+		if err == nil {
+			found[p] = version
+			continue
 		}
-		for _, p := range parts {
-			if err == nil {
-				found[p] = version
-				continue
-			}
-			if !errors.Is(err, state.ErrConflict) {
-				continue
-			}
-			if e, gerr := rs.c.State.Get(rs.ctx, p.j.ChunkKey(p.c)); gerr == nil || errors.Is(gerr, state.ErrNotFound) {
-				found[p] = e.Version
-			}
+		if !errors.Is(err, state.ErrConflict) {
+			continue
 		}
-		rs.post(func() {
-			rs.flushing = false
-			rs.writer.smaller(err)
-			for p, v := range found {
-				p.j.MarkSaved(p.c, v)
-			}
-			for _, p := range parts {
-				if err != nil {
-					p.j.MarkDirty(p.c)
-				}
-			}
-			for j, ss := range settle {
-				if err != nil {
-					rs.unstored[j] = append(rs.unstored[j], ss...)
-					continue
-				}
-				for _, s := range ss {
-					s.Settled = true
-				}
+		if e, gerr := rs.c.State.Get(rs.ctx, p.j.ChunkKey(p.c)); gerr == nil || errors.Is(gerr, state.ErrNotFound) {
+			found[p] = e.Version
+		}
+	}
+	return found, err
+}
+
+// flushed takes in what has become of the transaction.
+func (rs *results) flushed(t *resultsTxn, found map[chunk]uint64, err error) {
+	rs.flushing = false
+	rs.writer.smaller(err)
+	for p, v := range found {
+		p.j.MarkSaved(p.c, v)
+	}
+	if err == nil {
+		for _, ss := range t.settle {
+			for _, s := range ss {
+				s.Settled = true
 			}
-		})
-	}()
+		}
+		return
+	}
+	for _, p := range t.chunks {
+		p.j.MarkDirty(p.c)
+	}
+	for j, ss := range t.settle {
+		rs.unstored[j] = append(rs.unstored[j], ss...)
+	}
 }
