--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -438,3 +438,60 @@
 		b.ends(2 * time.Minute)
 	})
 }
+
+// TestRemoval: a team is removed while its jobs come in at all controllers of another
+// region, which do not reach each other and admit by themselves. What was accepted runs to
+// its end, and nothing is accepted once the removal is in force.
+func TestRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, closeAll := newRegionBed(t, 2)
+		defer closeAll()
+		time.Sleep(8 * time.Second)
+		b.inForce(b.apply(0, greenParts(8, 4)), 19*time.Second)
+		s := b.sims[1]
+		hc := s.client(5 * time.Second)
+		removed := make(chan uint64, 1)
+		b.done.Go(func() { cutPeers(30 * time.Second)(s) })
+		b.done.Go(func() {
+			time.Sleep(10 * time.Second)
+			for {
+				var out struct {
+					Revision uint64 `codec:"revision"`
+				}
+				if b.ask(0, http.MethodPost, "/api/config", map[string]any{"remove": []any{"green"}}, &out) == http.StatusOK {
+					removed <- out.Revision
+					return
+				}
+				time.Sleep(50 * time.Millisecond) // its jobs are not over
+			}
+		})
+		accepted, refused := 0, 0
+		for i := range 150 {
+			sp := &job.Spec{ID: fmt.Sprintf("run-8%04d", i), Class: "c", Team: "green", ShapeName: "array", RankName: "standard", Tasks: 1, CPUs: 1, MemGB: 0.5, EstimateS: 0.2, Spot: true}
+			res, err := hc.Post("http://"+s.server(i)+"/api/jobs", wire.ContentType, bytes.NewReader(submission(sp)))
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			switch {
+			case err != nil:
+			case res.StatusCode == http.StatusOK, res.StatusCode == http.StatusCreated:
+				accepted++
+				s.Describe(sp)
+				s.Accepted(sp.ID)
+				s.Go(func() { s.live(sp, 0, 0) })
+			case res.StatusCode == http.StatusUnprocessableEntity:
+				refused++
+			}
+			time.Sleep(time.Duration(i%7) * 150 * time.Millisecond)
+			if i%15 == 14 {
+				time.Sleep(5 * time.Second) // it has none for a while
+			}
+		}
+		b.inForce(<-removed, time.Minute)
+		if accepted == 0 || refused == 0 {
+			t.Errorf("%d accepted, %d refused: the day tells nothing", accepted, refused)
+		}
+		b.most = greenLimit
+		b.ends(3 * time.Minute)
+	})
+}
