--- a/internal/dynconfig/change_test.go
+++ b/internal/dynconfig/change_test.go
@@ -38,3 +38,43 @@
 		}
 	}
 }
+
+// TestLateJob: a job of a removed team that shows up after its last one was over gets back
+// what the team had, until it is over.
+func TestLateJob(t *testing.T) {
+	g := newGame(none)
+	follow := func(used float64) Amount {
+		g.sites[0].used = used
+		for range 10 {
+			for j := range g.sites {
+				s := &g.sites[j]
+				q := s.replica.Request(s.uses(g))
+				entries := s.replica.Answered(q, g.answer(q))
+				s.put(entries)
+				s.counts(entries)
+			}
+			if u := g.home.Step(10); !u.Empty() {
+				g.keep(u)
+			}
+		}
+		share, _ := g.sites[0].replica.Share(theTeam, g.sites[0].uses(g))
+		return share.Limit
+	}
+	follow(0)
+	for _, c := range []*Change{wanted[0], {Remove: []string{theTeam}}} {
+		u, refusal := g.home.Propose(c)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		g.keep(u)
+		follow(0)
+	}
+	for _, tt := range []struct{ used, want float64 }{{0, 0}, {1, total}, {0, 0}} {
+		if got := follow(tt.used); got.CPUs != tt.want {
+			t.Errorf("with %v in use the limit is %v, want %v", tt.used, got.CPUs, tt.want)
+		}
+		if _, known := g.sites[0].replica.Share(theTeam, g.sites[0].uses(g)); known {
+			t.Error("the region takes jobs of it again")
+		}
+	}
+}
