Configuration across regions: history and rollback

Change: the home region keeps the last 64 changes with what was there before, in the transaction of the change; a rollback is a change made of them. A region states guarantees too, so that a team of the platform's files can be put back as it was.

--- a/cmd/vetchstream/configuration.go
+++ b/cmd/vetchstream/configuration.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -23,13 +25,24 @@
 	group := &cobra.Command{Use: "config", Short: "Change teams and quotas while the regions serve",
 		Long: "Change teams and quotas while the regions serve. See docs/configuration.md.", Args: noArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return usageError{errors.New("one of apply, show and status is needed")}
+			return usageError{errors.New("one of apply, show, status, history and rollback is needed")}
 		}}
 	var dry bool
 	apply := &cobra.Command{Use: "apply FILE", Short: "Make the change described in a JSON file (- for standard input)", Args: one,
 		RunE: func(cmd *cobra.Command, args []string) error { return c.applyConfig(cmd, args[0], dry) }}
-	apply.Flags().BoolVar(&dry, "dry-run", false, "only say whether the change would be taken")
-	group.AddCommand(apply,
+	rollback := &cobra.Command{Use: "rollback REVISION", Short: "Take back all that came after a revision, as a change of its own", Args: one,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := strconv.ParseUint(args[0], 10, 64); err != nil {
+				return usageError{fmt.Errorf("%q is not a revision", args[0])}
+			}
+			return c.changeConfig(cmd, configPath+"/rollback/"+args[0], nil, dry)
+		}}
+	for _, cmd := range []*cobra.Command{apply, rollback} {
+		cmd.Flags().BoolVar(&dry, "dry-run", false, "only say whether the change would be taken")
+	}
+	group.AddCommand(apply, rollback,
+		&cobra.Command{Use: "history", Short: "Show the changes that are kept, the last one first", Args: noArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error { return c.configHistory(cmd) }},
 		&cobra.Command{Use: "show", Short: "Show the teams as configured, and what each region is told", Args: noArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error { return c.showConfig(cmd) }},
 		&cobra.Command{Use: "status", Short: "Show how far each region is, and what waits for whom", Args: noArgs,
@@ -46,7 +59,11 @@
 	if _, err := dynconfig.ParseChange(body); err != nil {
 		return usageError{err}
 	}
-	path := configPath
+	return c.changeConfig(cmd, configPath, body, dry)
+}
+
+// changeConfig asks for a change and shows its revision.
+func (c *client) changeConfig(cmd *cobra.Command, path string, body []byte, dry bool) error {
 	if dry {
 		path += "?dry_run=true"
 	}
@@ -66,6 +83,24 @@
 	})
 }
 
+// configHistory shows the changes that are kept.
+func (c *client) configHistory(cmd *cobra.Command) error {
+	var all struct {
+		Changes []dynconfig.Past `codec:"changes" json:"changes"`
+	}
+	if err := c.call(cmd, http.MethodGet, configPath+"/history", nil, &all); err != nil {
+		return err
+	}
+	return c.print(cmd, all, func(w io.Writer) {
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(t, "REVISION\tAT\tTEAMS")
+		for _, p := range all.Changes {
+			fmt.Fprintf(t, "%d\t%s\t%s\n", p.Revision, time.UnixMilli(p.At).UTC().Format(time.RFC3339), strings.Join(p.Teams, " "))
+		}
+		_ = t.Flush()
+	})
+}
+
 // showConfig shows all pages of the teams.
 func (c *client) showConfig(cmd *cobra.Command) error {
 	type page struct {
--- a/internal/api/configuration.go
+++ b/internal/api/configuration.go
@@ -14,6 +14,9 @@
 //	POST /api/config         change it; the body is the change, ?dry_run=true only checks it
 //	GET  /api/config         a page of the teams by name, after ?after=NAME
 //	GET  /api/config/status  how far each region is
+//	GET  /api/config/history the changes that are kept, the last one first
+//	POST /api/config/rollback/{revision}
+//	                         take back what came after a revision, ?dry_run=true as above
 func (s *Server) configuration(rt *httprouter.Router) {
 	operate := func(w http.ResponseWriter, q *http.Request, op peer.Operation) {
 		b, err := wire.Marshal(op)
@@ -38,6 +41,12 @@
 	rt.GET("/api/config", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		operate(w, q, peer.Operation{Verb: peer.VerbList, Service: q.URL.Query().Get("after")})
 	})
+	rt.GET("/api/config/history", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbHistory})
+	})
+	rt.POST("/api/config/rollback/:revision", func(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
+		operate(w, q, peer.Operation{Verb: peer.VerbUndo, Service: p.ByName("revision"), Window: q.URL.Query().Get("dry_run") == "true"})
+	})
 	rt.GET("/api/config/status", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		operate(w, q, peer.Operation{Verb: peer.VerbStatus})
 	})
--- a/internal/control/home_teams.go
+++ b/internal/control/home_teams.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"vetchstream/internal/dynconfig"
@@ -17,6 +19,8 @@
 const (
 	homePrefix = "t/h/"
 	headKey    = "t/head"
+	// historyPrefix is followed by the slot of a change that is kept.
+	historyPrefix = "t/c/"
 )
 
 // homeTeams decides how teams change in all regions. Only the leader of the home region
@@ -65,20 +69,23 @@
 }
 
 // list reads the stored records.
-func (ht *homeTeams) list() (head state.Entry, records []state.Entry, err error) {
+func (ht *homeTeams) list() (head state.Entry, records, history []state.Entry, err error) {
 	if !ht.on() {
-		return head, nil, nil
+		return head, nil, nil, nil
 	}
 	if head, err = ht.c.State.Get(ht.ctx, headKey); err != nil && !errors.Is(err, state.ErrNotFound) {
-		return head, nil, err
+		return head, nil, nil, err
 	}
-	records, _, err = ht.c.State.List(ht.ctx, homePrefix)
-	return head, records, err
+	if records, _, err = ht.c.State.List(ht.ctx, homePrefix); err != nil {
+		return head, nil, nil, err
+	}
+	history, _, err = ht.c.State.List(ht.ctx, historyPrefix)
+	return head, records, history, err
 }
 
 // load takes in what earlier leaders have stored. What cannot be read is made anew from
 // what the regions say that they hold.
-func (ht *homeTeams) load(stored state.Entry, entries []state.Entry) {
+func (ht *homeTeams) load(stored state.Entry, entries, history []state.Entry) {
 	if !ht.on() {
 		return
 	}
@@ -102,6 +109,7 @@
 		records = append(records, r)
 	}
 	ht.home, ht.head = dynconfig.NewHome(ht.term, ht.c.Tuning.Regions.All, head, records), stored.Version
+	ht.remember(history)
 }
 
 // hear takes in a region's request.
@@ -142,12 +150,43 @@
 		return
 	}
 	if u := ht.home.Step(ht.mostRecords()); !u.Empty() {
-		ht.store(u, func() { ht.home.Retry(u) }, func() {})
+		ht.store(u, nil, func() { ht.home.Retry(u) }, func() {})
+	}
+}
+
+// mostRecords is how many records a transaction takes beside the head and the history.
+func (ht *homeTeams) mostRecords() int { return max(1, ht.c.Settings.Facts.State.TxnOps-2) }
+
+// remember takes in the changes that earlier leaders have kept. One that cannot be read is
+// as if it had not been kept.
+func (ht *homeTeams) remember(entries []state.Entry) {
+	var past []*dynconfig.Past
+	for _, e := range entries {
+		p := &dynconfig.Past{}
+		if err := wire.Unmarshal(e.Value, p); err != nil {
+			ht.log.Error("a change that was kept cannot be read", "key", e.Key, "error", err)
+			continue
+		}
+		past = append(past, p)
+	}
+	ht.home.Remember(past)
+}
+
+// historyWrite keeps a change, without what was there before if that does not fit a value.
+func (ht *homeTeams) historyWrite(p *dynconfig.Past) (*dynconfig.Past, state.Write, error) {
+	key := fmt.Sprintf("%s%03d", historyPrefix, p.Slot())
+	put, err := state.Put(key, p)
+	if err != nil || float64(len(put.Value)) < ht.c.Settings.Facts.State.ValueKB*1024*historyShare {
+		return p, put, err
 	}
+	p = p.Without()
+	put, err = state.Put(key, p)
+	return p, put, err
 }
 
-// mostRecords is how many records a transaction takes beside the head.
-func (ht *homeTeams) mostRecords() int { return max(1, ht.c.Settings.Facts.State.TxnOps-1) }
+// historyShare is the part of the largest value that a change that is kept may have: the
+// form of the service's own count is larger than ours.
+const historyShare = 0.5
 
 // change lets a change wait for its turn.
 func (ht *homeTeams) change(c *dynconfig.Change, dry bool, back func(*peer.Reply)) {
@@ -192,11 +231,16 @@
 		}
 		return
 	}
-	ht.store(u, func() {
+	past, kept, err := ht.historyWrite(ht.home.Past(u, time.Now()))
+	if err != nil {
+		ht.log.Error("the change does not encode", "error", err)
+	}
+	ht.store(u, []state.Write{kept}, func() {
 		for _, p := range taken {
 			p.back(settled(Later("the change could not be stored")))
 		}
 	}, func() {
+		ht.home.Keep(past)
 		ht.c.Meter.Add(meter.ConfigChanges, "taken", len(taken))
 		ht.log.Info("the configuration has changed", "revision", u.Head.Revision, "changes", len(taken), "teams", len(u.Records))
 		for _, p := range taken {
@@ -242,8 +286,9 @@
 	p.back(settled(answer))
 }
 
-// store stores an update, in as many transactions as it takes, and lets it count.
-func (ht *homeTeams) store(u dynconfig.Update, failed, done func()) {
+// store stores an update, in as many transactions as it takes, with further writes in the
+// last one, and lets it count.
+func (ht *homeTeams) store(u dynconfig.Update, beside []state.Write, failed, done func()) {
 	ht.storing = true
 	head, most := ht.head, ht.mostRecords()
 	go func() {
@@ -251,7 +296,11 @@
 		for rest := u.Records; len(rest) > 0 && err == nil; {
 			part := rest[:min(most, len(rest))]
 			rest = rest[len(part):]
-			version, err = ht.storePart(u.Head, part, version)
+			var last []state.Write
+			if len(rest) == 0 {
+				last = beside
+			}
+			version, err = ht.storePart(u.Head, part, last, version)
 		}
 		ht.ahead(func() {
 			ht.storing, ht.head = false, version
@@ -267,13 +316,13 @@
 	}()
 }
 
-// storePart stores some records with the head.
-func (ht *homeTeams) storePart(head dynconfig.Head, records []*dynconfig.Record, was uint64) (version uint64, err error) {
+// storePart stores some records with the head, and further writes.
+func (ht *homeTeams) storePart(head dynconfig.Head, records []*dynconfig.Record, beside []state.Write, was uint64) (version uint64, err error) {
 	put, err := state.Put(headKey, head)
 	if err != nil {
 		return was, err
 	}
-	writes := []state.Write{put}
+	writes := append([]state.Write{put}, beside...)
 	for _, r := range records {
 		if put, err = state.Put(homePrefix+r.Name, r); err != nil {
 			return was, err
@@ -301,6 +350,21 @@
 			return
 		}
 		ht.change(c, op.Verb == peer.VerbCheck, back)
+	case peer.VerbUndo:
+		to, err := strconv.ParseUint(op.Service, 10, 64)
+		if err != nil {
+			back(reply(http.StatusBadRequest, wire.Error{Error: "revision: not a number"}))
+			return
+		}
+		c, refusal := ht.home.Rollback(to)
+		if refusal != nil {
+			back(reply(refusal.Status, wire.Error{Error: refusal.Error()}))
+			return
+		}
+		c.Base = ht.home.Head().Revision // nothing may come in between
+		ht.change(c, op.Window, back)
+	case peer.VerbHistory:
+		back(reply(http.StatusOK, map[string]any{"changes": ht.home.History()}))
 	case peer.VerbStatus:
 		back(reply(http.StatusOK, ht.home.Status(time.Now())))
 	case peer.VerbList:
--- a/internal/control/takeover_load.go
+++ b/internal/control/takeover_load.go
@@ -35,7 +35,7 @@
 type stored struct {
 	hosts, notes, groups, jobs, results []state.Entry
 	rollouts, bookings, windows         []state.Entry
-	teams, homeTeams                    []state.Entry
+	teams, homeTeams, homeHistory       []state.Entry
 	homeHead                            state.Entry
 	types                               []wire.MachineType
 	epoch                               uint64 // of the listing of jobs
@@ -68,7 +68,7 @@
 	if st.teams, err = tk.teams.list(); err != nil {
 		return nil, err
 	}
-	st.homeHead, st.homeTeams, err = tk.homeTeams.list()
+	st.homeHead, st.homeTeams, st.homeHistory, err = tk.homeTeams.list()
 	return st, err
 }
 
@@ -92,7 +92,7 @@
 	tk.reset()
 	tk.names.learn(st.types)
 	tk.teams.load(st.teams)
-	tk.homeTeams.load(st.homeHead, st.homeTeams)
+	tk.homeTeams.load(st.homeHead, st.homeTeams, st.homeHistory)
 	if err := tk.registry.load(st.hosts, st.notes); err != nil {
 		return err
 	}
--- a/internal/dynconfig/change.go
+++ b/internal/dynconfig/change.go
@@ -194,17 +194,26 @@
 	}
 	r := h.base(name)
 	if h.teams[name] == nil {
-		// A team of the platform's files: what its jobs may use stays as it is until they
-		// are over.
-		r.Shares = map[string]Share{}
-		for _, region := range h.regions {
-			limit := h.followers[region].says[name].Limit
-			r.Limit, r.Shares[region] = r.Limit.plus(limit), Share{Limit: limit}
-		}
+		// What its jobs may use stays as it is until they are over.
+		r = h.fromFiles(name)
 	}
 	r.Removed = true
 	return r, nil
 }
 
+// fromFiles is a team as the platform's files of the regions have it; nil: none does.
+func (h *Home) fromFiles(name string) *Record {
+	r := &Record{Name: name, Shares: map[string]Share{}, Grants: map[string]Grant{}}
+	for _, region := range h.regions {
+		if s, ok := h.followers[region].says[name]; ok {
+			r.Limit, r.Shares[region] = r.Limit.plus(s.Limit), Share{s.Limit, s.Guarantee}
+		}
+	}
+	if len(r.Shares) == 0 {
+		return nil
+	}
+	return r
+}
+
 // String is the amount for people.
 func (a Amount) String() string { return fmt.Sprintf("%g CPUs and %g GPUs", a.CPUs, a.GPUs) }
--- a/internal/dynconfig/change_test.go
+++ b/internal/dynconfig/change_test.go
@@ -78,3 +78,53 @@
 		}
 	}
 }
+
+// TestRollback: what came after a revision is taken back by a change of its own.
+func TestRollback(t *testing.T) {
+	g := newGame(none)
+	for i := range g.sites { // every region has said what it holds
+		for range 2 {
+			s := &g.sites[i]
+			q := s.replica.Request(s.uses(g))
+			s.replica.Answered(q, g.answer(q))
+		}
+	}
+	make := func(c *Change) {
+		u, refusal := g.home.Propose(c)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		p := g.home.Past(u, time.Time{})
+		g.keep(u)
+		g.home.Keep(p)
+	}
+	other := parts(1, 1)
+	other.Teams[0].Name = "blue"
+	for _, c := range []*Change{wanted[0], wanted[1], other, wanted[2], {Remove: []string{"blue"}}} {
+		make(c)
+	}
+	tests := []struct {
+		to         uint64
+		red        float64 // region a's part
+		blue       bool
+		impossible bool
+	}{{to: 4, red: 1, blue: true}, {to: 2, red: 0, blue: false}, {to: 1, red: 3, blue: false}, {to: 99, impossible: true}, {to: 8, impossible: true}}
+	for _, tt := range tests {
+		c, refusal := g.home.Rollback(tt.to)
+		if (refusal != nil) != tt.impossible {
+			t.Errorf("to %d: %v", tt.to, refusal)
+		}
+		if refusal != nil {
+			continue
+		}
+		make(c)
+		blue := g.home.teams["blue"]
+		if got := g.home.teams[theTeam].Shares["a"].Limit.CPUs; got != tt.red || (blue != nil && !blue.Removed) != tt.blue {
+			t.Errorf("to %d: region a has %v of red, blue is there: %v", tt.to, got, blue != nil && !blue.Removed)
+		}
+	}
+	g.home.past = g.home.past[len(g.home.past)-1:]
+	if _, refusal := g.home.Rollback(1); refusal == nil {
+		t.Error("went back further than the history")
+	}
+}
--- /dev/null
+++ b/internal/dynconfig/history.go
@@ -0,0 +1,118 @@
+package dynconfig
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// HistoryMost is how many changes are kept.
+const HistoryMost = 64
+
+// Past is a change that was made, with what was there before, so that it can be taken back.
+type Past struct {
+	Revision uint64 `codec:"revision" json:"revision"`
+	// At is the home leader's time of day, in milliseconds since 1970.
+	At int64 `codec:"at" json:"at_ms"`
+	// Teams are those that were changed or removed.
+	Teams []string `codec:"teams" json:"teams"`
+	// Before are the teams as they were; Added those that were not there, or removed.
+	Before []TeamChange `codec:"before,omitempty" json:"-"`
+	Added  []string     `codec:"added,omitempty" json:"-"`
+	// Omitted: what was there before is too large to be kept.
+	Omitted bool `codec:"omitted,omitempty" json:"omitted,omitempty"`
+}
+
+// Slot is where a change is kept: the one that is HistoryMost older goes.
+func (p *Past) Slot() int { return int(p.Revision % HistoryMost) }
+
+// Without is the change without what was there before, to be kept where that is too large.
+func (p *Past) Without() *Past {
+	return &Past{Revision: p.Revision, At: p.At, Teams: p.Teams, Omitted: true}
+}
+
+// Remember takes in what earlier leaders have kept.
+func (h *Home) Remember(past []*Past) {
+	h.past = slices.Clone(past)
+	slices.SortFunc(h.past, func(a, b *Past) int { return cmp.Compare(a.Revision, b.Revision) })
+}
+
+// Past describes an update that was proposed for a change, before it is applied.
+func (h *Home) Past(u Update, now time.Time) *Past {
+	p := &Past{Revision: u.Head.Revision, At: now.UnixMilli()}
+	for _, r := range u.Records {
+		p.Teams = append(p.Teams, r.Name)
+		was := h.teams[r.Name]
+		if was == nil {
+			was = h.fromFiles(r.Name)
+		}
+		if was == nil || was.Removed {
+			p.Added = append(p.Added, r.Name)
+		} else {
+			p.Before = append(p.Before, was.asChange())
+		}
+	}
+	return p
+}
+
+// Keep adds a change that is stored.
+func (h *Home) Keep(p *Past) {
+	h.past = append(h.past, p)
+	if len(h.past) > HistoryMost {
+		h.past = h.past[len(h.past)-HistoryMost:]
+	}
+}
+
+// History are the changes that are kept, the last one first.
+func (h *Home) History() []*Past {
+	out := slices.Clone(h.past)
+	slices.Reverse(out)
+	return out
+}
+
+// asChange is the team as an operator would ask for it.
+func (r *Record) asChange() TeamChange {
+	limit := r.Limit.quota()
+	c := TeamChange{Name: r.Name, Limit: &limit, Regions: map[string]Part{}}
+	for region, s := range r.Shares {
+		part, guarantee := s.Limit.quota(), s.Guarantee.quota()
+		c.Regions[region] = Part{Limit: &part, Guarantee: &guarantee}
+	}
+	return c
+}
+
+// Rollback is the change that takes back all that came after a revision.
+func (h *Home) Rollback(to uint64) (*Change, *Refusal) {
+	if to >= h.head.Revision {
+		return nil, refuse(http.StatusUnprocessableEntity, "revision", "%d is not before the last one, %d", to, h.head.Revision)
+	}
+	before, added := map[string]TeamChange{}, map[string]bool{}
+	next := h.head.Revision
+	for i := len(h.past) - 1; i >= 0 && h.past[i].Revision > to; i-- {
+		p := h.past[i]
+		if p.Omitted {
+			return nil, refuse(http.StatusUnprocessableEntity, "revision", "what was there before revision %d was too large to be kept", p.Revision)
+		}
+		for _, name := range p.Added {
+			delete(before, name)
+			added[name] = true
+		}
+		for _, c := range p.Before {
+			delete(added, c.Name)
+			before[c.Name] = c
+		}
+		next = p.Revision - 1
+	}
+	if next > to {
+		return nil, refuse(http.StatusUnprocessableEntity, "revision", "the history goes back to revision %d", next)
+	}
+	c := &Change{Remove: slices.Sorted(maps.Keys(added))}
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		c.Teams = append(c.Teams, before[name])
+	}
+	// A team that is not there any more need not be removed.
+	c.Remove = slices.DeleteFunc(c.Remove, func(name string) bool { return h.teams[name] == nil || h.teams[name].Removed })
+	return c, nil
+}
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -53,6 +53,7 @@
 	teams     map[string]*Record
 	followers map[string]*follower
 	dirty     map[string]bool // teams that the next step looks at
+	past      []*Past         // changes that are kept, by revision
 }
 
 // NewHome goes on from what earlier leaders have stored.
--- a/internal/dynconfig/record.go
+++ b/internal/dynconfig/record.go
@@ -101,6 +101,8 @@
 	// platform's file.
 	Seq   uint64 `codec:"seq"`
 	Limit Amount `codec:"limit"`
+	// Guarantee is what the team is guaranteed there.
+	Guarantee Amount `codec:"guarantee"`
 	// Held is the larger of the limit and of what the team uses there.
 	Held Amount `codec:"held"`
 	// Busy: the team has jobs there that are not over.
--- a/internal/dynconfig/replica.go
+++ b/internal/dynconfig/replica.go
@@ -62,12 +62,11 @@
 // statement is what the region says of a team now.
 func (r *Replica) statement(name string, uses Uses) Statement {
 	used, busy := uses(name)
-	limit := r.file[name].Limit
-	s := Statement{Team: name, Busy: busy}
+	share, s := r.file[name], Statement{Team: name, Busy: busy}
 	if e, ok := r.teams[name]; ok {
-		s.Seq, limit = e.Seq, e.Limit
+		s.Seq, share = e.Seq, Share{e.Limit, e.Guarantee}
 	}
-	s.Limit, s.Held = limit, limit.higher(used)
+	s.Limit, s.Guarantee, s.Held = share.Limit, share.Guarantee, share.Limit.higher(used)
 	return s
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -81,7 +81,8 @@
 	// Team restricts a request about the calendar to what is the team's; empty: an
 	// operator's. In a list Service is the name to go on after.
 	Team string `codec:"team,omitempty"`
-	// Window: the request is about maintenance windows, not reservations.
+	// Window: the request is about maintenance windows, not reservations. Of a request
+	// about the configuration: it is only checked.
 	Window bool `codec:"window,omitempty"`
 }
 
@@ -95,6 +96,8 @@
 	VerbUndo   = "undo"
 	VerbCancel = "cancel"
 	VerbCheck  = "check"
+	// VerbHistory lists changes that were made.
+	VerbHistory = "history"
 )
 
 // Reply is an HTTP answer in short: the status, the body's value encoded, and
