--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -207,6 +207,22 @@
 	}
 }
 
+// leader is the controller that leads by the state service's word, or the first one.
+func (r *region) leader() *controller {
+	var holder struct {
+		Member string `codec:"member"`
+	}
+	if e, ok := r.store.Entry(holderKey); ok && wire.Unmarshal(e.Value, &holder) == nil {
+		if i := slices.IndexFunc(r.controllers, func(c *controller) bool { return c.member == holder.Member }); i >= 0 {
+			return r.controllers[i]
+		}
+	}
+	return r.controllers[0]
+}
+
+// holderKey is where the leader stands in the state service.
+const holderKey = "lead/holder"
+
 // ended reports whether a controller has ended by itself.
 func (r *region) ended() bool {
 	return slices.ContainsFunc(r.controllers, func(c *controller) bool { return c.statistics().Ends > 0 })
--- a/internal/scale/trouble.go
+++ b/internal/scale/trouble.go
@@ -11,7 +11,7 @@
 
 // Kinds of troubles.
 const (
-	// KindController ends a controller of the region and starts it again after ForS.
+	// KindController ends the controller that leads the region and starts it again after ForS.
 	KindController = "controller_killed"
 	// KindRack takes Machines workers of one zone away at once.
 	KindRack = "rack_gone"
@@ -87,7 +87,7 @@
 	wait := func() { sleep(ctx, seconds(t.ForS)) }
 	switch t.Kind {
 	case KindController:
-		c := where.controllers[r.IntN(len(where.controllers))]
+		c := where.leader()
 		c.kill()
 		wait()
 		if ctx.Err() == nil {
