Configuration across regions: bounds on what a message holds

Cause: a full statement of 1,500 teams could be larger than a message between controllers may be, and an answer with the history larger than any other. Change: 1,000 teams; the history names twenty teams of a change and counts the others.

--- a/cmd/vetchstream/configuration.go
+++ b/cmd/vetchstream/configuration.go
@@ -86,7 +86,7 @@
 // configHistory shows the changes that are kept.
 func (c *client) configHistory(cmd *cobra.Command) error {
 	var all struct {
-		Changes []dynconfig.Past `codec:"changes" json:"changes"`
+		Changes []dynconfig.PastSummary `codec:"changes" json:"changes"`
 	}
 	if err := c.call(cmd, http.MethodGet, configPath+"/history", nil, &all); err != nil {
 		return err
@@ -95,7 +95,11 @@
 		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 		fmt.Fprintln(t, "REVISION\tAT\tTEAMS")
 		for _, p := range all.Changes {
-			fmt.Fprintf(t, "%d\t%s\t%s\n", p.Revision, time.UnixMilli(p.At).UTC().Format(time.RFC3339), strings.Join(p.Teams, " "))
+			teams := strings.Join(p.Teams, " ")
+			if more := p.Count - len(p.Teams); more > 0 {
+				teams += fmt.Sprintf(" and %d more", more)
+			}
+			fmt.Fprintf(t, "%d\t%s\t%s\n", p.Revision, time.UnixMilli(p.At).UTC().Format(time.RFC3339), teams)
 		}
 		_ = t.Flush()
 	})
--- a/internal/dynconfig/history.go
+++ b/internal/dynconfig/history.go
@@ -13,16 +13,16 @@
 
 // Past is a change that was made, with what was there before, so that it can be taken back.
 type Past struct {
-	Revision uint64 `codec:"revision" json:"revision"`
+	Revision uint64 `codec:"revision"`
 	// At is the home leader's time of day, in milliseconds since 1970.
-	At int64 `codec:"at" json:"at_ms"`
+	At int64 `codec:"at"`
 	// Teams are those that were changed or removed.
-	Teams []string `codec:"teams" json:"teams"`
+	Teams []string `codec:"teams"`
 	// Before are the teams as they were; Added those that were not there, or removed.
-	Before []TeamChange `codec:"before,omitempty" json:"-"`
-	Added  []string     `codec:"added,omitempty" json:"-"`
+	Before []TeamChange `codec:"before,omitempty"`
+	Added  []string     `codec:"added,omitempty"`
 	// Omitted: what was there before is too large to be kept.
-	Omitted bool `codec:"omitted,omitempty" json:"omitted,omitempty"`
+	Omitted bool `codec:"omitted,omitempty"`
 }
 
 // Slot is where a change is kept: the one that is HistoryMost older goes.
@@ -65,10 +65,25 @@
 	}
 }
 
+// PastSummary is a change for those who look at the history.
+type PastSummary struct {
+	Revision uint64 `codec:"revision" json:"revision"`
+	At       int64  `codec:"at" json:"at_ms"`
+	// Teams are those that were changed or removed, at most twenty, of Count.
+	Teams []string `codec:"teams" json:"teams"`
+	Count int      `codec:"count" json:"count"`
+	// Omitted: it cannot be taken back, because what was there before is not kept.
+	Omitted bool `codec:"omitted,omitempty" json:"omitted,omitempty"`
+}
+
+// mostNamed bounds the teams that are named of a change.
+const mostNamed = 20
+
 // History are the changes that are kept, the last one first.
-func (h *Home) History() []*Past {
-	out := slices.Clone(h.past)
-	slices.Reverse(out)
+func (h *Home) History() (out []PastSummary) {
+	for _, p := range slices.Backward(h.past) {
+		out = append(out, PastSummary{p.Revision, p.At, p.Teams[:min(len(p.Teams), mostNamed)], len(p.Teams), p.Omitted})
+	}
 	return out
 }
 
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -10,7 +10,7 @@
 const (
 	// MaxTeams bounds the teams, removed ones included: a region states all of them in one
 	// message.
-	MaxTeams = 1500
+	MaxTeams = 1000
 	// grantsPerReply bounds a reply.
 	grantsPerReply = 64
 	// raiseLeast is the part of a share by which it is raised at the least before all of it
--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -414,7 +414,7 @@
 			}
 		}
 		var history struct {
-			Changes []dynconfig.Past `codec:"changes"`
+			Changes []dynconfig.PastSummary `codec:"changes"`
 		}
 		if b.ask(1, http.MethodGet, "/api/config/history", nil, &history); len(history.Changes) != 5 {
 			t.Errorf("%d changes are kept: %+v", len(history.Changes), history)
