--- a/internal/dynconfig/change_test.go
+++ b/internal/dynconfig/change_test.go
@@ -5,6 +5,22 @@
 	"time"
 )
 
+// follow lets all regions ask and store so many times, without faults.
+func (g *game) follow(times int) {
+	for range times {
+		for j := range g.sites {
+			s := &g.sites[j]
+			q := s.replica.Request(s.uses(g))
+			entries := s.replica.Answered(q, g.answer(q))
+			s.put(entries)
+			s.counts(entries)
+		}
+		if u := g.home.Step(10); !u.Empty() {
+			g.keep(u)
+		}
+	}
+}
+
 // TestRounding: parts that add up to the limit but for their rounding come into force.
 func TestRounding(t *testing.T) {
 	g := newGame(none)
@@ -16,18 +32,7 @@
 			t.Fatal(refusal)
 		}
 		g.keep(u)
-		for range 20 {
-			for j := range g.sites {
-				s := &g.sites[j]
-				q := s.replica.Request(s.uses(g))
-				entries := s.replica.Answered(q, g.answer(q))
-				s.put(entries)
-				s.counts(entries)
-			}
-			if u := g.home.Step(10); !u.Empty() {
-				g.keep(u)
-			}
-		}
+		g.follow(20)
 		for _, r := range g.home.Status(time.Time{}).Regions {
 			if r.Revision != uint64(i+1) {
 				t.Errorf("parts %v: %+v", parts, r)
@@ -45,18 +50,7 @@
 	g := newGame(none)
 	follow := func(used float64) Amount {
 		g.sites[0].used = used
-		for range 10 {
-			for j := range g.sites {
-				s := &g.sites[j]
-				q := s.replica.Request(s.uses(g))
-				entries := s.replica.Answered(q, g.answer(q))
-				s.put(entries)
-				s.counts(entries)
-			}
-			if u := g.home.Step(10); !u.Empty() {
-				g.keep(u)
-			}
-		}
+		g.follow(10)
 		share, _ := g.sites[0].replica.Share(theTeam, g.sites[0].uses(g))
 		return share.Limit
 	}
@@ -82,13 +76,7 @@
 // TestRollback: what came after a revision is taken back by a change of its own.
 func TestRollback(t *testing.T) {
 	g := newGame(none)
-	for i := range g.sites { // every region has said what it holds
-		for range 2 {
-			s := &g.sites[i]
-			q := s.replica.Request(s.uses(g))
-			s.replica.Answered(q, g.answer(q))
-		}
-	}
+	g.follow(2) // every region has said what it holds
 	make := func(c *Change) {
 		u, refusal := g.home.Propose(c)
 		if refusal != nil {
