--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -33,6 +33,8 @@
 	stated bool
 	says   map[string]Statement
 	after  uint64
+	// newest is the highest sequence of the region's grants.
+	newest uint64
 	// term and number are those of the region's last request.
 	term, number uint64
 	// heard is when the region last asked.
@@ -138,12 +140,8 @@
 
 // Pending reports whether a region has grants to take.
 func (h *Home) Pending(region string, after uint64) bool {
-	for _, r := range h.teams {
-		if g, ok := r.Grants[region]; ok && g.Seq > after {
-			return true
-		}
-	}
-	return false
+	f := h.followers[region]
+	return f != nil && f.newest > after
 }
 
 // allStated reports whether every region has told this leader what it holds. Until then
--- a/internal/dynconfig/status.go
+++ b/internal/dynconfig/status.go
@@ -79,13 +79,14 @@
 	return f.stated && g.Seq > 0 && f.says[r.Name].Seq == g.Seq && g.Limit.near(share.Limit) && g.Guarantee.near(share.Guarantee.lower(share.Limit)) && g.Removed == r.Removed
 }
 
-// compare notes in which regions a team's share is not in force.
+// compare notes what the regions are told of a team, and where its share is not in force.
 func (h *Home) compare(name string) {
 	r := h.teams[name]
 	if r == nil {
 		return
 	}
 	for region, f := range h.followers {
+		f.newest = max(f.newest, r.Grants[region].Seq)
 		if h.inForce(r, region) {
 			delete(f.lacks, name)
 		} else if _, lacks := f.lacks[name]; !lacks {
