Reading over: rejected updates wait, what was written twice or left over goes

Lost records are made by the same function as teams of the files, with their guarantees; a dry run has a field of its own in place of the calendar's; unused fields and a sum that nothing read are gone; the scale run reads /proc by prometheus/procfs, writes typed settings, and holds limits against each start where nothing changes them. Measured: packages dynconfig, control, api, config, scale, TestRegions and its like, TestRejected, linters; scale runs of ten seconds with and without changes.

--- a/internal/api/configuration.go
+++ b/internal/api/configuration.go
@@ -32,11 +32,7 @@
 			write(w, refuse(http.StatusBadRequest, err.Error()))
 			return
 		}
-		verb := peer.VerbStart
-		if q.URL.Query().Get("dry_run") == "true" {
-			verb = peer.VerbCheck
-		}
-		operate(w, q, peer.Operation{Verb: verb, Spec: body})
+		operate(w, q, peer.Operation{Verb: peer.VerbStart, Spec: body, Dry: dryRun(q)})
 	})
 	rt.GET("/api/config", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		operate(w, q, peer.Operation{Verb: peer.VerbList, Service: q.URL.Query().Get("after")})
@@ -45,9 +41,12 @@
 		operate(w, q, peer.Operation{Verb: peer.VerbHistory})
 	})
 	rt.POST("/api/config/rollback/:revision", func(w http.ResponseWriter, q *http.Request, p httprouter.Params) {
-		operate(w, q, peer.Operation{Verb: peer.VerbUndo, Service: p.ByName("revision"), Window: q.URL.Query().Get("dry_run") == "true"})
+		operate(w, q, peer.Operation{Verb: peer.VerbUndo, Service: p.ByName("revision"), Dry: dryRun(q)})
 	})
 	rt.GET("/api/config/status", func(w http.ResponseWriter, q *http.Request, _ httprouter.Params) {
 		operate(w, q, peer.Operation{Verb: peer.VerbStatus})
 	})
 }
+
+// dryRun reports whether a change is only to be checked.
+func dryRun(q *http.Request) bool { return q.URL.Query().Get("dry_run") == "true" }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -33,7 +33,7 @@
 	Meter    *meter.Meter // nil: off
 	// Entitled tells whether this node may act for the term right now.
 	Entitled func(term uint64) bool
-	// Follow asks the leader of the home region; nil: no regions are named.
+	// Follow asks the leader of the home region from another one.
 	Follow Follow
 	// Left is for how long that is so without another renewal.
 	Left func(term uint64) time.Duration
--- a/internal/control/home_teams.go
+++ b/internal/control/home_teams.go
@@ -31,6 +31,7 @@
 	home    *dynconfig.Home
 	head    uint64 // version of headKey
 	storing bool
+	retryAt time.Time // when an update that could not be stored is tried again
 	changes []*pendingChange
 	waiting []*waitingRegion
 }
@@ -56,6 +57,8 @@
 	// holdRequest is for how long a region's request is held: it says meanwhile nothing of
 	// what it gives back.
 	holdRequest = 500 * time.Millisecond
+	// retryStore is the wait after an update that the state service rejects.
+	retryStore = time.Second
 	// teamsPerPage bounds a page of teams.
 	teamsPerPage = 50
 )
@@ -142,7 +145,7 @@
 		w.back(ht.home.Reply(w.request))
 	}
 	ht.waiting = kept
-	if ht.storing {
+	if ht.storing || now.Before(ht.retryAt) {
 		return
 	}
 	if len(ht.changes) > 0 {
@@ -233,7 +236,10 @@
 	}
 	past, kept, err := ht.historyWrite(ht.home.Past(u, time.Now()))
 	if err != nil {
-		ht.log.Error("the change does not encode", "error", err)
+		for _, p := range taken {
+			p.back(reply(http.StatusInternalServerError, wire.Error{Error: err.Error()}))
+		}
+		return
 	}
 	ht.store(u, []state.Write{kept}, func() {
 		for _, p := range taken {
@@ -306,6 +312,7 @@
 			ht.storing, ht.head = false, version
 			if err != nil {
 				ht.log.Error("the configuration cannot be stored", "error", err)
+				ht.retryAt = time.Now().Add(retryStore)
 				failed()
 			} else {
 				ht.home.Apply(u)
@@ -343,13 +350,13 @@
 		return
 	}
 	switch op.Verb {
-	case peer.VerbStart, peer.VerbCheck:
+	case peer.VerbStart:
 		c, err := dynconfig.ParseChange(op.Spec)
 		if err != nil {
 			back(reply(http.StatusBadRequest, wire.Error{Error: err.Error()}))
 			return
 		}
-		ht.change(c, op.Verb == peer.VerbCheck, back)
+		ht.change(c, op.Dry, back)
 	case peer.VerbUndo:
 		to, err := strconv.ParseUint(op.Service, 10, 64)
 		if err != nil {
@@ -362,7 +369,7 @@
 			return
 		}
 		c.Base = ht.home.Head().Revision // nothing may come in between
-		ht.change(c, op.Window, back)
+		ht.change(c, op.Dry, back)
 	case peer.VerbHistory:
 		back(reply(http.StatusOK, map[string]any{"changes": ht.home.History()}))
 	case peer.VerbStatus:
--- a/internal/control/teams.go
+++ b/internal/control/teams.go
@@ -250,7 +250,7 @@
 		wait = followPause
 		entries := await(tm.core, func() []dynconfig.Entry { return tm.replica.Answered(q, p) })
 		tm.keep(entries)
-		await(tm.core, func() struct{} { tm.confirm(); return struct{}{} })
+		tm.call(tm.confirm)
 	}
 }
 
@@ -265,6 +265,14 @@
 	return out
 }
 
+// call runs f in the actor and waits for it, or for the end of the term.
+func (co *core) call(f func()) {
+	await(co, func() struct{} {
+		f()
+		return struct{}{}
+	})
+}
+
 // request is what to ask next; nil: not yet.
 func (tm *teams) request() *dynconfig.Request {
 	if !tm.known() {
@@ -293,7 +301,7 @@
 		if !ok {
 			return
 		}
-		await(tm.core, func() struct{} { tm.stored(part, version); return struct{}{} })
+		tm.call(func() { tm.stored(part, version) })
 	}
 }
 
--- a/internal/dynconfig/change.go
+++ b/internal/dynconfig/change.go
@@ -155,7 +155,7 @@
 	r := h.base(c.Name)
 	r.Removed, r.Adopted = false, false
 	r.Limit, r.Shares = c.Limit.amount(Unlimited), map[string]Share{}
-	sum, floor := Amount{}, Amount{}
+	sum := Amount{}
 	for _, region := range slices.Sorted(maps.Keys(c.Regions)) {
 		at := field + ".regions." + region
 		if !slices.Contains(h.regions, region) {
@@ -166,7 +166,7 @@
 		if !s.Guarantee.within(s.Limit) {
 			return nil, refuse(http.StatusUnprocessableEntity, at+".guarantee", "is above the region's part of the limit")
 		}
-		sum, floor = sum.plus(s.Limit), floor.plus(s.Guarantee)
+		sum = sum.plus(s.Limit)
 		r.Shares[region] = s
 	}
 	if !sum.within(r.Limit) {
@@ -195,14 +195,15 @@
 	r := h.base(name)
 	if h.teams[name] == nil {
 		// What its jobs may use stays as it is until they are over.
-		r = h.fromFiles(name)
+		r = h.asStated(name)
 	}
 	r.Removed = true
 	return r, nil
 }
 
-// fromFiles is a team as the platform's files of the regions have it; nil: none does.
-func (h *Home) fromFiles(name string) *Record {
+// asStated is a team of which there is no record, as the regions say that they have it, by
+// their platforms' files or by grants; nil: none does.
+func (h *Home) asStated(name string) *Record {
 	r := &Record{Name: name, Shares: map[string]Share{}, Grants: map[string]Grant{}}
 	for _, region := range h.regions {
 		if s, ok := h.followers[region].says[name]; ok {
--- a/internal/dynconfig/history.go
+++ b/internal/dynconfig/history.go
@@ -46,7 +46,7 @@
 		p.Teams = append(p.Teams, r.Name)
 		was := h.teams[r.Name]
 		if was == nil {
-			was = h.fromFiles(r.Name)
+			was = h.asStated(r.Name)
 		}
 		if was == nil || was.Removed {
 			p.Added = append(p.Added, r.Name)
--- a/internal/dynconfig/home.go
+++ b/internal/dynconfig/home.go
@@ -119,7 +119,7 @@
 	if f.term != q.Term || f.number != q.Number {
 		return &Reply{Refused: "a later request of the region was heard"}
 	}
-	p := &Reply{Term: h.term, Revision: h.head.Revision}
+	p := &Reply{Term: h.term}
 	p.Grants, p.More = h.grants(q.Region, q.After)
 	return p
 }
@@ -199,20 +199,12 @@
 // adopt makes the record of a team that a region has a grant for and the store has lost:
 // it goes on with what the regions have. nil: no region has one.
 func (h *Home) adopt(name string) *Record {
-	r := &Record{Name: name, Adopted: true, Shares: map[string]Share{}, Grants: map[string]Grant{}}
-	granted := false
-	for region, f := range h.followers {
-		s, ok := f.says[name]
-		if !ok {
-			continue
-		}
-		granted = granted || s.Seq > 0
-		r.Limit = r.Limit.plus(s.Limit)
-		r.Shares[region] = Share{Limit: s.Limit}
-	}
-	if !granted || !h.allStated() {
+	granted := func(f *follower) bool { return f.says[name].Seq > 0 }
+	if !h.allStated() || !slices.ContainsFunc(slices.Collect(maps.Values(h.followers)), granted) {
 		return nil
 	}
+	r := h.asStated(name)
+	r.Adopted = true
 	return r
 }
 
--- a/internal/dynconfig/record.go
+++ b/internal/dynconfig/record.go
@@ -134,9 +134,8 @@
 	// Term is the home leader's.
 	Term uint64 `codec:"term"`
 	// State: the region has to state everything to this leader first.
-	State    bool    `codec:"state,omitempty"`
-	Revision uint64  `codec:"revision"`
-	Grants   []Entry `codec:"grants,omitempty"`
+	State  bool    `codec:"state,omitempty"`
+	Grants []Entry `codec:"grants,omitempty"`
 	// More: there are further grants.
 	More bool `codec:"more,omitempty"`
 }
--- a/internal/dynconfig/replica.go
+++ b/internal/dynconfig/replica.go
@@ -141,9 +141,6 @@
 	return r.file[team].Limit
 }
 
-// Granted are the teams that the home region has granted something, by their names.
-func (r *Replica) Granted() []string { return slices.Sorted(maps.Keys(r.teams)) }
-
 // After is the highest sequence that counts here.
 func (r *Replica) After() uint64 { return r.after }
 
--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -528,3 +528,29 @@
 		b.ends(3 * time.Minute)
 	})
 }
+
+// TestRejected: an update of the configuration that the state service rejects is tried again
+// at a pace that leaves the service to others.
+func TestRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, closeAll := newRegionBed(t, 2, 1)
+		defer closeAll()
+		b.idle = true
+		time.Sleep(8 * time.Second)
+		b.inForce(b.apply(0, greenParts(8, 4)), 19*time.Second)
+		store := b.sims[0].store
+		quiet := func() int {
+			before := store.Load().Requests
+			time.Sleep(10 * time.Second)
+			return store.Load().Requests - before
+		}
+		usual := quiet()
+		revision := b.apply(0, greenParts(2, 10))
+		store.Limit(1) // the raise that follows takes two writes
+		if rejected := quiet(); rejected > usual+30 {
+			t.Errorf("%d requests in ten seconds, usually %d", rejected, usual)
+		}
+		store.Limit(12)
+		b.inForce(revision, 19*time.Second)
+	})
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -81,9 +81,10 @@
 	// Team restricts a request about the calendar to what is the team's; empty: an
 	// operator's. In a list Service is the name to go on after.
 	Team string `codec:"team,omitempty"`
-	// Window: the request is about maintenance windows, not reservations. Of a request
-	// about the configuration: it is only checked.
+	// Window: the request is about maintenance windows, not reservations.
 	Window bool `codec:"window,omitempty"`
+	// Dry: a change of the configuration is only checked.
+	Dry bool `codec:"dry,omitempty"`
 }
 
 // Verbs of operations.
@@ -95,7 +96,6 @@
 	VerbResume = "resume"
 	VerbUndo   = "undo"
 	VerbCancel = "cancel"
-	VerbCheck  = "check"
 	// VerbHistory lists changes that were made.
 	VerbHistory = "history"
 )
--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -14,14 +14,13 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"vetchstream/internal/config"
 	"vetchstream/internal/dynconfig"
 	"vetchstream/internal/wire"
 )
 
 const (
 	configPath = "/api/config"
-	// changeTime bounds one request for a change or for the status.
-	changeTime = 4 * time.Second
 	// statusEvery spaces the looks whether a change is in force.
 	statusEvery = 50 * time.Millisecond
 	// mostOperators bounds the changes that are watched at a time.
@@ -122,7 +121,7 @@
 	return &dynconfig.Change{Teams: []dynconfig.TeamChange{c}}
 }
 
-// apply hands a change in at a controller of any region.
+// apply hands a change in at the home region.
 func (o *operators) apply(ctx context.Context, c *dynconfig.Change) (revision uint64, ok bool) {
 	body, err := wire.Marshal(c)
 	if err != nil {
@@ -146,8 +145,6 @@
 }
 
 func (o *operators) askOne(ctx context.Context, method, url string, body []byte, out any) bool {
-	ctx, cancel := context.WithTimeout(ctx, changeTime)
-	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return false
@@ -243,23 +240,22 @@
 	}
 }
 
-// tuning is what the controllers of a region are told of the others, with relays to the
-// home region on the way.
-func (r *run) tuning(of *region) (map[string]any, error) {
-	home, names := r.regions[0], r.options.regionNames()
-	doc := map[string]any{"name": of.name, "home": home.name, "all": names}
-	if of != home {
-		var addresses []string
-		for i, target := range home.peers {
-			ln, err := of.network.Loopback.Listen(fmt.Sprintf("%s/relay-%d:0", of.name, i))
-			if err != nil {
-				return nil, err
-			}
-			relay := newRelay(ln, target)
-			r.relays[link{of.name, home.name, target}] = relay
-			addresses = append(addresses, relay.addr())
+// regionSettings is what the controllers of a region are told of the others, with relays to
+// the home region on the way.
+func (r *run) regionSettings(of *region) (config.Regions, error) {
+	home := r.regions[0]
+	set := config.Regions{Name: of.name, Home: home.name, All: r.options.regionNames(), HomeAddresses: []string{}}
+	if of == home {
+		return set, nil
+	}
+	for i, target := range home.peers {
+		ln, err := of.network.Loopback.Listen(fmt.Sprintf("%s/relay-%d:0", of.name, i))
+		if err != nil {
+			return set, err
 		}
-		doc["home_addresses"] = addresses
+		relay := newRelay(ln, target)
+		r.relays[link{of.name, home.name, target}] = relay
+		set.HomeAddresses = append(set.HomeAddresses, relay.addr())
 	}
-	return map[string]any{"regions": doc}, nil
+	return set, nil
 }
--- a/internal/scale/network.go
+++ b/internal/scale/network.go
@@ -186,29 +186,32 @@
 	Messages float64 `json:"messages_per_s"`
 }
 
+// counters are a host's traffic up to a moment.
+type counters struct{ sent, received, messages int64 }
+
 // totals are the counters of each host.
-func (n *network) totals() map[string][3]int64 {
+func (n *network) totals() map[string]counters {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make(map[string][3]int64, len(n.hosts))
+	out := make(map[string]counters, len(n.hosts))
 	for ip, t := range n.hosts {
-		out[ip] = [3]int64{t.sent.Load(), t.received.Load(), t.messages.Load()}
+		out[ip] = counters{t.sent.Load(), t.received.Load(), t.messages.Load()}
 	}
 	return out
 }
 
 // perWorker is the traffic between two readings of all networks.
-func perWorker(before, after []map[string][3]int64, took time.Duration) (w workerTraffic) {
+func perWorker(before, after []map[string]counters, took time.Duration) (w workerTraffic) {
 	workers := 0.0
 	s := took.Seconds()
 	for i := range after {
 		for ip, now := range after[i] {
 			was := before[i][ip]
-			sent, received := float64(now[0]-was[0])/s, float64(now[1]-was[1])/s
+			sent, received := float64(now.sent-was.sent)/s, float64(now.received-was.received)/s
 			workers++
 			w.Sent += sent
 			w.Received += received
-			w.Messages += float64(now[2]-was[2]) / s
+			w.Messages += float64(now.messages-was.messages) / s
 			w.Most = max(w.Most, sent+received)
 		}
 	}
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -1,23 +1,17 @@
 package scale
 
 import (
-	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"runtime"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
-)
 
-// ticksPerS is the unit of processor time in /proc (USER_HZ), the same on all Linux
-// machines.
-const ticksPerS = 100
+	"github.com/prometheus/procfs"
+)
 
 // usage is what a process takes at one moment.
 type usage struct {
@@ -28,33 +22,21 @@
 
 // usageOf reads /proc; it fails when the process has ended.
 func usageOf(pid int) (u usage, err error) {
-	dir := filepath.Join("/proc", strconv.Itoa(pid))
-	b, err := os.ReadFile(filepath.Join(dir, "stat"))
+	proc, err := procfs.NewProc(pid)
 	if err != nil {
 		return u, err
 	}
-	// The fields after the name, which is in brackets: utime and stime are the 12th and
-	// 13th of them, the resident pages the 22nd.
-	fields := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+1:]))
-	if len(fields) < 22 {
-		return u, fmt.Errorf("%s/stat has %d fields", dir, len(fields))
-	}
-	number := func(i int) int64 {
-		n, perr := strconv.ParseInt(fields[i], 10, 64)
-		err = errors.Join(err, perr)
-		return n
-	}
-	u.cpu = time.Duration(number(11)+number(12)) * time.Second / ticksPerS
-	u.rssMB = float64(number(21)*int64(os.Getpagesize())) / (1 << 20)
+	stat, err := proc.Stat()
 	if err != nil {
 		return u, err
 	}
-	fds, err := os.ReadDir(filepath.Join(dir, "fd"))
+	u.cpu, u.rssMB = seconds(stat.CPUTime()), float64(stat.ResidentMemory())/(1<<20)
+	files, err := proc.FileDescriptorTargets()
 	if err != nil {
 		return u, err
 	}
-	for _, fd := range fds {
-		if to, err := os.Readlink(filepath.Join(dir, "fd", fd.Name())); err == nil && strings.HasPrefix(to, "socket:") {
+	for _, f := range files {
+		if strings.HasPrefix(f, "socket:") {
 			u.sockets++
 		}
 	}
--- a/internal/scale/region.go
+++ b/internal/scale/region.go
@@ -35,6 +35,8 @@
 	userPort, peerPort                             = "8080", "8081"
 	// urgentS is within what time, in seconds, urgentShare of the urgent tasks are to start.
 	urgentS, urgentShare = 5.6, 0.99
+	// promiseMs and yieldS are those of deploy/shares.json.
+	promiseMs, yieldS = 2000, 5
 	// keepIdle is for how many boot times idle machines are kept: the fleet stays as it is.
 	keepIdle = 100
 	// limitTimes is a team's limit in even parts of the region.
@@ -74,7 +76,7 @@
 	}
 	r.world = emulate.New(emulate.Config{Network: r.network, Store: r.store, Types: []wire.MachineType{typ}, Most: p.workers, Controllers: workersSee,
 		Lease: leaseS * time.Second, Cancel: cancelS * time.Second, Report: reportS * time.Second, GangWait: gangWaitS * time.Second,
-		Fetch: fetchTime, ListLag: listLagS * time.Second, Started: waits.started, Log: o.Log})
+		Fetch: fetchTime, ListLag: listLagS * time.Second, Limits: r.limits(), Started: waits.started, Log: o.Log})
 	set, err := r.settings(l)
 	if err != nil {
 		return nil, err
@@ -108,6 +110,19 @@
 	return names
 }
 
+// limits are the teams', as the judge of the region holds them against each start. While
+// they move from region to region only their sums are judged.
+func (r *region) limits() map[string]emulate.Limit {
+	if r.options.Changes > 0 {
+		return nil
+	}
+	out := map[string]emulate.Limit{}
+	for _, t := range r.teamNames() {
+		out[t] = emulate.Limit{CPUs: r.limit()}
+	}
+	return out
+}
+
 // serve answers at an address of its own.
 func (r *region) serve(l *emulate.Loopback, name string, h http.Handler) (addr string, err error) {
 	ln, err := l.Listen(r.name + "/" + name + ":0")
@@ -134,7 +149,7 @@
 		return nil, err
 	}
 	f := &s.Facts
-	f.Nodes, f.Zones, f.SkewMs = r.controllersCount(), r.zones, 50
+	f.Nodes, f.Zones, f.SkewMs = r.regionPlan.controllers, r.zones, 50
 	for _, t := range r.teamNames() {
 		f.Teams = append(f.Teams, config.Team{Name: t, CPUs: r.limit() / (2 * limitTimes), CPUsMax: r.limit()})
 	}
@@ -146,8 +161,6 @@
 	return s, nil
 }
 
-func (r *region) controllersCount() int { return r.regionPlan.controllers }
-
 // writeSettings writes a file for each controller.
 func (r *region) writeSettings(facts *config.Settings, dir string) error {
 	for i := range r.addresses {
@@ -172,13 +185,24 @@
 	return nil
 }
 
+// tuning are the operators' settings that differ from the defaults.
+type tuning struct {
+	PromiseMs int     `json:"promise_ms"`
+	YieldS    float64 `json:"yield_s"`
+	Shares    struct {
+		Enabled bool `json:"enabled"`
+	} `json:"shares"`
+	Hosts struct {
+		IdleBoots float64 `json:"idle_boots"`
+	} `json:"hosts"`
+	Regions config.Regions `json:"regions"`
+}
+
 // writeTuning writes the operators' settings of each controller.
-func (r *region) writeTuning(extra map[string]any) error {
-	doc := map[string]any{"promise_ms": 2000, "yield_s": 5, "shares": map[string]any{"enabled": true}, "hosts": map[string]any{"idle_boots": keepIdle}}
-	for k, v := range extra {
-		doc[k] = v
-	}
-	b, err := json.Marshal(doc)
+func (r *region) writeTuning(regions config.Regions) error {
+	t := tuning{PromiseMs: promiseMs, YieldS: yieldS, Regions: regions}
+	t.Shares.Enabled, t.Hosts.IdleBoots = true, keepIdle
+	b, err := json.Marshal(t)
 	if err != nil {
 		return err
 	}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -1,15 +1,15 @@
 package scale
 
 import (
-	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/prometheus/procfs"
 
 	"vetchstream/internal/emulate"
 )
@@ -89,7 +89,7 @@
 
 // reading is the counters of a moment.
 type reading struct {
-	traffic []map[string][3]int64
+	traffic []map[string]counters
 	starts  []int
 	loads   []emulate.Load
 	stores  []emulate.StoreLoad
@@ -188,19 +188,16 @@
 
 // memoryLimitMB is what a run may take of the machine's memory.
 func memoryLimitMB() (float64, error) {
-	f, err := os.Open("/proc/meminfo")
+	fs, err := procfs.NewDefaultFS()
 	if err != nil {
 		return 0, err
 	}
-	defer f.Close()
-	for s := bufio.NewScanner(f); s.Scan(); {
-		var kB float64
-		if strings.HasPrefix(s.Text(), "MemTotal:") {
-			if _, err := fmt.Sscanf(s.Text(), "MemTotal: %f kB", &kB); err != nil {
-				return 0, fmt.Errorf("meminfo: %w", err)
-			}
-			return mostMemory * kB / 1024, nil
-		}
+	info, err := fs.Meminfo()
+	if err != nil {
+		return 0, err
+	}
+	if info.MemTotal == nil {
+		return 0, errors.New("meminfo: no MemTotal")
 	}
-	return 0, fmt.Errorf("meminfo: no MemTotal")
+	return mostMemory * float64(*info.MemTotal) / 1024, nil // it is in KB
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -99,11 +99,11 @@
 		}
 	}
 	for _, region := range r.regions {
-		extra, err := r.tuning(region)
+		regions, err := r.regionSettings(region)
 		if err != nil {
 			return err
 		}
-		if err := region.writeTuning(extra); err != nil {
+		if err := region.writeTuning(regions); err != nil {
 			return err
 		}
 		for _, c := range region.controllers {
--- a/internal/scale/trouble.go
+++ b/internal/scale/trouble.go
@@ -78,12 +78,12 @@
 }
 
 // play lets a trouble happen at its time.
-func (run *run) play(ctx context.Context, t Trouble, r *rand.Rand) {
+func (r *run) play(ctx context.Context, t Trouble, random *rand.Rand) {
 	if !sleep(ctx, seconds(t.AtS)) {
 		return
 	}
-	run.options.Log.Info("trouble begins", "kind", t.Kind, "region", t.Region, "other", t.Other, "for_s", t.ForS)
-	where := run.regions[slices.IndexFunc(run.regions, func(x *region) bool { return x.name == t.Region })]
+	r.options.Log.Info("trouble begins", "kind", t.Kind, "region", t.Region, "other", t.Other, "for_s", t.ForS)
+	where := r.regions[slices.IndexFunc(r.regions, func(x *region) bool { return x.name == t.Region })]
 	wait := func() { sleep(ctx, seconds(t.ForS)) }
 	switch t.Kind {
 	case KindController:
@@ -91,12 +91,12 @@
 		c.kill()
 		wait()
 		if ctx.Err() == nil {
-			if err := c.start(run.launcher); err != nil {
-				run.options.Log.Error("controller does not start again", "member", c.member, "error", err)
+			if err := c.start(r.launcher); err != nil {
+				r.options.Log.Error("controller does not start again", "member", c.member, "error", err)
 			}
 		}
 	case KindRack:
-		ks := where.world.Zone(where.zones[r.IntN(len(where.zones))])
+		ks := where.world.Zone(where.zones[random.IntN(len(where.zones))])
 		where.world.Kill(ks[:min(len(ks), t.Machines)])
 	case KindZone:
 		var ips []string
@@ -107,9 +107,9 @@
 		wait()
 		where.network.cut(ips, false)
 	case KindRegions:
-		run.cutRegions(t.Region, t.Other, true)
+		r.cutRegions(t.Region, t.Other, true)
 		wait()
-		run.cutRegions(t.Region, t.Other, false)
+		r.cutRegions(t.Region, t.Other, false)
 	case KindState:
 		where.store.Outage(true)
 		wait()
