--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -25,6 +25,9 @@
 	lapsed  int            // tasks that ran when the lease of their machine ended
 	answers map[string]int // answered reports, by controller
 	directs int            // direct commands
+	// overdue counts the launches by direct command that reached a worker, to be carried
+	// out or not, when their job's tasks had to be gone already.
+	overdue int
 	// silence is how long workers went without an answer, from the first report that
 	// had none, in milliseconds.
 	silence *hdrhistogram.Histogram
@@ -74,6 +77,28 @@
 	return w.judge.vain
 }
 
+// OverdueLaunches counts the direct commands to launch a task that reached a worker,
+// whether it carried them out or not, after the last moment at which a task of the
+// cancelled job may be on a machine.
+func (w *World) OverdueLaunches() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judge.overdue
+}
+
+// arrived notes direct commands that reach a worker; the caller holds the lock.
+func (w *World) arrived(orders []wire.Order) {
+	for _, o := range orders {
+		id, _, ok := job.SplitTask(o.Task)
+		if !ok || o.Op != wire.Launch {
+			continue
+		}
+		if at, cancelled := w.judge.aborted[id]; cancelled && time.Since(at) > w.cfg.Cancel {
+			w.judge.overdue++
+		}
+	}
+}
+
 // Lapsed counts the tasks that ran when the lease of their machine ended.
 func (w *World) Lapsed() int {
 	w.mu.Lock()
--- a/internal/emulate/memory.go
+++ b/internal/emulate/memory.go
@@ -18,6 +18,7 @@
 	conns     map[*memConn]bool
 	cut       func(from, to string) bool
 	mute      func(from, to string) bool
+	hold      func(from, to string) bool
 	deny      func(from, to string) bool
 	delay     time.Duration // of every packet
 }
@@ -25,7 +26,7 @@
 // NewMemory makes a network without cuts.
 func NewMemory() *Memory {
 	return &Memory{listeners: map[string]*memListener{}, conns: map[*memConn]bool{}, cut: func(string, string) bool { return false },
-		mute: func(string, string) bool { return false }, deny: func(string, string) bool { return false }, delay: memDelay}
+		mute: func(string, string) bool { return false }, hold: func(string, string) bool { return false }, deny: func(string, string) bool { return false }, delay: memDelay}
 }
 
 // Slow makes every packet take that much longer.
@@ -50,6 +51,21 @@
 	n.reset(f)
 }
 
+// Hold holds what a host sends on connections that it has opened to another for which f is
+// true: its requests. Answers to them, and what goes over connections that the other has
+// opened, pass.
+func (n *Memory) Hold(f func(from, to string) bool) {
+	n.mu.Lock()
+	n.hold = f
+	n.mu.Unlock()
+}
+
+func (n *Memory) holds(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hold(from, to)
+}
+
 func (n *Memory) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -171,8 +187,8 @@
 		n.mu.Lock()
 		n.conns[ca] = true
 		n.mu.Unlock()
-		go n.pump(ap, bp, from, to, dead)
-		go n.pump(bp, ap, to, from, dead)
+		go n.pump(ap, bp, dead, func() bool { return n.isCut(from, to) || n.holds(from, to) })
+		go n.pump(bp, ap, dead, func() bool { return n.isCut(to, from) })
 		select {
 		case l.ch <- cb:
 		case <-l.ended:
@@ -188,7 +204,9 @@
 	b  []byte
 }
 
-func (n *Memory) pump(src, dst net.Conn, from, to string, dead chan struct{}) {
+// pump carries packets from one end of a connection to the other, and keeps them for as
+// long as held says.
+func (n *Memory) pump(src, dst net.Conn, dead chan struct{}, held func() bool) {
 	q := make(chan packet, 4096)
 	go func() {
 		defer close(q)
@@ -209,7 +227,7 @@
 	}()
 	for p := range q {
 		time.Sleep(time.Until(p.at))
-		for n.isCut(from, to) {
+		for held() {
 			select {
 			case <-dead:
 				return
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -418,6 +418,7 @@
 		return
 	}
 	k.step(time.Now())
+	k.w.arrived(d.Orders)
 	switch {
 	case q.URL.Path == "/show":
 	case q.Method == http.MethodGet:
