A worker is not renewed past what the user of a cancelled job was told

Cause: nothing bounded by when a worker whose reports are answered must have let a cancelled task go. (1) A direct launch without an answer stays possible while session and token stay; once its job is cancelled nothing settled it. (2) A holder answers reports that say nothing new, or whose answer the leader owes it, without halts; with its commands not leaving, the task ran on. (3) Found on the way: a launch in doubt on a machine that then went to a holder was never sent once more, and its job waited for ever. Change: internal/fleet/renewal.go states the invariant and decides: the last renewal is a lease before the user's time is over, counted from when the cancelling commit was sent. Up to then the leader answers as before; from then on it answers only what its own answer halts, and leaves the rest to its lease. Each answer of the leader halts all that is cancelled, however recently it was sent before (the row of TestLedger that expected none within 1.5 s is about direct commands, and says so now). A holder gives such a machine back a grant before the limit, and does not answer by itself a report with a task that the leader has not been told of. A version of a service counts from its user's cancellation. Fleet.Hold wakes the machine.

--- a/internal/control/endings.go
+++ b/internal/control/endings.go
@@ -194,6 +194,9 @@
 // active record; the first to commit stands for ever.
 func (en *endings) finish(j *job.Job, phase string) {
 	j.Closing = phase
+	if phase == wire.JobAborted {
+		j.CancelledAt = time.Now()
+	}
 	en.work.stopAll(j)
 	rec := &job.Record{Spec: j.Spec, Phase: phase, Done: j.DoneCount}
 	rec.At = j.At
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -128,7 +128,7 @@
 	f := &c.Settings.Facts
 	co := &core{c: c, ctx: ctx, log: c.Log.With("term", l.Term), debug: c.Log.Enabled(ctx, slog.LevelDebug),
 		term: l.Term, since: l.Since, alive: l.Alive, fence: state.Cond{Key: lead.KeyTerm, Version: l.TermVersion},
-		inbox: make(chan func(), 256), users: make(chan func(), 256), fleet: fleet.New(l.Term, config.Seconds(f.Workers.LeaseS))}
+		inbox: make(chan func(), 256), users: make(chan func(), 256), fleet: newFleet(l.Term, c.Settings)}
 	budget := StateBudget(c.Settings, true)
 	share := func(of float64) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(of*budget.WriteRPS), max(2, int(of*budget.WriteRPS)))
@@ -144,6 +144,12 @@
 	return r
 }
 
+// newFleet makes the ledger of a term.
+func newFleet(term uint64, set *config.Settings) *fleet.Fleet {
+	w := &set.Facts.Workers
+	return fleet.New(term, config.Seconds(w.LeaseS), config.Seconds(w.CancelS))
+}
+
 // wire tells each part whom it may ask.
 func (r *leaderTerm) wire() {
 	r.jobTable.names, r.jobTable.registry, r.jobTable.planner, r.jobTable.work = r.names, r.registry, r.planner, r.work
@@ -260,6 +266,10 @@
 		back(Later("a later term is known"))
 		return
 	}
+	if !r.machines.renewable(h, now) {
+		back(Later("a launch of a cancelled job may be on its way to the machine"))
+		return
+	}
 	r.planner.place(now)
 	orders, sent, ev := r.fleet.Compose(h, m.Seq, fresh, now, maxOrders)
 	r.takeover.launched(len(sent), now)
--- a/internal/control/rent.go
+++ b/internal/control/rent.go
@@ -9,6 +9,7 @@
 	"vetchstream/internal/config"
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/hosts"
+	"vetchstream/internal/meter"
 	"vetchstream/internal/place"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -234,6 +235,21 @@
 	}
 }
 
+// renewable reports whether an answer may renew the machine's lease. Where it may not, the
+// worker's session has to end: what runs there is lost.
+func (mc *machines) renewable(h *fleet.Host, now time.Time) bool {
+	if mc.fleet.Renewable(h, now, maxOrders) {
+		h.Withheld = false
+		return true
+	}
+	if !h.Withheld {
+		mc.log.Info("a launch of a cancelled job may be on its way to a machine, its session has to end", "host", h.Name, "tasks", h.Jobs-h.Unsettled)
+		mc.c.Meter.Add(meter.Withheld, "", 1)
+		mc.work.handle(mc.fleet.Withhold(h), now)
+	}
+	return false
+}
+
 func (mc *machines) unsettled(h *fleet.Host) bool {
 	for _, s := range h.Slots {
 		if !s.Settled {
--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -339,6 +339,10 @@
 func (ro *rollouts) retire(j *job.Job, handle string) {
 	if j != nil && j.ID != handle && j.Phase+j.Closing == "" {
 		ro.endings.finish(j, wire.JobAborted)
+		// A version that goes because its user has cancelled the service counts from then.
+		if h := ro.jobTable.sound(handle); h != nil && h.Cancelled() && h.CancelledAt.Before(j.CancelledAt) {
+			j.CancelledAt = h.CancelledAt
+		}
 	}
 }
 
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -34,6 +34,8 @@
 	waiting map[string][]func() // reports of machines whose holder is changing
 	told    map[moveKind]*moved
 	toldAt  time.Time
+	kept    map[*fleet.Host]struct{} // machines that no holder may answer now
+	keptAt  time.Time                // of the last look for more of them
 }
 
 // box is what waits for a member's next reply.
@@ -114,7 +116,7 @@
 
 func newShares(co *core) *shares {
 	return &shares{core: co, holders: map[string]*fleet.Holder{}, boxes: map[string]*box{}, relayed: map[uint64]*relay{},
-		waiting: map[string][]func(){}, told: map[moveKind]*moved{}}
+		waiting: map[string][]func(){}, told: map[moveKind]*moved{}, kept: map[*fleet.Host]struct{}{}}
 }
 
 // Room is how many machines a controller can deal with: a connection each, beside
@@ -173,6 +175,7 @@
 	if sh.allot == nil || h.Releasing {
 		return
 	}
+	sh.keep(h, now)
 	sh.allot.Served(h.Name, via, now)
 	sh.bind(h)
 }
@@ -185,7 +188,38 @@
 			by = &fleet.Holder{Name: member}
 			sh.holders[member] = by
 		}
-		h.Hold(by)
+		sh.fleet.Hold(h, by)
+	}
+}
+
+// keep takes a machine back from its holder, or keeps it here, in time before its lease may
+// only be renewed by answers that carry halts.
+func (sh *shares) keep(h *fleet.Host, now time.Time) {
+	limit, bounded := sh.fleet.RenewalLimit(h)
+	if !bounded || limit.Sub(now) > sh.allot.HandoverTime()+2*urgentEvery {
+		return
+	}
+	sh.kept[h] = struct{}{}
+	sh.allot.Keep(h.Name, "a cancelled task may be on it", now)
+}
+
+// keepDue looks for machines that have to be kept, among those that wait for a command, and
+// lets go of those that need not be any more. It comes before each reply to a holder, since
+// a reply prolongs its grant.
+func (sh *shares) keepDue(now time.Time) {
+	if now.Sub(sh.keptAt) < urgentEvery {
+		return
+	}
+	sh.keptAt = now
+	for _, h := range sh.fleet.Awake() {
+		sh.keep(h, now)
+	}
+	for h := range sh.kept {
+		if _, bounded := sh.fleet.RenewalLimit(h); bounded && sh.fleet.Hosts[h.Name] == h {
+			continue
+		}
+		delete(sh.kept, h)
+		sh.allot.Release(h.Name)
 	}
 }
 
@@ -279,6 +313,9 @@
 			if by := a.host.Holder(); by == nil || by.Name != member || sh.fleet.Hosts[a.host.Name] != a.host || a.host.Session != a.session {
 				continue
 			}
+			if !sh.machines.renewable(a.host, now) {
+				continue
+			}
 			orders, sent, ev := sh.fleet.Compose(a.host, a.seq, a.fresh, now, maxOrders)
 			sh.takeover.launched(len(sent), now)
 			sh.work.handle(ev, now)
@@ -387,6 +424,7 @@
 		}
 		sh.tell(now)
 	}
+	sh.keepDue(now)
 	for member, b := range sh.boxes {
 		if b.back == nil {
 			continue
--- a/internal/control/takeover_load.go
+++ b/internal/control/takeover_load.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-	"vetchstream/internal/config"
-	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
 	"vetchstream/internal/state"
 	"vetchstream/internal/wire"
@@ -74,7 +72,7 @@
 
 // reset forgets what a try that failed half-way has taken in.
 func (tk *takeover) reset() {
-	tk.fleet = fleet.New(tk.term, config.Seconds(tk.c.Settings.Facts.Workers.LeaseS))
+	tk.fleet = newFleet(tk.term, tk.c.Settings)
 	tk.registry.reset()
 	tk.jobTable.reset()
 	tk.results.reset()
--- a/internal/fleet/compose.go
+++ b/internal/fleet/compose.go
@@ -14,12 +14,17 @@
 // way, whose order against this answer is not known.
 func (f *Fleet) Compose(h *Host, seq uint64, launches bool, now time.Time, limit int) (orders []wire.Order, sent []*Slot, ev []Event) {
 	orders = []wire.Order{}
+	if seq != 0 {
+		orders = h.haltCancelled(orders, now, limit)
+	}
 	for _, s := range h.Slots {
 		if len(orders) >= limit {
 			break
 		}
 		name := func() string { return job.TaskName(s.Job.ID, s.Task) }
 		switch {
+		case seq != 0 && s.Seen && s.expiring():
+			// Halted above.
 		case !s.Sent:
 			if s.Job.Closing != "" || s.Job.Phase != "" {
 				// The abort's commit may have been sent after the placement.
@@ -41,12 +46,10 @@
 			s.again = now
 			orders = append(orders, wire.Order{Op: wire.Launch, Task: name(), Attempt: s.Attempt})
 			if s.Stopping {
-				s.Halted = now
-				orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
+				orders = append(orders, s.halt(now))
 			}
 		case s.haltDue(now):
-			s.Halted = now
-			orders = append(orders, wire.Order{Op: wire.Halt, Task: name(), Attempt: s.Attempt, Grace: grace(s.Grace)})
+			orders = append(orders, s.halt(now))
 		case seq != 0 && !s.On() && s.Settled && s.again.IsZero():
 			orders = append(orders, wire.Order{Op: wire.Clear, Task: name(), Attempt: s.Attempt})
 		}
@@ -55,6 +58,25 @@
 	return orders, sent, ev
 }
 
+// halt makes the order that stops the placement, and notes that it is sent.
+func (s *Slot) halt(now time.Time) wire.Order {
+	s.Halted = now
+	return wire.Order{Op: wire.Halt, Task: job.TaskName(s.Job.ID, s.Task), Attempt: s.Attempt, Grace: grace(s.Grace)}
+}
+
+// haltCancelled halts, without time to save, all that the worker has shown of cancelled
+// jobs. An answer to a report renews the lease, so each carries these first, however short
+// a time ago they were sent before (renewal.go).
+func (h *Host) haltCancelled(orders []wire.Order, now time.Time, limit int) []wire.Order {
+	for _, s := range h.Slots {
+		if s.Seen && s.expiring() && len(orders) < limit {
+			s.Grace = 0
+			orders = append(orders, s.halt(now))
+		}
+	}
+	return orders
+}
+
 // Clears are the exits that the worker may forget, for the next answer of the
 // holder.
 func (h *Host) Clears(limit int) (orders []wire.Order) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,18 +15,21 @@
 type Fleet struct {
 	Term  uint64
 	Lease time.Duration // including the margin
-	Hosts map[string]*Host
-	order []*Host
-	next  int
-	spare []int // indices below next that are free
-	jobs  map[*job.Job]map[*Slot]struct{}
-	awake []*Host
+	// CancelTime is how long after its user was told a task of a cancelled job may be on a
+	// machine.
+	CancelTime time.Duration
+	Hosts      map[string]*Host
+	order      []*Host
+	next       int
+	spare      []int // indices below next that are free
+	jobs       map[*job.Job]map[*Slot]struct{}
+	awake      []*Host
 }
 
 // New makes an empty fleet for a term. The lease is lengthened by the drift of
 // the worker's clock and a margin for the granularity of its timers.
-func New(term uint64, lease time.Duration) *Fleet {
-	return &Fleet{Term: term, Lease: lease + lease/1000 + 500*time.Millisecond, Hosts: map[string]*Host{},
+func New(term uint64, lease, cancelTime time.Duration) *Fleet {
+	return &Fleet{Term: term, Lease: lease + lease/1000 + 500*time.Millisecond, CancelTime: cancelTime, Hosts: map[string]*Host{},
 		jobs: map[*job.Job]map[*Slot]struct{}{}}
 }
 
@@ -100,7 +103,7 @@
 func (f *Fleet) Awake() []*Host {
 	f.awake = slices.DeleteFunc(f.awake, func(h *Host) bool {
 		for _, s := range h.Slots {
-			if !s.Sent || (s.Stopping && s.On()) || (h.holder != nil && s.Direct && !s.Seen) {
+			if s.awaitsCommand() {
 				return false
 			}
 		}
@@ -110,6 +113,11 @@
 	return f.awake
 }
 
+// awaitsCommand reports whether a launch or a halt of the slot is to come.
+func (s *Slot) awaitsCommand() bool {
+	return !s.Sent || (s.Stopping && s.On()) || (s.Host.holder != nil && s.inFlight())
+}
+
 // Waits reports whether any machine is on that list.
 func (f *Fleet) Waits() bool { return len(f.awake) > 0 }
 
@@ -176,6 +184,7 @@
 		s.Stopping, s.Grace, s.Halted = true, grace, time.Time{}
 		f.wake(s.Host)
 	}
+	s.Host.Recount()
 	return nil
 }
 
@@ -186,7 +195,7 @@
 		if h.Lost || h.asOf(now).Sub(h.heard) < f.Lease || now.Sub(h.directAt) < f.Lease {
 			continue
 		}
-		h.Lost, h.LostAt, h.Fenced = true, now, false
+		h.Lost, h.LostAt, h.Fenced, h.Withheld = true, now, false, false
 		ev = append(ev, f.drop(h)...)
 		if !h.Booting && !h.Releasing {
 			lost++
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 
 func newBed(t *testing.T) *bed {
 	now := time.Unix(1000, 0)
-	b := &bed{t: t, now: now, f: New(term, 10*time.Second),
+	b := &bed{t: t, now: now, f: New(term, 10*time.Second, 25*time.Second),
 		j: job.New(&job.Record{Spec: job.Spec{ID: "run-1", ShapeName: "array", RankName: "standard", Tasks: 4, CPUs: 1}}, now)}
 	b.h = b.f.Add("host-1", now)
 	b.h.Known, b.h.Durable, b.h.Type, b.h.Zone = true, true, 0, 0
@@ -167,7 +167,7 @@
 		{"4, 9: a held machine is judged as of what its holder has told, and at its end as of the grant", func(b *bed) {
 			by := &Holder{Name: "n1", Told: b.now}
 			b.msg(true, 1, 1, term, run)
-			b.h.Hold(by)
+			b.f.Hold(b.h, by)
 			b.now = b.now.Add(15 * time.Second)
 			b.f.Expire(b.now)
 			b.live(1, "its holder may have renewed the lease since")
@@ -183,7 +183,7 @@
 		}},
 		{"8: a launch in an answer of the holder's is settled by a report that says nothing new", func(b *bed) {
 			b.msg(true, 1, 1, term, nil)
-			b.h.Hold(&Holder{Name: "n1"})
+			b.f.Hold(b.h, &Holder{Name: "n1"})
 			b.assign(1)
 			b.compose(1, true)
 			b.f.Renew(b.h, 1, 1, b.now)
@@ -288,9 +288,12 @@
 			for _, s := range b.h.Slots {
 				b.f.Stop(s, 0)
 			}
-			b.orders(b.compose(1, true), "halt 1;")
-			b.orders(b.compose(1, true), "")
+			b.orders(b.compose(0, true), "halt 1;")
+			b.orders(b.compose(0, true), "")
 			b.now = b.now.Add(2 * time.Second)
+			b.orders(b.compose(0, true), "halt 1;")
+			// What renews the lease halts each time.
+			b.orders(b.compose(1, true), "halt 1;")
 			b.orders(b.compose(1, true), "halt 1;")
 		}},
 		{"a worker that has seen a later term deposes the leader", func(b *bed) {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -16,8 +16,17 @@
 // Holder is who answers the machine's reports; nil: the leader.
 func (h *Host) Holder() *Holder { return h.holder }
 
-// Hold notes that a holder may answer the machine's reports from now on.
-func (h *Host) Hold(by *Holder) { h.holder = by }
+// Hold notes that a holder may answer the machine's reports from now on. What the leader
+// would have sent once more in an answer of its own has to go by a command.
+func (f *Fleet) Hold(h *Host, by *Holder) {
+	h.holder = by
+	for _, s := range h.Slots {
+		if s.awaitsCommand() {
+			f.wake(h)
+			return
+		}
+	}
+}
 
 // Unhold notes that the holder does not any more; it may have until the moment
 // given.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -38,6 +38,8 @@
 	// answer to a direct command tells of a new session, and no report has come since.
 	// Whatever is launched there dies with its lease. Zero: it is not.
 	MuteAt time.Time
+	// Withheld: the worker's reports go unanswered until its session has ended (renewal.go).
+	Withheld bool
 	// Fenced: the worker has sent a message with our own term.
 	Fenced bool
 	// heard is the last moment from which an answer of ours, of a holder of ours or of
@@ -76,6 +78,8 @@
 	Queue, Jobs       int
 	// Exits counts the exits that the worker still reports.
 	Exits int
+	// Unsettled counts the launches of cancelled jobs that may still be on their way.
+	Unsettled int
 
 	messages uint64
 	awake    bool
@@ -131,7 +135,7 @@
 
 // Recount sums up what the placements take.
 func (h *Host) Recount() {
-	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs, h.Exits = 0, 0, 0, 0, 0, 0
+	h.CPUs, h.GPUs, h.MemGB, h.Queue, h.Jobs, h.Exits, h.Unsettled = 0, 0, 0, 0, 0, 0, 0
 	for _, s := range h.Slots {
 		if !s.On() {
 			h.Exits++
@@ -144,6 +148,9 @@
 		if s.Phase != wire.Running && s.Phase != wire.Saving {
 			h.Queue++
 		}
+		if s.expiring() && s.inFlight() {
+			h.Unsettled++
+		}
 	}
 }
 
@@ -153,7 +160,9 @@
 // Busy reports whether anything may be on the machine.
 func (h *Host) Busy() bool { return h.Jobs > 0 }
 
-// Usable reports whether the machine may get launches.
+// Usable reports whether the machine may get launches. Where one of a cancelled job may
+// still be on its way the session may have to end, and with it whatever runs by then.
 func (h *Host) Usable() bool {
-	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() && !h.Deaf() && !h.Unheard && !h.Mute()
+	return h.Known && h.Durable && h.Fenced && !h.Lost && !h.Releasing && !h.Draining && h.RecallAt.IsZero() &&
+		!h.Deaf() && !h.Unheard && !h.Mute() && !h.Withheld && h.Unsettled == 0
 }
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -53,11 +53,11 @@
 				h.MuteAt = now
 			}
 			// Its lease has run out although its reports were answered.
-			deaf = isReport && !h.Lost
+			deaf = isReport && !h.Lost && !h.Withheld
 			r.Events = append(r.Events, f.drop(h)...)
 			h.Images = nil
 		}
-		h.Session, h.Fenced, h.reported = m.Session, false, 0
+		h.Session, h.Fenced, h.Withheld, h.reported = m.Session, false, false, 0
 		if isReport {
 			h.reported = m.Seq
 		}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -64,6 +64,9 @@
 	// Closing is the final phase whose commit has been sent: nothing is launched
 	// from that moment on, whatever becomes of the commit.
 	Closing string
+	// CancelledAt is when the commit of the job's cancellation was first sent: its user
+	// may have been told from then on. Zero where an earlier leader sent it.
+	CancelledAt time.Time
 
 	done      []uint64
 	DoneCount int
@@ -251,6 +254,11 @@
 	j.recount()
 }
 
+// Cancelled reports whether the job's user may have been told that it is cancelled.
+func (j *Job) Cancelled() bool {
+	return j.Phase == wire.JobAborted || (j.Phase == "" && j.Closing == wire.JobAborted)
+}
+
 func (j *Job) recount() {
 	j.DoneCount, j.undone = 0, 0
 	for _, w := range j.done {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -31,6 +31,7 @@
 	ShareMoves = Metric{"vetchstream_share_moves_total", "Machines that a holder has given back or lost, by the reason.", "why"}
 	// ConfigChanges counts changes of the configuration at the home region.
 	ConfigChanges = Metric{"vetchstream_config_changes_total", "Changes of the configuration, by what became of them.", "result"}
+	Withheld      = Metric{"vetchstream_sessions_ended_total", "Machines whose reports went unanswered, so that a launch of a cancelled job cannot be carried out.", ""}
 	Accepted      = Metric{"vetchstream_jobs_accepted_total", "Jobs accepted by this node, by the kind of record.", "record"}
 )
 
--- a/internal/node/share_holder.go
+++ b/internal/node/share_holder.go
@@ -44,6 +44,9 @@
 	// askTime is how long a worker waits for the leader's answer before it gets this
 	// node's own, which renews its lease.
 	askTime = 250 * time.Millisecond
+	// requiredTime is how long it waits where this node may not answer by itself. The
+	// worker gives the answer up after 4 s.
+	requiredTime = 2 * time.Second
 )
 
 func newShareHolder(n *Node, dial state.DialFunc) *shareHolder {
@@ -138,6 +141,26 @@
 	a.mu.Unlock()
 }
 
+// await waits for the leader's answer to a report of a machine.
+func (a *shareHolder) await(ctx context.Context, machine string, q ask, patience time.Duration) (orders []wire.Order, ok bool) {
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case orders = <-q.orders:
+		ok = true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	// What the leader says from now on is too late: its launches count as not
+	// executed once the worker's next report lacks them.
+	if now, waits := a.asks[machine]; waits && now.orders == q.orders {
+		delete(a.asks, machine)
+	}
+	return orders, ok
+}
+
 // valid reports whether this node may act for the leader of the term right now.
 func (a *shareHolder) valid(term uint64) bool {
 	a.mu.Lock()
@@ -155,7 +178,7 @@
 	orders, verdict := a.holder.Report(m, body, time.Now())
 	term := a.holder.Term()
 	q := ask{m.Session, m.Seq, make(chan []wire.Order, 1)}
-	if verdict == share.Asked {
+	if verdict >= share.Asked {
 		a.asks[m.Host] = q // an older one of the machine is not waited for any more
 	}
 	a.mu.Unlock()
@@ -168,21 +191,18 @@
 		}
 		return control.Later("the leader has not renewed this node's grant")
 	}
-	if verdict == share.Asked {
-		t := time.NewTimer(askTime)
-		defer t.Stop()
-		select {
-		case orders = <-q.orders:
-		case <-t.C:
-		case <-ctx.Done():
+	if verdict >= share.Asked {
+		patience := askTime
+		if verdict == share.Required {
+			patience = requiredTime
 		}
-		a.mu.Lock()
-		// What the leader says from now on is too late: its launches count as not
-		// executed once the worker's next report lacks them.
-		if now, ok := a.asks[m.Host]; ok && now.orders == q.orders {
-			delete(a.asks, m.Host)
+		told, ok := a.await(ctx, m.Host, q, patience)
+		switch {
+		case ok:
+			orders = told
+		case verdict == share.Required:
+			return control.Later("the leader has not been told of all tasks of the machine")
 		}
-		a.mu.Unlock()
 	}
 	b, err := wire.Marshal(wire.Answer{Token: term, Orders: orders})
 	if err != nil {
--- a/internal/share/allot.go
+++ b/internal/share/allot.go
@@ -39,6 +39,8 @@
 	until  time.Time
 	ranked []*seat
 	epoch  int // of the seats that it is ranked by
+	// kept: the leader deals with it until Release.
+	kept bool
 }
 
 // member is a controller that may hold a share.
@@ -281,7 +283,7 @@
 // cut from its workers gives their machines to those that are not.
 func (a *Allotter) Served(name, via string, now time.Time) {
 	k := a.machines[name]
-	if k == nil || k.phase != own || len(a.machines) < a.set.Least {
+	if k == nil || k.phase != own || k.kept || len(a.machines) < a.set.Least {
 		return
 	}
 	if via != "" {
@@ -309,6 +311,25 @@
 	a.moves++
 }
 
+// HandoverTime is how long a machine that is taken back may still be answered by its
+// holder: the rest of a grant that was given before.
+func (a *Allotter) HandoverTime() time.Duration { return a.set.Grant + drift(a.set.Grant) }
+
+// Keep lets the leader deal with a machine until Release; a holder gives it back.
+func (a *Allotter) Keep(name, why string, now time.Time) {
+	if k := a.machines[name]; k != nil && !k.kept {
+		k.kept = true
+		a.take(k, why, now)
+	}
+}
+
+// Release lets a machine that was kept go to a holder again.
+func (a *Allotter) Release(name string) {
+	if k := a.machines[name]; k != nil {
+		k.kept = false
+	}
+}
+
 func (a *Allotter) take(k *machine, why string, now time.Time) {
 	if k.phase == own || k.phase == taking {
 		return
@@ -467,7 +488,7 @@
 		return
 	}
 	for _, name := range have {
-		if k := a.machines[name]; k != nil && k.phase == own && len(m.machines) < m.room {
+		if k := a.machines[name]; k != nil && k.phase == own && !k.kept && len(m.machines) < m.room {
 			a.give(k, m, "it had it before", now)
 		}
 	}
--- a/internal/share/hold.go
+++ b/internal/share/hold.go
@@ -24,14 +24,17 @@
 	// Asked means that the report says something new. The orders are the answer if none comes
 	// from the leader in time; until then the worker waits.
 	Asked
+	// Required means that the report shows a task of which the leader has not been told. It
+	// may be of a cancelled job, and only the leader's answer halts it: there is no other.
+	Required
 )
 
 // drift is what a grant loses for the clocks of the two sides: they may differ by
 // 0.1 %, and timers fire late.
 func drift(d time.Duration) time.Duration { return d/500 + 20*time.Millisecond }
 
-// exit names an exited task of a machine.
-type exit struct {
+// placement names a task of a machine.
+type placement struct {
 	task    string
 	attempt uint64
 }
@@ -43,8 +46,12 @@
 	session, seq uint64
 	digest       uint64
 	known        bool // the digest is that of a report
-	exits        []exit
-	settled      []exit
+	exits        []placement
+	settled      []placement
+	// tasks are those that the last report in full shows and that have not exited,
+	// acknowledged those of the last one that the leader has been told of.
+	tasks        []placement
+	acknowledged []placement
 	// reports counts what has come, told those that the leader has. full is the last
 	// report that differs from the one before, while fullAt is above told.
 	reports, told uint64
@@ -128,24 +135,52 @@
 	k.session, k.seq, k.at = m.Session, m.Seq, now
 	k.reports++
 	verdict := Answered
-	if d := digest(m); !k.known || d != k.digest || m.Notice != nil {
-		k.digest, k.known, verdict = d, true, Asked
-		k.full, k.fullAt = slices.Clone(body), k.reports
+	d := digest(m)
+	if !k.known || d != k.digest || m.Notice != nil {
+		verdict = Asked
+		k.list(m)
 	}
-	k.exits = k.exits[:0]
-	for i := range m.Tasks {
-		if t := &m.Tasks[i]; t.Phase == wire.Exited {
-			k.exits = append(k.exits, exit{t.Task, t.Attempt})
-		}
+	if k.untold() {
+		verdict = Required
+	}
+	if verdict != Answered {
+		k.digest, k.known = d, true
+		k.full, k.fullAt = slices.Clone(body), k.reports
 	}
 	orders := []wire.Order{}
-	k.settled = slices.DeleteFunc(k.settled, func(e exit) bool { return !slices.Contains(k.exits, e) })
+	k.settled = slices.DeleteFunc(k.settled, func(e placement) bool { return !slices.Contains(k.exits, e) })
 	for _, e := range k.settled {
 		orders = append(orders, wire.Order{Op: wire.Clear, Task: e.task, Attempt: e.attempt})
 	}
 	return orders, verdict
 }
 
+// list notes what a report shows.
+func (k *held) list(m *wire.Report) {
+	k.exits, k.tasks = k.exits[:0], k.tasks[:0]
+	for i := range m.Tasks {
+		t := &m.Tasks[i]
+		if t.Phase == wire.Exited {
+			k.exits = append(k.exits, placement{t.Task, t.Attempt})
+		} else {
+			k.tasks = append(k.tasks, placement{t.Task, t.Attempt})
+		}
+	}
+}
+
+// untold reports whether the last report shows a task of which the leader has not been told.
+func (k *held) untold() bool {
+	return slices.ContainsFunc(k.tasks, func(t placement) bool { return !slices.Contains(k.acknowledged, t) })
+}
+
+// acknowledge notes that the leader has been told of the reports up to that number.
+func (k *held) acknowledge(report uint64) {
+	k.told = max(k.told, report)
+	if k.told >= k.fullAt {
+		k.acknowledged = append(k.acknowledged[:0], k.tasks...)
+	}
+}
+
 // requestBytes bounds the reports in a request, and doneBytes those in the ends of
 // commands: one more may come on top. The leader refuses larger messages, and a
 // request that it refuses would be made again for ever.
@@ -203,7 +238,7 @@
 	} else {
 		for name, n := range h.flight {
 			if k := h.machines[name]; k != nil {
-				k.told = max(k.told, n)
+				k.acknowledge(n)
 			}
 		}
 		h.done = slices.Delete(h.done, 0, h.sentDone)
@@ -249,7 +284,7 @@
 		return
 	}
 	for _, o := range s.Clears {
-		if e := (exit{o.Task, o.Attempt}); slices.Contains(k.exits, e) && !slices.Contains(k.settled, e) {
+		if e := (placement{o.Task, o.Attempt}); slices.Contains(k.exits, e) && !slices.Contains(k.settled, e) {
 			k.settled = append(k.settled, e)
 		}
 	}
