--- a/internal/fleet/renewal_test.go
+++ b/internal/fleet/renewal_test.go
@@ -22,22 +22,30 @@
 	}
 }
 
+// renewal is a case of the tests below.
+type renewal struct {
+	name string
+	do   func(b *bed)
+}
+
+// inFlight lets a job be cancelled whose launch is on its way.
+func inFlight(b *bed) {
+	b.msg(true, 1, 1, term, nil)
+	b.assign(1)
+	b.orders(b.compose(0, true), "launch 1;")
+	b.cancel()
+}
+
+var running = map[uint64]string{1: wire.Running}
+
+// limit is when, after the cancellation, the lease may be renewed no more: cancel_s is 25 s,
+// the lease with its margin 10.51 s.
+const limit = 14490 * time.Millisecond
+
 // TestRenewal: the lease of a machine that a cancelled job may be on, or may come to, is not
-// renewed beyond what the job's user was told. cancel_s is 25 s, the lease with its margin
-// 10.51 s, so the last renewal is 14.49 s after the cancellation.
+// renewed beyond what the job's user was told.
 func TestRenewal(t *testing.T) {
-	run := map[uint64]string{1: wire.Running}
-	const limit = 14490 * time.Millisecond
-	inFlight := func(b *bed) {
-		b.msg(true, 1, 1, term, nil)
-		b.assign(1)
-		b.orders(b.compose(0, true), "launch 1;")
-		b.cancel()
-	}
-	tests := []struct {
-		name string
-		do   func(b *bed)
-	}{
+	tests := []renewal{
 		{"a launch on its way: until the limit, not from it on", func(b *bed) {
 			inFlight(b)
 			b.now = b.now.Add(limit - time.Millisecond)
@@ -53,7 +61,7 @@
 		{"a launch that arrives late is halted, and what halts it renews", func(b *bed) {
 			inFlight(b)
 			b.now = b.now.Add(limit + time.Second)
-			b.msg(true, 1, 2, term, run)
+			b.msg(true, 1, 2, term, running)
 			b.renewable(true, "shown by the report")
 			b.orders(b.compose(2, true), "halt 1;")
 			if _, bounded := b.f.RenewalLimit(b.h); !bounded {
@@ -72,12 +80,21 @@
 		}},
 		{"cancelled by an earlier leader: nobody knows when", func(b *bed) {
 			b.j.Phase = wire.JobAborted
-			b.msg(true, 1, 1, term-1, run)
+			b.msg(true, 1, 1, term-1, running)
 			b.renewable(true, "by an answer with halts")
 			if at, bounded := b.f.RenewalLimit(b.h); !bounded || at.After(b.now) {
 				b.t.Error("a holder may renew")
 			}
 		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.do(newBed(t)) })
+	}
+}
+
+// TestRenewalBeside: what else the bound concerns, and what it does not.
+func TestRenewalBeside(t *testing.T) {
+	tests := []renewal{
 		{"more to halt than an answer holds", func(b *bed) {
 			b.msg(true, 1, 1, term, map[uint64]string{1: wire.Running, 2: wire.Running})
 			b.cancel()
