Roll-outs: versions of a cancelled service end without waiting for the record

Cause: the jobs of the other versions were ended once the roll-out said so durably, and after a change of leader once every machine was settled; in an outage their replicas ran on beside the leader that goes on by promises. Change: rollouts.endCancelled ends them as soon as the handle is over, counted from its cancellation.

--- a/internal/control/rollouts.go
+++ b/internal/control/rollouts.go
@@ -144,6 +144,9 @@
 		return
 	}
 	ro.stepAt = now
+	for _, s := range ro.services {
+		ro.endCancelled(s)
+	}
 	if !ro.takeover.settled() {
 		return // what runs where is not known yet: nothing new starts, nothing is stopped
 	}
@@ -334,15 +337,31 @@
 	}
 }
 
+// endCancelled ends the jobs of all versions of a service that its user has cancelled. It
+// waits neither for the roll-out's record, which an outage holds up, nor for the machines of
+// earlier leaders: their tasks have as long to go as those of any cancelled job.
+func (ro *rollouts) endCancelled(s *service) {
+	handle := ro.jobTable.sound(s.rec.Handle)
+	if !gone(handle) {
+		return
+	}
+	var since time.Time // an earlier leader has sent it, nobody knows when
+	if handle != nil {
+		since = handle.CancelledAt
+	}
+	for _, id := range []string{s.rec.Current, s.rec.Next} {
+		if j := ro.jobTable.sound(id); !gone(j) {
+			ro.retire(j, s.rec.Handle)
+			j.CancelledAt = since
+		}
+	}
+}
+
 // retire ends the job of a version that is not wanted any more. The handle is its
 // user's, and stays until they cancel it.
 func (ro *rollouts) retire(j *job.Job, handle string) {
 	if j != nil && j.ID != handle && j.Phase+j.Closing == "" {
 		ro.endings.finish(j, wire.JobAborted)
-		// A version that goes because its user has cancelled the service counts from then.
-		if h := ro.jobTable.sound(handle); h != nil && h.Cancelled() && h.CancelledAt.Before(j.CancelledAt) {
-			j.CancelledAt = h.CancelledAt
-		}
 	}
 }
 
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -30,7 +30,10 @@
 		if limit > 0 {
 			c.Limits["red"] = emulate.Limit{CPUs: 14}
 		}
-	}, func(_ *config.Settings, tun *config.Tuning) { tun.Rollouts.Enabled = true })
+	}, func(set *config.Settings, tun *config.Tuning) {
+		promising(set, tun)
+		tun.Rollouts.Enabled = true
+	})
 	s.Keep()
 	for i := range 9 {
 		s.Boot("small", []string{"a", "b", "c"}[i%3], false, 0)
@@ -174,6 +177,15 @@
 			b.until(25, func() bool { return b.Running("run-1") == 0 && b.Running("run-2") == 0 })
 			b.until(20, b.is(rollout.Failed))
 		}},
+		{"its user cancels the service, and the state service is out at once", 0, func(b *rollBed) {
+			b.start(nil)
+			b.until(100, func() bool { return b.Running("run-2") >= 3 })
+			b.user(b.hc, "POST", "/api/jobs/run-1/abort", nil, func(status int, st wire.Status) bool { return status == 200 && st.Phase == wire.JobAborted })
+			b.store.Outage(true)
+			b.until(25, func() bool { return b.Running("run-1") == 0 && b.Running("run-2") == 0 })
+			b.store.Outage(false)
+			b.until(30, b.is(rollout.Failed))
+		}},
 		{"the team's limit leaves no room for one extra: it waits, then pauses", 2, func(b *rollBed) {
 			// Six replicas take 12 of 14 CPUs: the next version's are larger.
 			b.start(map[string]any{"to": map[string]any{"uid": "run-2", "reel": "new", "cpus": 2.3}})
