--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -28,6 +28,9 @@
 	// overdue counts the launches by direct command that reached a worker, to be carried
 	// out or not, when their job's tasks had to be gone already.
 	overdue int
+	// stuck counts the direct commands that wait at machines that hang, and mostStuck how
+	// many did at a time.
+	stuck, mostStuck int
 	// silence is how long workers went without an answer, from the first report that
 	// had none, in milliseconds.
 	silence *hdrhistogram.Histogram
@@ -86,6 +89,13 @@
 	return w.judge.overdue
 }
 
+// MostStuck is how many direct commands have waited at hanging machines at a time.
+func (w *World) MostStuck() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judge.mostStuck
+}
+
 // arrived notes direct commands that reach a worker; the caller holds the lock.
 func (w *World) arrived(orders []wire.Order) {
 	for _, o := range orders {
--- a/internal/emulate/users_test.go
+++ b/internal/emulate/users_test.go
@@ -72,6 +72,14 @@
 			w.judge.told["run-1"] = wire.JobAborted
 			w.Polled(&job.Spec{ID: "run-1"}, 200, wire.JobRunning, w.Told("run-1"), true)
 		}, "went_back"},
+		{"a task starts after the time that its cancelled job has", func(w *World) {
+			w.cfg.Cancel, w.judge.aborted["run-1"] = 25*time.Second, ago(26*time.Second)
+			at(w, "a", "x", &job.Spec{ID: "run-1", Tasks: 1})
+		}, "ran_cancelled"},
+		{"a task starts within it", func(w *World) {
+			w.cfg.Cancel, w.judge.aborted["run-1"] = 25*time.Second, ago(24*time.Second)
+			at(w, "a", "x", &job.Spec{ID: "run-1", Tasks: 1})
+		}, ""},
 		{"a job waits beside room", func(w *World) { waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: "array", Tasks: 3, CPUs: 2}) }, "idle: run-1"},
 		{"a gang waits beside room for half of it", func(w *World) { waits(w, &job.Spec{ID: "run-1", Team: "red", ShapeName: gang, Tasks: 3, CPUs: 2}) }, ""},
 		{"there is room in another zone", func(w *World) {
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -401,18 +401,28 @@
 	rw.WriteHeader(http.StatusNotFound)
 }
 
+// awake waits until the machine does not hang, and returns with the world's lock.
+func (k *Worker) awake() {
+	j := &k.w.judge
+	k.w.mu.Lock()
+	if !k.hung {
+		return
+	}
+	j.stuck++
+	j.mostStuck = max(j.mostStuck, j.stuck)
+	for k.hung {
+		k.w.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+		k.w.mu.Lock()
+	}
+	j.stuck--
+}
+
 // serve answers direct commands and health checks.
 func (k *Worker) serve(rw http.ResponseWriter, q *http.Request) {
 	var d wire.Direct
 	ok := q.URL.Path == "/do" && decode(q, &d)
-	for {
-		k.w.mu.Lock()
-		if !k.hung {
-			break
-		}
-		k.w.mu.Unlock()
-		time.Sleep(50 * time.Millisecond)
-	}
+	k.awake()
 	defer k.w.mu.Unlock()
 	if k.gone {
 		return
--- a/internal/node/cancel_test.go
+++ b/internal/node/cancel_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"vetchstream/internal/config"
+	"vetchstream/internal/control"
 	"vetchstream/internal/job"
 )
 
@@ -83,10 +85,46 @@
 }
 
 // TestCancelledUnhalted plays days on which the halts of cancelled jobs do not leave the
-// controllers that answer the reports.
+// controllers that answer the reports, or wait for others that nobody answers.
 func TestCancelledUnhalted(t *testing.T) {
+	const scale, sockets = 20, 200
 	sec := time.Second
-	playOn(t, calledOff(plain(3, 20, shared)), nil, []day{
+	playOn(t, calledOff(plain(3, scale, shared)), nil, []day{
 		{"holders open no connection to the workers", together(fault{14 * sec, unreachableWorkers(60 * sec)}, fault{18 * sec, cancelNow(201, 8, 0, 10*sec)})},
+		{"the same, the leader ends after the cancellations", together(fault{14 * sec, unreachableWorkers(60 * sec)}, fault{18 * sec, cancelNow(202, 8, 0, 10*sec)}, fault{24 * sec, crash(1)})},
 	})
+	few := func(set *config.Settings, tun *config.Tuning) {
+		shared(set, tun)
+		set.Facts.Resources.MaxSockets = sockets
+	}
+	const bound = "a hundred machines hang, called off, few commands at a time"
+	playOn(t, calledOff(plain(3, scale, few)), also{bound: func(s *sim) {
+		if most := control.DirectCalls(sockets); s.MostStuck() < most {
+			s.t.Errorf("%d commands waited for machines that hang, of %d at a time for each controller", s.MostStuck(), most)
+		}
+	}}, []day{
+		{bound, together(fault{16 * sec, hang(rng(203), 5*scale, 9*sec)}, fault{16100 * time.Millisecond, cancelNow(204, 10, 0, 10*sec)}, fault{26 * sec, hang(rng(205), 5*scale, 9*sec)})},
+	})
+}
+
+// TestCancelledDrawn plays days on which held commands, cancellations and other troubles are
+// drawn by a seed.
+func TestCancelledDrawn(t *testing.T) {
+	sec := time.Second
+	st := calledOff(plain(3, 20, shared))
+	st.drawn = true
+	var days []day
+	for seed := range uint64(3) {
+		r := rng(700 + seed)
+		some := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * sec / 2 }
+		one := func(fs ...func(*sim)) func(*sim) { return fs[r.IntN(len(fs))] }
+		of := []func(*sim, string) bool{all, leads, follows}[r.IntN(3)]
+		days = append(days, day{fmt.Sprint("seed ", seed), together(
+			fault{some(28, 36), holdCommands(of, some(1, 8), some(6, 90), some(0, 90))},
+			fault{some(32, 60), cancelNow(seed, 8, some(0, 18), 0)},
+			fault{some(32, 80), one(crash(1), crashOther(3*sec), outage(some(10, 60)), unreachableWorkers(some(10, 80)), freeze(1, some(4, 20)), flicks(seed, 4))},
+			fault{some(32, 80), one(hang(r, 40, some(6, 20)), cutWorkers(r, 30, some(6, 60)), deafen(seed, 20, everybody, some(6, 60)), cutZone("a", some(6, 50)))},
+		)})
+	}
+	playOn(t, st, nil, days)
 }
