--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"vetchstream/internal/config"
@@ -57,17 +55,6 @@
 	fresh        bool
 }
 
-// relay is a direct command that a holder sends.
-type relay struct {
-	host   *fleet.Host
-	member string
-	sent   []*fleet.Slot
-	at     time.Time
-}
-
-// errNoWord is the end of a command of which the holder has told nothing.
-var errNoWord = errors.New("the holder has told nothing of it")
-
 type moveKind struct{ from, why string }
 
 type moved struct {
@@ -106,14 +93,6 @@
 // that come as often as they can would take the processor of both sides.
 const holdTime = 50 * time.Millisecond
 
-// absentTime is after what time without a request a holder gets no commands: they
-// are sent directly.
-const absentTime = 600 * time.Millisecond
-
-// relayTime is how long a holder may take with a direct command. After that what
-// the command launched is in doubt, and the ledger sends it once more.
-const relayTime = 3500 * time.Millisecond
-
 func newShares(co *core) *shares {
 	return &shares{core: co, holders: map[string]*fleet.Holder{}, boxes: map[string]*box{}, relayed: map[uint64]*relay{},
 		waiting: map[string][]func(){}, told: map[moveKind]*moved{}, kept: map[*fleet.Host]struct{}{}}
@@ -192,37 +171,6 @@
 	}
 }
 
-// keep takes a machine back from its holder, or keeps it here, in time before its lease may
-// only be renewed by answers that carry halts.
-func (sh *shares) keep(h *fleet.Host, now time.Time) {
-	limit, bounded := sh.fleet.RenewalLimit(h)
-	if !bounded || limit.Sub(now) > sh.allot.HandoverTime()+2*urgentEvery {
-		return
-	}
-	sh.kept[h] = struct{}{}
-	sh.allot.Keep(h.Name, "a cancelled task may be on it", now)
-}
-
-// keepDue looks for machines that have to be kept, among those that wait for a command, and
-// lets go of those that need not be any more. It comes before each reply to a holder, since
-// a reply prolongs its grant.
-func (sh *shares) keepDue(now time.Time) {
-	if now.Sub(sh.keptAt) < urgentEvery {
-		return
-	}
-	sh.keptAt = now
-	for _, h := range sh.fleet.Awake() {
-		sh.keep(h, now)
-	}
-	for h := range sh.kept {
-		if _, bounded := sh.fleet.RenewalLimit(h); bounded && sh.fleet.Hosts[h.Name] == h {
-			continue
-		}
-		delete(sh.kept, h)
-		sh.allot.Release(h.Name)
-	}
-}
-
 // gone forgets a machine that was returned.
 func (sh *shares) gone(h *fleet.Host) {
 	if sh.allot == nil {
@@ -368,41 +316,6 @@
 	}
 }
 
-// takes reports whether a direct command to a machine goes through its holder, and
-// whether it may go now.
-func (sh *shares) takes(h *fleet.Host) (relayed, now bool) {
-	if sh.allot == nil || h.Holder() == nil {
-		return false, true
-	}
-	member, asked := sh.allot.Holder(h.Name)
-	b := sh.boxes[member]
-	if !asked || b == nil || (b.back == nil && time.Since(b.since) > absentTime) {
-		return false, true // it is not there: the command must not wait for its end
-	}
-	return true, b.under < b.most
-}
-
-// relay hands a direct command to the machine's holder.
-func (sh *shares) relay(h *fleet.Host, body []byte, sent []*fleet.Slot, now time.Time) {
-	member, _ := sh.allot.Holder(h.Name)
-	b := sh.boxes[member]
-	sh.calls++
-	b.under++
-	b.calls = append(b.calls, share.Call{ID: sh.calls, Addr: h.Addr, Body: body})
-	sh.relayed[sh.calls] = &relay{host: h, member: member, sent: sent, at: now}
-}
-
-// done takes in what became of a command.
-func (sh *shares) done(d *share.Done) {
-	r := sh.relayed[d.ID]
-	if r == nil {
-		return // given up, or told twice
-	}
-	delete(sh.relayed, d.ID)
-	sh.boxes[r.member].under--
-	sh.commands.ended(r.host, d.Status, d.Report, d.Reached, nil, r.sent)
-}
-
 // step does what time brings, and answers the requests that have something to be
 // told or have waited for long enough.
 func (sh *shares) step(now time.Time, scan bool) {
@@ -411,17 +324,7 @@
 	}
 	if scan {
 		sh.free(sh.allot.Step(now), now)
-		for id, r := range sh.relayed {
-			if now.Sub(r.at) > relayTime {
-				delete(sh.relayed, id)
-				b := sh.boxes[r.member]
-				b.under--
-				waits := len(b.calls)
-				b.calls = slices.DeleteFunc(b.calls, func(c share.Call) bool { return c.ID == id })
-				// One that has not left yet was certainly not sent.
-				sh.commands.ended(r.host, 0, nil, len(b.calls) == waits, errNoWord, r.sent)
-			}
-		}
+		sh.expireRelays(now)
 		sh.tell(now)
 	}
 	sh.keepDue(now)
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -15,6 +15,19 @@
 	Deposed bool
 }
 
+// observation is a message that is being taken in, with what it has shown so far.
+type observation struct {
+	f        *Fleet
+	h        *Host
+	m        *wire.Report
+	isReport bool
+	now      time.Time
+	events   []Event
+	// deaf: the message shows that something sent before was not taken in; hears: that
+	// something was.
+	deaf, hears bool
+}
+
 // Observe takes in a message. isReport is true for check-ins, whose answers
 // renew the lease, and false for the answers to direct commands.
 func (f *Fleet) Observe(h *Host, m *wire.Report, isReport bool, now time.Time, find func(id string) *job.Job) Result {
@@ -24,15 +37,8 @@
 	if isReport && h.Stale(m.Session, m.Seq) {
 		return Result{}
 	}
-	// Even a report that is older than a direct answer may be the one that the worker
-	// is waiting for: its answer renews the lease.
-	if isReport && (!h.Lost || m.Session > h.Session) {
-		if now.After(h.heard) {
-			h.heard = now
-		}
-		if m.Session == h.Session {
-			h.reported = m.Seq
-		}
+	if isReport {
+		h.renewed(m, now)
 	}
 	if m.Session < h.Session || (m.Session == h.Session && m.Seq <= h.seq) {
 		return Result{}
@@ -42,34 +48,72 @@
 	if h.Lost && m.Session == h.Session {
 		return Result{}
 	}
-	r := Result{Fresh: true}
-	deaf, hears := false, !isReport
+	o := &observation{f: f, h: h, m: m, isReport: isReport, now: now, hears: !isReport}
 	if isReport {
 		h.MuteAt = time.Time{}
 	}
 	if m.Session > h.Session {
-		if h.Session != 0 {
-			if !isReport && !h.Mute() {
-				h.MuteAt = now
-			}
-			// Its lease has run out although its reports were answered.
-			deaf = isReport && !h.Lost && !h.Withheld
-			r.Events = append(r.Events, f.drop(h)...)
-			h.Images = nil
-		}
-		h.Session, h.Fenced, h.Withheld, h.reported = m.Session, false, false, 0
-		if isReport {
-			h.reported = m.Seq
-		}
-		h.Lost = false
-		// A new session has its full lease from its own begin, which may be as late
-		// as this message, whether or not a report was ever answered in it. Counting
-		// from the last report alone would call tasks gone that a direct command has
-		// just started.
+		o.beginSession()
+	}
+	o.describe()
+	for i := range m.Tasks {
+		o.task(&m.Tasks[i], find)
+	}
+	o.settle()
+	switch {
+	case o.hears:
+		h.DeafAt = time.Time{}
+	case o.deaf:
+		o.events = append(o.events, f.Deafen(h, now)...)
+	}
+	h.Recount()
+	return Result{Fresh: true, Events: o.events}
+}
+
+// renewed notes that the worker may be waiting for the answer to a report, which renews its
+// lease. A report that is older than a direct answer may be that one too.
+func (h *Host) renewed(m *wire.Report, now time.Time) {
+	if h.Lost && m.Session <= h.Session {
+		return
+	}
+	if now.After(h.heard) {
 		h.heard = now
 	}
+	if m.Session == h.Session {
+		h.reported = m.Seq
+	}
+}
+
+// beginSession takes in that the worker's session is a later one: nothing of the one before
+// is on the machine.
+func (o *observation) beginSession() {
+	h := o.h
+	if h.Session != 0 {
+		if !o.isReport && !h.Mute() {
+			h.MuteAt = o.now
+		}
+		// Its lease has run out although its reports were answered.
+		o.deaf = o.isReport && !h.Lost && !h.Withheld
+		o.events = append(o.events, o.f.drop(h)...)
+		h.Images = nil
+	}
+	h.Session, h.Fenced, h.Withheld, h.reported = o.m.Session, false, false, 0
+	if o.isReport {
+		h.reported = o.m.Seq
+	}
+	h.Lost = false
+	// A new session has its full lease from its own begin, which may be as late
+	// as this message, whether or not a report was ever answered in it. Counting
+	// from the last report alone would call tasks gone that a direct command has
+	// just started.
+	h.heard = o.now
+}
+
+// describe takes in what the message says of the machine itself.
+func (o *observation) describe() {
+	h, m := o.h, o.m
 	h.seq, h.Booting, h.Unheard = m.Seq, false, false
-	if m.Token == f.Term {
+	if m.Token == o.f.Term {
 		h.Fenced = true
 	}
 	if m.Addr != "" {
@@ -77,73 +121,70 @@
 	}
 	h.RecallAt = time.Time{}
 	if m.Notice != nil {
-		h.RecallAt = now.Add(time.Duration(max(0.001, *m.Notice) * float64(time.Second)))
+		h.RecallAt = o.now.Add(time.Duration(max(0.001, *m.Notice) * float64(time.Second)))
 	}
 	h.messages++
-	for i := range m.Tasks {
-		t := &m.Tasks[i]
-		id, task, ok := job.SplitTask(t.Task)
-		if !ok {
-			continue
-		}
-		j := find(id)
-		if int(task) >= j.Tasks {
-			continue // the job has no such task
-		}
-		k := Key{j, task, t.Attempt}
-		s := h.Slots[k]
-		if s == nil {
-			s = &Slot{Key: k, Host: h, Adopted: true, At: now}
-			if t.Phase == wire.Exited {
-				s.Phase = wire.Pulling
-			}
-			f.link(h, s)
-		}
-		s.shown = h.messages
-		hears = hears || (s.Sent && !s.Seen)
-		s.Sent, s.Seen, s.Direct = true, true, false
-		was := s.Phase
-		if was == wire.Exited {
-			continue
-		}
-		s.Phase, s.Cause, s.Saved = t.Phase, t.Cause, t.Saved
-		if s.Health == wire.HealthGood && t.Health == wire.HealthBad {
-			r.Events = append(r.Events, Event{Sickened, s})
-		}
-		s.Health = t.Health
-		s.Judge(now)
-		switch {
-		case t.Phase == wire.Exited:
-			j.AddLive(task, -1)
-			r.Events = append(r.Events, Event{Ended, s})
-		case t.Phase == wire.Running && was != wire.Running:
-			s.RunAt = now
-			r.Events = append(r.Events, Event{Started, s})
+}
+
+// task takes in what the message says of one task.
+func (o *observation) task(t *wire.TaskReport, find func(id string) *job.Job) {
+	id, task, ok := job.SplitTask(t.Task)
+	if !ok {
+		return
+	}
+	j := find(id)
+	if int(task) >= j.Tasks {
+		return // the job has no such task
+	}
+	h, k := o.h, Key{j, task, t.Attempt}
+	s := h.Slots[k]
+	if s == nil {
+		s = &Slot{Key: k, Host: h, Adopted: true, At: o.now}
+		if t.Phase == wire.Exited {
+			s.Phase = wire.Pulling
 		}
+		o.f.link(h, s)
+	}
+	s.shown = h.messages
+	o.hears = o.hears || (s.Sent && !s.Seen)
+	s.Sent, s.Seen, s.Direct = true, true, false
+	was := s.Phase
+	if was == wire.Exited {
+		return
+	}
+	s.Phase, s.Cause, s.Saved = t.Phase, t.Cause, t.Saved
+	if s.Health == wire.HealthGood && t.Health == wire.HealthBad {
+		o.events = append(o.events, Event{Sickened, s})
 	}
-	for _, s := range h.Slots {
+	s.Health = t.Health
+	s.Judge(o.now)
+	switch {
+	case t.Phase == wire.Exited:
+		j.AddLive(task, -1)
+		o.events = append(o.events, Event{Ended, s})
+	case t.Phase == wire.Running && was != wire.Running:
+		s.RunAt = o.now
+		o.events = append(o.events, Event{Started, s})
+	}
+}
+
+// settle settles the placements that the message does not show.
+func (o *observation) settle() {
+	for _, s := range o.h.Slots {
 		switch {
-		case s.shown == h.messages || !s.Sent:
+		case s.shown == o.h.messages || !s.Sent:
 		case s.Seen:
-			r.Events = append(r.Events, f.remove(h, s, Gone)...)
+			o.events = append(o.events, o.f.remove(o.h, s, Gone)...)
 		case s.Direct:
 			// Settled by its own answer, a new session or the lease, not by this.
-		case isReport && m.Seq > s.viaSeq:
+		case o.isReport && o.m.Seq > s.viaSeq:
 			// One report is in flight at a time and late answers are dropped, so the
 			// next report settles the launch. The answer to a direct command does
 			// not: it can overtake the answer that carries the launch.
-			r.Events = append(r.Events, f.remove(h, s, Never)...)
-			deaf = true
+			o.events = append(o.events, o.f.remove(o.h, s, Never)...)
+			o.deaf = true
 		}
 	}
-	switch {
-	case hears:
-		h.DeafAt = time.Time{}
-	case deaf:
-		r.Events = append(r.Events, f.Deafen(h, now)...)
-	}
-	h.Recount()
-	return r
 }
 
 // haltEvery is how often a halt is repeated while its task is still there.
