--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -272,6 +272,26 @@
 			o, _ = h.Report(rep(4, gone), body, now) // the same attempt of a gang once more
 			say("%d orders", len(o))
 		}, "0 orders; 1 orders; 0 orders"},
+		{"a report with a task that the leader has not been told of has no other answer, one with an exit or another phase has", func(h *Holder, say func(string, ...any)) {
+			runs := wire.TaskReport{Task: "run-1/1", Attempt: 4, Phase: wire.Pulling}
+			told := func(n uint64) {
+				h.Request(1, 1, false, now)
+				h.Granted(&Reply{Term: 7, Number: n, ForMs: 2000}, now)
+			}
+			required := func(seq uint64, tasks ...wire.TaskReport) {
+				_, v := h.Report(rep(seq, tasks...), body, now)
+				say("%v", v == Required)
+			}
+			required(1, gone)
+			required(2, gone, runs)
+			required(3, gone, runs) // the same once more, the leader's word has not come
+			told(2)
+			required(4, gone, runs)
+			runs.Phase = wire.Running
+			required(5, runs)
+			runs.Attempt++
+			required(6, runs)
+		}, "false; true; true; false; false; true"},
 		{"no answer without a valid grant, for a late report, or below the worker's token", func(h *Holder, say func(string, ...any)) {
 			verdict := func(m *wire.Report, at time.Time) { _, v := h.Report(m, body, at); say("%d", v) }
 			verdict(rep(5), now)
@@ -316,3 +336,39 @@
 		})
 	}
 }
+
+// TestKeep: a machine that the leader keeps comes back from its holder, and goes to nobody,
+// neither by its ranking nor because a member had it before, until it is released.
+func TestKeep(t *testing.T) {
+	b := newBed(t, 30, nil)
+	b.start("n1", "b")
+	b.play(5 * time.Second)
+	kept := ""
+	for i := range b.size {
+		if by, _ := b.a.Holder(fmt.Sprintf("host-%d", i)); by == "n1" {
+			kept = fmt.Sprintf("host-%d", i)
+		}
+	}
+	b.a.Keep(kept, "a test", b.now)
+	b.play(b.a.HandoverTime())
+	holder := func(when, want string) {
+		t.Helper()
+		if by, _ := b.a.Holder(kept); by != want {
+			t.Errorf("%s: %q has it, want %q", when, by, want)
+		}
+	}
+	holder("kept", "")
+	b.play(20 * time.Second)
+	holder("20 s later", "")
+	offer := func(member string) {
+		b.start(member, "b")
+		r := b.h[member].Request(500, 10, false, b.now)
+		r.Have = []string{kept}
+		b.a.Sync(r, b.now)
+	}
+	offer("n2")
+	holder("offered by a member that had it", "")
+	b.a.Release(kept)
+	offer("n3")
+	holder("released, and offered once more", "n3")
+}
