--- a/internal/emulate/judge.go
+++ b/internal/emulate/judge.go
@@ -25,9 +25,9 @@
 	lapsed  int            // tasks that ran when the lease of their machine ended
 	answers map[string]int // answered reports, by controller
 	directs int            // direct commands
-	// overdue counts the launches by direct command that reached a worker, to be carried
-	// out or not, when their job's tasks had to be gone already.
-	overdue int
+	// overdue counts the launches by direct command that reached a worker when their job's
+	// tasks had to be gone already, overdueDone those of them that it carried out.
+	overdue, overdueDone int
 	// stuck counts the direct commands that wait at machines that hang, and mostStuck how
 	// many did at a time.
 	stuck, mostStuck int
@@ -80,13 +80,13 @@
 	return w.judge.vain
 }
 
-// OverdueLaunches counts the direct commands to launch a task that reached a worker,
-// whether it carried them out or not, after the last moment at which a task of the
-// cancelled job may be on a machine.
-func (w *World) OverdueLaunches() int {
+// OverdueLaunches counts the direct commands to launch a task that reached a worker after
+// the last moment at which a task of the cancelled job may be on a machine, and those of
+// them that it carried out. Such a task may still be halted before it has its image.
+func (w *World) OverdueLaunches() (arrived, carriedOut int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.judge.overdue
+	return w.judge.overdue, w.judge.overdueDone
 }
 
 // MostStuck is how many direct commands have waited at hanging machines at a time.
@@ -97,7 +97,7 @@
 }
 
 // arrived notes direct commands that reach a worker; the caller holds the lock.
-func (w *World) arrived(orders []wire.Order) {
+func (w *World) arrived(orders []wire.Order, carriedOut bool) {
 	for _, o := range orders {
 		id, _, ok := job.SplitTask(o.Task)
 		if !ok || o.Op != wire.Launch {
@@ -105,6 +105,9 @@
 		}
 		if at, cancelled := w.judge.aborted[id]; cancelled && time.Since(at) > w.cfg.Cancel {
 			w.judge.overdue++
+			if carriedOut {
+				w.judge.overdueDone++
+			}
 		}
 	}
 }
--- a/internal/emulate/worker.go
+++ b/internal/emulate/worker.go
@@ -428,7 +428,8 @@
 		return
 	}
 	k.step(time.Now())
-	k.w.arrived(d.Orders)
+	valid := d.Token >= k.token && d.Session == k.session
+	k.w.arrived(d.Orders, valid)
 	switch {
 	case q.URL.Path == "/show":
 	case q.Method == http.MethodGet:
@@ -437,7 +438,7 @@
 	case !ok:
 		encode(rw, http.StatusBadRequest, wire.Error{Error: "malformed"})
 		return
-	case d.Token < k.token || d.Session != k.session:
+	case !valid:
 		encode(rw, http.StatusConflict, k.report())
 		return
 	default:
--- a/internal/node/cancel_test.go
+++ b/internal/node/cancel_test.go
@@ -18,7 +18,7 @@
 // a while, and hands in jobs meanwhile that are cancelled a little later. Reports and
 // their answers pass. With a cut afterwards the commands stay on their way for longer.
 func holdCommands(of func(s *sim, member string) bool, cancelAfter, held, cut time.Duration) func(*sim) {
-	const jobs, tasks, every = 20, 6, 100 * time.Millisecond
+	const jobs, tasks, every = 60, 6, 50 * time.Millisecond
 	return func(s *sim) {
 		hit := map[string]bool{}
 		for _, c := range controllers {
@@ -45,12 +45,16 @@
 func leads(s *sim, member string) bool   { return member == fmt.Sprintf("n%d", s.leader()) }
 func follows(s *sim, member string) bool { return !leads(s, member) }
 
-// overdueLaunches checks that the day held what it is about: launches that arrived when
-// nothing of their jobs was allowed on a machine any more.
+// overdueLaunches checks that the day held what it is about, launches that arrived when
+// nothing of their jobs was allowed on a machine any more, and that none was carried out.
 func overdueLaunches(s *sim) {
-	if s.OverdueLaunches() == 0 {
+	arrived, carriedOut := s.OverdueLaunches()
+	if arrived == 0 {
 		s.unmet("no launch of a cancelled job arrived after its time")
 	}
+	if carriedOut > 0 {
+		s.t.Errorf("%d launches of cancelled jobs were carried out after their time, of %d that arrived", carriedOut, arrived)
+	}
 }
 
 // unreachableWorkers lets the controllers that do not lead open no connection to any
