Unchanged heartbeats no longer confirm a task list that the leader does not have

What users saw: now and then the last tasks of an accepted array never ran, although machines had room and the team was below its limit. The job stayed accepted for ever.

Cause: a holder of a shard sends a heartbeat in full once and then, while its content stays the same, only its number. The leader took such a number for a confirmation of its own ledger, also where it had ignored the heartbeat in full: it was older than the worker's answer to a direct command. That happens for good when the worker has restarted without memory in the meantime, so that its session and its messages count from 1 again, and its first heartbeat to the holder has a number up to that of the answer. The ledger then kept the tasks from before the restart as running, renewed the lease with each unchanged heartbeat, and the planner had nothing to place.

No tasks were listed by it from then on, and reports without content, 21 and up, were accepted by a ledger whose newest message was 20.

Mend: the ledger remembers whether its tasks are those of the newest report. If a holder reports an unchanged heartbeat that is newer than all messages and they are not, the leader takes the machine back and reads the tasks from the worker's next heartbeat. Stored and sent forms stay as they are.

--- a/internal/control/shards_sync.go
+++ b/internal/control/shards_sync.go
@@ -159,11 +159,25 @@
 	events := sh.fleet.RecordRenewal(machine, report.Session, report.Seq, now.Add(-age))
 	sh.taskTracker.reachabilityChanged(machine, wasInboundCut)
 	sh.taskTracker.applyEvents(events, now)
+	if machine.TasksUnknown {
+		// The holder sends an unchanged heartbeat without its content, and would never send
+		// the tasks again. The leader reads them from the worker's next heartbeat.
+		sh.revokeFrom(box, machine, "the leader does not know its tasks", now)
+	}
 	if clears := machine.ClearOrders(maxCommands); clears != nil {
 		box.clearances = append(box.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears})
 	}
 }
 
+// revokeFrom takes a machine back from the holder that has reported it. A holder that has
+// lost the machine in the meantime may still report it.
+func (sh *shards) revokeFrom(box *mailbox, machine *fleet.Machine, reason string, now time.Time) {
+	holder := machine.Holder()
+	if holder != nil && sh.mailboxes[holder.Name] == box {
+		sh.assigner.Revoke(machine.Name, reason, now)
+	}
+}
+
 // answerHeartbeats answers the heartbeats that holders have forwarded, in the same way as those
 // that the leader receives itself. It runs before direct commands are sent, because what an
 // answer carries needs no direct command.
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -59,7 +59,8 @@
 
 // RecordRenewal records that the holder answered, at the given time, a report with the same
 // content as the one before. Launches in answers to earlier reports were not received,
-// because the report would list their tasks; RecordRenewal removes them.
+// because the report would list their tasks; RecordRenewal removes them. If the ledger does
+// not contain the tasks of the report before, it sets Machine.TasksUnknown.
 func (f *Fleet) RecordRenewal(m *Machine, session, seq uint64, at time.Time) (events []Event) {
 	if session != m.Session || m.Lost || m.Stale(session, seq) {
 		return nil
@@ -72,6 +73,7 @@
 		return nil
 	}
 	m.lastSeq = seq
+	m.TasksUnknown = !m.listsReport
 	m.CallUnanswered = false
 	m.OutboundCutSince = time.Time{}
 	for _, s := range m.Slots {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -38,6 +38,14 @@
 	// of its newest report.
 	lastSeq       uint64
 	lastReportSeq uint64
+	// listsReport reports whether the ledger's tasks of the machine are those that its newest
+	// report lists. They are not if an answer to a direct command was observed later, or if
+	// the report is older than such an answer and was not applied.
+	listsReport bool
+	// TasksUnknown reports whether the ledger's tasks of the machine are outdated: its holder
+	// has reported that the worker's tasks are those of an earlier report, which the ledger
+	// does not contain.
+	TasksUnknown bool
 	// InboundCutSince is the time since which the worker is known not to receive messages,
 	// although its reports may still arrive (see partition.go). It is zero if the worker
 	// receives messages.
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -47,6 +47,7 @@
 		m.markRenewed(message, now)
 	}
 	if message.Session < m.Session || (message.Session == m.Session && message.Seq <= m.lastSeq) {
+		m.listsReport = m.listsReport && !isReport
 		return ObserveResult{}
 	}
 	// A delayed message of a session whose lease has certainly expired must not restore the
@@ -133,6 +134,8 @@
 func (o *observation) observeMachine() {
 	m, message := o.machine, o.message
 	m.lastSeq = message.Seq
+	m.listsReport = o.isReport
+	m.TasksUnknown = false
 	m.Booting = false
 	m.CallUnanswered = false
 	if message.Token == o.fleet.Term {
--- a/internal/shard/handover.go
+++ b/internal/shard/handover.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// Revoke revokes a machine from its holder if it has one. The leader handles the machine
+// until it has answered its worker again.
+func (a *Assigner) Revoke(name, reason string, now time.Time) {
+	if machine := a.machines[name]; machine != nil {
+		a.revoke(machine, reason, now)
+	}
+}
+
 // Release lets a retained machine be assigned to a holder again.
 func (a *Assigner) Release(name string) {
 	if machine := a.machines[name]; machine != nil {
