Heartbeats that the ledger ignores are no longer answered

What users saw: after a worker restarted without memory, the tasks that had run on its machine were not placed again until it had sent as many messages as before the restart. Or the machine was lost to the fleet until it was returned, while its worker was answered.

Cause: a restarted worker numbers its session and its messages from 1. The leader refuses a heartbeat that is older than the newest one, for then the session ends within a lease. It did not refuse one that is older than the answer to a direct command alone (all that a leader has seen of a worker shortly after a takeover), nor one of a session whose lease had expired: it ignored their content, and answered. A holder that has just got the machine knows none of the earlier numbers and answered as well.

Mend: a worker has one report in flight, so a direct command's answer overtakes one report at the most. The ledger accepts one such report; a second one, and any of a session that has expired, is stale. A holder that reports a stale heartbeat, other than a repetition, loses the machine to the leader, which leaves the worker unanswered until its session has ended.

--- a/internal/control/shards_sync.go
+++ b/internal/control/shards_sync.go
@@ -136,21 +136,14 @@
 		return
 	}
 	sh.assigner.ConfirmContact(report.Machine)
-	if len(report.Heartbeat) > 0 {
-		heartbeat := &wire.Heartbeat{}
-		if err := wire.Unmarshal(report.Heartbeat, heartbeat); err != nil || heartbeat.Machine != report.Machine {
-			return // not expected: the holder has already decoded the heartbeat
-		}
-		fresh, ok := sh.taskTracker.observe(machine, heartbeat, true, now)
-		if !ok {
-			return
-		}
-		box.heartbeats = append(box.heartbeats, pendingHeartbeat{
-			machine: machine,
-			session: heartbeat.Session,
-			seq:     heartbeat.Seq,
-			fresh:   fresh,
-		})
+	if len(report.Heartbeat) > 0 && !sh.handleFullHeartbeat(box, machine, report, now) {
+		return
+	}
+	if hasRestarted(machine, report) {
+		// The holder does not know the numbers of the messages before the restart. It would
+		// answer the worker and keep its session alive, which the leader lets end.
+		sh.revokeFrom(box, machine, "its worker has restarted", now)
+		return
 	}
 	// The holder may have answered a later heartbeat with the same content. This can also be
 	// the case if it sent the heartbeat above before and received no acknowledgement.
@@ -169,6 +162,36 @@
 	}
 }
 
+// handleFullHeartbeat applies the encoded heartbeat of a report, and registers it for an
+// answer unless the worker has restarted. It reports false if the heartbeat is invalid or
+// shows that a later term has begun.
+func (sh *shards) handleFullHeartbeat(box *mailbox, machine *fleet.Machine, report *shard.MachineReport, now time.Time) bool {
+	heartbeat := &wire.Heartbeat{}
+	if err := wire.Unmarshal(report.Heartbeat, heartbeat); err != nil || heartbeat.Machine != report.Machine {
+		return false // not expected: the holder has already decoded the heartbeat
+	}
+	fresh, ok := sh.taskTracker.observe(machine, heartbeat, true, now)
+	if !ok {
+		return false
+	}
+	if !hasRestarted(machine, report) {
+		box.heartbeats = append(box.heartbeats, pendingHeartbeat{
+			machine: machine,
+			session: heartbeat.Session,
+			seq:     heartbeat.Seq,
+			fresh:   fresh,
+		})
+	}
+	return true
+}
+
+// hasRestarted reports whether a holder's report, after its heartbeat has been applied,
+// shows that the worker has restarted without memory: the holder has answered a heartbeat
+// that the ledger ignores. A report that the holder repeats does not show that.
+func hasRestarted(machine *fleet.Machine, report *shard.MachineReport) bool {
+	return machine.Stale(report.Session, report.Seq) && !machine.Repeats(report.Session, report.Seq)
+}
+
 // revokeFrom takes a machine back from the holder that has reported it. A holder that has
 // lost the machine in the meantime may still report it.
 func (sh *shards) revokeFrom(box *mailbox, machine *fleet.Machine, reason string, now time.Time) {
--- a/internal/control/worker_restart_test.go
+++ b/internal/control/worker_restart_test.go
@@ -172,6 +172,15 @@
 	w.holder.EndTerm()
 }
 
+// assignToHolder lets the leader answer the worker, and then assign its machine to the
+// holder.
+func (w *restartWorld) assignToHolder() {
+	w.sync()
+	time.Sleep(restartTestSync)
+	w.heartbeat()
+	w.giveToHolder()
+}
+
 // giveToHolder exchanges requests until the holder holds the machine.
 func (w *restartWorld) giveToHolder() {
 	for range 3 {
@@ -193,24 +202,71 @@
 	return false
 }
 
-// TestTaskOfRestartedWorkerIsPlacedAgain guards against an accepted job that never ends: a
-// task that ended when its worker restarted without memory stayed in the ledger as running,
-// because the holder's reports of unchanged heartbeats confirmed a task list that the leader
-// had never applied.
-func TestTaskOfRestartedWorkerIsPlacedAgain(t *testing.T) {
-	tests := []struct {
-		name          string
-		beforeRestart func(w *restartWorld)
-	}{
+// restartCase is a case of TestTaskOfRestartedWorkerIsPlacedAgain.
+type restartCase struct {
+	name          string
+	beforeRestart func(w *restartWorld)
+	outage        time.Duration // from the worker's end to its restart
+}
+
+// restartCases returns the ways in which the leader has learned of the task, and to whom the
+// restarted worker sends its heartbeats.
+func restartCases() []restartCase {
+	return []restartCase{
 		{"the leader knows the task from a direct command, the holder reports the restarted worker", func(w *restartWorld) {
 			w.holdInEarlierTerm()
 			w.seq = 2
 			w.running = true
 			w.answerDirectCommand()
 			w.giveToHolder()
-		}},
+		}, 0},
+		{"the same after thousands of messages of the worker", func(w *restartWorld) {
+			w.holdInEarlierTerm()
+			w.seq = 5000
+			w.running = true
+			w.answerDirectCommand()
+			w.giveToHolder()
+		}, 0},
+		{"the leader knows the task from a heartbeat after thousands of messages, the holder reports the restarted worker", func(w *restartWorld) {
+			w.seq = 5000
+			w.running = true
+			w.assignToHolder()
+		}, 0},
+		{"the holder has reported the worker without the task before a direct command launched it", func(w *restartWorld) {
+			w.holdInEarlierTerm()
+			w.giveToHolder()
+			w.heartbeat()
+			w.giveToHolder()
+			w.running = true
+			w.answerDirectCommand()
+		}, 0},
+		{"without a holder, the leader knows the task from a direct command after thousands of messages", func(w *restartWorld) {
+			w.lt.shards.assigner = nil
+			w.seq = 5000
+			w.running = true
+			w.answerDirectCommand()
+		}, 0},
+		{"without a holder, the leader knows the task from a heartbeat after thousands of messages", func(w *restartWorld) {
+			w.lt.shards.assigner = nil
+			w.seq = 5000
+			w.running = true
+			w.heartbeat()
+		}, 0},
+		{"without a holder, the restart takes longer than the lease", func(w *restartWorld) {
+			w.lt.shards.assigner = nil
+			w.seq = 2
+			w.running = true
+			w.answerDirectCommand()
+		}, restartTestLease + time.Second},
 	}
-	for _, tt := range tests {
+}
+
+// TestTaskOfRestartedWorkerIsPlacedAgain guards against an accepted job that never ends: a
+// task that ended when its worker restarted without memory stayed in the ledger as running,
+// because the holder's reports of unchanged heartbeats confirmed a task list that the leader
+// had never applied, or because its heartbeats were answered although the ledger ignored them.
+func TestTaskOfRestartedWorkerIsPlacedAgain(t *testing.T) {
+	for _, tt := range restartCases() {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newRestartWorld(t)
@@ -218,6 +274,8 @@
 				if !w.waitsForTask() {
 					t.Fatal("the ledger does not contain the task before the restart")
 				}
+				time.Sleep(tt.outage)
+				w.lt.expireLeases(time.Now())
 				w.restart()
 				w.run(restartTestLimit)
 				if w.waitsForTask() {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -50,11 +50,28 @@
 	return now
 }
 
-// Stale reports whether a report is a duplicate or was delayed, that is, not newer than
-// the newest one observed. The worker no longer waits for the answer to a stale report, so
-// the answer neither renews the lease nor delivers orders.
+// Stale reports whether a report must not be answered because the ledger does not apply
+// its content. The report may be a duplicate or delayed: the worker no longer waits for the
+// answer. It may also come from a worker that has restarted without memory and numbers its
+// session and its messages from 1 again. Such a worker would accept an answer and keep its
+// session, while the ledger ignores its reports and keeps the tasks that ended with the
+// restart. Without answers, its session ends within a lease.
+//
+// A single report that is older than an answer to a direct command is not stale. The answer
+// has overtaken the report, and the worker has only one report in flight.
 func (m *Machine) Stale(session, seq uint64) bool {
-	return session < m.Session || (session == m.Session && seq <= m.lastReportSeq)
+	if session != m.Session {
+		return session < m.Session
+	}
+	duplicate := seq <= m.lastReportSeq
+	ignored := seq <= m.lastSeq && m.overtaken
+	leaseExpired := m.Lost && m.Session != 0
+	return duplicate || ignored || leaseExpired
+}
+
+// Repeats reports whether a report has the number of the newest report observed.
+func (m *Machine) Repeats(session, seq uint64) bool {
+	return session == m.Session && seq == m.lastReportSeq
 }
 
 // RecordRenewal records that the holder answered, at the given time, a report with the same
@@ -70,6 +87,7 @@
 		m.leaseRenewedAt = at
 	}
 	if seq <= m.lastSeq {
+		m.overtaken = true
 		return nil
 	}
 	m.lastSeq = seq
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -38,6 +38,9 @@
 	// of its newest report.
 	lastSeq       uint64
 	lastReportSeq uint64
+	// overtaken reports whether a report was accepted since the newest message that is older
+	// than that message.
+	overtaken bool
 	// listsReport reports whether the ledger's tasks of the machine are those that its newest
 	// report lists. They are not if an answer to a direct command was observed later, or if
 	// the report is older than such an answer and was not applied.
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -47,7 +47,10 @@
 		m.markRenewed(message, now)
 	}
 	if message.Session < m.Session || (message.Session == m.Session && message.Seq <= m.lastSeq) {
-		m.listsReport = m.listsReport && !isReport
+		if isReport {
+			m.overtaken = true
+			m.listsReport = false
+		}
 		return ObserveResult{}
 	}
 	// A delayed message of a session whose lease has certainly expired must not restore the
@@ -134,6 +137,7 @@
 func (o *observation) observeMachine() {
 	m, message := o.machine, o.message
 	m.lastSeq = message.Seq
+	m.overtaken = false
 	m.listsReport = o.isReport
 	m.TasksUnknown = false
 	m.Booting = false
