Jobs that make no progress: reason, placements, metric, one log line

The simulated scenarios keep the controllers' warnings and print them when an invariant was violated.

--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -16,6 +16,7 @@
 //	leader_term*  the actor: its core, the wiring of its parts, its event loop
 //	admission*    submissions: validation, batched writes, jobs admitted by other nodes
 //	job_table*    the active jobs and their deadlines
+//	job_progress  the jobs that make no progress, and why
 //	completions*  completion and cancellation of jobs; status replies for finished jobs
 //	planner*      placement: builds the input of package place and executes its plan
 //	tasks*        heartbeats and the state transitions of tasks
--- a/internal/control/leader_term.go
+++ b/internal/control/leader_term.go
@@ -35,6 +35,7 @@
 	shards            *shards
 	teamQuotas        *teamQuotas
 	homeQuotas        *homeQuotas
+	progressMonitor   *progressMonitor
 
 	lastScan time.Time // last run of the duties that examine every machine or every job
 }
@@ -66,6 +67,7 @@
 		shards:            newShards(co),
 		teamQuotas:        newTeamQuotas(co, term.StoreRolledBack),
 		homeQuotas:        newHomeQuotas(co),
+		progressMonitor:   newProgressMonitor(co),
 	}
 	lt.connect()
 	lt.calendarStore.reset()
--- a/internal/control/leader_term_connect.go
+++ b/internal/control/leader_term_connect.go
@@ -20,6 +20,7 @@
 	lt.connectMaintenanceDrains()
 	lt.connectShards()
 	lt.connectTeamQuotas()
+	lt.connectProgressMonitor()
 }
 
 func (lt *leaderTerm) connectJobTable() {
@@ -182,3 +183,9 @@
 	lt.teamQuotas.takeover = lt.takeover
 	lt.teamQuotas.homeQuotas = lt.homeQuotas
 }
+
+func (lt *leaderTerm) connectProgressMonitor() {
+	lt.progressMonitor.jobTable = lt.jobTable
+	lt.progressMonitor.takeover = lt.takeover
+	lt.progressMonitor.calendarStore = lt.calendarStore
+}
--- a/internal/control/leader_term_loop.go
+++ b/internal/control/leader_term_loop.go
@@ -171,4 +171,5 @@
 	lt.commands.fenceWorkers(now)
 	lt.jobTable.removeFinished()
 	lt.registry.removeFinishedJobs()
+	lt.progressMonitor.check(now)
 }
--- a/internal/control/takeover.go
+++ b/internal/control/takeover.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -115,6 +116,17 @@
 	return blocked
 }
 
+// blocks reports whether an unreconciled machine of an earlier leader may still run the
+// job.
+func (tk *takeover) blocks(j *job.Job) bool {
+	for _, machine := range tk.inherited {
+		if slices.ContainsFunc(machine.InheritedJobs, func(inherited fleet.InheritedJob) bool { return inherited.ID == j.ID }) {
+			return true
+		}
+	}
+	return false
+}
+
 // possibleTeams returns the indices of the teams that may have tasks on a machine of an
 // earlier leader, out of teamCount teams.
 func possibleTeams(machine *fleet.Machine, teamCount int) map[int]bool {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -35,6 +35,7 @@
 var (
 	Machines         = Metric{"vetchstream_machines", "Machines that the leader manages.", ""}
 	Jobs             = Metric{"vetchstream_jobs", "Jobs that the leader manages.", ""}
+	StalledJobs      = Metric{"vetchstream_jobs_stalled", "Jobs that make no progress, by reason.", "reason"}
 	ReservedMachines = Metric{"vetchstream_machines_held", "Machines held for reservations.", ""}
 	ShardMachines    = Metric{"vetchstream_share_machines", "Machines assigned to each controller, as the leader records them.", "member"}
 	ConfigRevision   = Metric{"vetchstream_config_revision", "Highest revision of the configuration of which any part is in force on this node.", ""}
--- a/internal/node/sim_scenario_test.go
+++ b/internal/node/sim_scenario_test.go
@@ -251,6 +251,6 @@
 func (s *simulation) checkViolations(t *testing.T) {
 	t.Helper()
 	if violations := s.Violations(); len(violations) > 0 {
-		t.Errorf("invariants violated: %s", strings.Join(violations, "\n"))
+		t.Errorf("invariants violated: %s\nwarnings of the controllers:\n%s", strings.Join(violations, "\n"), s.warnings.String())
 	}
 }
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -108,6 +108,7 @@
 	// dialHomeRegion dials controllers of the home region; nil: there is only one region.
 	dialHomeRegion func(ctx context.Context, network, addr string) (net.Conn, error)
 
+	warnings   warningLog   // what the controllers have logged at level warn and above
 	requests   atomic.Int64 // number of user requests so far
 	randomized bool         // the faults are random and need not reach their condition
 	probing    atomic.Bool  // users query all controllers within milliseconds after an answer
@@ -130,7 +131,7 @@
 	s.exited[i] = exited
 	go func() {
 		defer close(exited)
-		_ = Run(ctx, settings, tuning, network, slog.New(slog.DiscardHandler))
+		_ = Run(ctx, settings, tuning, network, slog.New(slog.NewTextHandler(&s.warnings, &slog.HandlerOptions{Level: slog.LevelWarn})))
 	}()
 }
 
@@ -300,3 +301,29 @@
 	<-worldClosed
 	time.Sleep(30 * time.Second)
 }
+
+// maxWarningBytes bounds a warningLog.
+const maxWarningBytes = 64 << 10
+
+// warningLog keeps the first lines that controllers log, for the report of a failed scenario.
+type warningLog struct {
+	mu    sync.Mutex
+	lines []byte
+}
+
+// Write implements io.Writer.
+func (l *warningLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.lines)+len(line) <= maxWarningBytes {
+		l.lines = append(l.lines, line...)
+	}
+	return len(line), nil
+}
+
+// String returns the lines.
+func (l *warningLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return string(l.lines)
+}
