--- a/internal/control/worker_restart_test.go
+++ b/internal/control/worker_restart_test.go
@@ -288,3 +288,41 @@
 		})
 	}
 }
+
+// TestCancelStuckJob guards against a job that cannot be cancelled while the ledger lists its
+// task on a machine that no longer runs it: the cancellation, its repetition, and later
+// requests get the answers of the protocol, from the next leader as well.
+func TestCancelStuckJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := newFakeStateService(t)
+		leader := startLeader(t, service, 7)
+		if response := leader.request(rpc.KindSubmit, "run-5", submissionBody("run-5", nil)); response.Status != http.StatusCreated {
+			t.Fatalf("submission: status %d, want 201", response.Status)
+		}
+		// This is the only message of the worker. It then restarts without memory.
+		running := wire.TaskStatus{Task: "run-5/0", Attempt: restartTestAttempt, Phase: wire.TaskRunning}
+		if slots := leader.reportTasks("h1", 5000, running); len(slots) != 1 {
+			t.Fatalf("the ledger lists %d tasks on the machine, want 1", len(slots))
+		}
+		checkAnswers := func(leader *testLeader) {
+			for range 2 {
+				response := leader.request(rpc.KindCancel, "run-5", nil)
+				var status wire.JobStatus
+				if err := wire.Unmarshal(response.Body, &status); err != nil || response.Status != http.StatusOK || status.Phase != wire.JobCancelled {
+					t.Errorf("cancellation: status %d, phase %q, error %v; want 200 with phase %q", response.Status, status.Phase, err, wire.JobCancelled)
+				}
+			}
+			if phase := leader.phase("run-5"); phase != wire.JobCancelled {
+				t.Errorf("status request: phase %q, want %q", phase, wire.JobCancelled)
+			}
+			if response := leader.request(rpc.KindSubmit, "run-5", submissionBody("run-5", nil)); response.Status != http.StatusOK {
+				t.Errorf("repeated submission: status %d, want 200", response.Status)
+			}
+		}
+		checkAnswers(leader)
+		time.Sleep(time.Minute) // the lease of the machine expires
+		checkAnswers(leader)
+		leader.stop()
+		checkAnswers(startLeader(t, service, 8))
+	})
+}
