A direct command's answer that changes nothing keeps the tasks of the last report confirmed

The answer to a direct command counted as a change also where it listed just the tasks of the last report, as a repeated halt of a task that is saving does. Now the ledger compares them.

--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -31,6 +31,8 @@
 	// receivedMessage reports whether the message shows that the worker received an answer
 	// or a direct command.
 	receivedMessage bool
+	// changed reports whether the message changes the tasks of the machine in the ledger.
+	changed bool
 }
 
 // Observe updates the ledger with a message of a machine's worker. isReport is true for a
@@ -77,6 +79,8 @@
 		o.observeTask(&message.Tasks[i], find)
 	}
 	o.settleUnreported()
+	// An answer to a direct command that shows the tasks of the last report confirms them.
+	m.listsReport = isReport || (m.listsReport && !o.changed)
 	switch {
 	case o.receivedMessage:
 		m.InboundCutSince = time.Time{}
@@ -116,6 +120,7 @@
 		o.events = append(o.events, o.fleet.removeSlots(m)...)
 		m.Images = nil
 	}
+	o.changed = true
 	m.Session = o.message.Session
 	m.Fenced = false
 	m.RenewalStopped = false
@@ -138,7 +143,6 @@
 	m, message := o.machine, o.message
 	m.lastSeq = message.Seq
 	m.overtaken = false
-	m.listsReport = o.isReport
 	m.TasksUnknown = false
 	m.Booting = false
 	m.CallUnanswered = false
@@ -168,6 +172,7 @@
 	s := o.slot(PlacementKey{Job: j, Task: task, Attempt: t.Attempt}, t.Phase)
 	s.lastListedIn = o.machine.messageCount
 	o.receivedMessage = o.receivedMessage || (s.LaunchSent && !s.Observed)
+	o.changed = o.changed || !s.Observed || s.Phase != t.Phase
 	s.LaunchSent = true
 	s.Observed = true
 	s.DirectLaunch = false
@@ -213,6 +218,7 @@
 		switch {
 		case s.lastListedIn == o.machine.messageCount || !s.LaunchSent:
 		case s.Observed:
+			o.changed = true
 			o.events = append(o.events, o.fleet.removeSlot(o.machine, s, Lost)...)
 		case s.DirectLaunch:
 			// Only the answer to the command, a new session or the end of the lease settles a
