--- a/internal/explorer/explorer.go
+++ b/internal/explorer/explorer.go
@@ -163,30 +163,31 @@
 
 // Do executes the named action on a subject. It panics if there is no such action.
 func (e *Explorer[W]) Do(world W, name string, subject int) {
-	for action := range e.Actions {
-		if e.Actions[action].Name == name {
-			e.Actions[action].Do(world, subject)
-			return
-		}
-	}
-	panic("explorer: no action is named " + name)
+	e.Actions[e.action(name)].Do(world, subject)
 }
 
-// Steps returns the steps of the named actions, each on subjects 0 to count-1.
+// Steps returns the steps of the named actions, each on subjects 0 to count-1. It panics if
+// there is no action of one of the names.
 func (e *Explorer[W]) Steps(count int, names ...string) (steps []Step) {
 	for _, name := range names {
-		for action := range e.Actions {
-			if e.Actions[action].Name != name {
-				continue
-			}
-			for subject := range count {
-				steps = append(steps, Step{action, subject})
-			}
+		action := e.action(name)
+		for subject := range count {
+			steps = append(steps, Step{action, subject})
 		}
 	}
 	return steps
 }
 
+// action returns the index of the action with the given name. It panics if there is none: a
+// test with a misspelled name would otherwise leave out the step and explore less than it says.
+func (e *Explorer[W]) action(name string) int {
+	i := slices.IndexFunc(e.Actions, func(action Action[W]) bool { return action.Name == name })
+	if i < 0 {
+		panic("explorer: no action is named " + name)
+	}
+	return i
+}
+
 // FingerprintBuilder builds a fingerprint. It prints times relative to Now, so that states that
 // differ only in the time of day have equal fingerprints.
 type FingerprintBuilder struct {
