--- a/internal/calendar/windows_test.go
+++ b/internal/calendar/windows_test.go
@@ -14,17 +14,16 @@
 	tests := []struct {
 		name   string
 		parts  int
-		one    bool
 		window map[string]any
 		first  bool   // the window is added before the reservation
 		want   string // allocations, the change by the window, or part of an error
 	}{
-		{"a reservation added after a window gets machines in another zone", 10, false, map[string]any{"yard": "a"}, true, "small/b 10/10"},
-		{"a reservation is refused if a window leaves too few machines", 12, false, map[string]any{"yard": "a"}, true, "no capacity for 12 parts beside window w"},
-		{"a window for a zone moves the reservation to another zone", 10, false, map[string]any{"yard": "a"}, false, "moved small/b 10/10"},
-		{"a reservation stays on its machines if the window leaves enough of them", 4, false, map[string]any{"hosts": []string{"h1"}}, false, "stays"},
-		{"a window is refused if a reservation does not fit on other machines", 12, false, map[string]any{"yard": "a"}, false, "reservation r of team green does not fit on other machines"},
-		{"a forced window revokes the occurrence of a reservation that does not fit on other machines", 12, false, map[string]any{"yard": "a", "force": true}, false, "lost 1"},
+		{"a reservation added after a window gets machines in another zone", 10, map[string]any{"yard": "a"}, true, "small/b 10/10"},
+		{"a reservation is refused if a window leaves too few machines", 12, map[string]any{"yard": "a"}, true, "no capacity for 12 parts beside window w"},
+		{"a window for a zone moves the reservation to another zone", 10, map[string]any{"yard": "a"}, false, "moved small/b 10/10"},
+		{"a reservation stays on its machines if the window leaves enough of them", 4, map[string]any{"hosts": []string{"h1"}}, false, "stays"},
+		{"a window is refused if a reservation does not fit on other machines", 12, map[string]any{"yard": "a"}, false, "reservation r of team green does not fit on other machines"},
+		{"a forced window revokes the occurrence of a reservation that does not fit on other machines", 12, map[string]any{"yard": "a", "force": true}, false, "lost 1"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
