--- a/internal/control/job_progress.go
+++ b/internal/control/job_progress.go
@@ -12,7 +12,7 @@
 // stallReason is why a job makes no progress. It is a label of metrics.StalledJobs.
 type stallReason string
 
-// The reasons, in the order in which they are checked.
+// The reasons.
 const (
 	stallRecordUnread  stallReason = "record unread"   // the job's record has not been read
 	stallEnding        stallReason = "end not stored"  // the job's final record has not been stored
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -42,8 +42,8 @@
 	// than that message.
 	overtaken bool
 	// listsReport reports whether the ledger's tasks of the machine are those that its newest
-	// report lists. They are not if an answer to a direct command was observed later, or if
-	// the report is older than such an answer and was not applied.
+	// report lists. They are not if a later answer to a direct command has changed them, or
+	// if the report is older than such an answer and was not applied.
 	listsReport bool
 	// TasksUnknown reports whether the ledger's tasks of the machine are outdated: its holder
 	// has reported that the worker's tasks are those of an earlier report, which the ledger
