--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -218,16 +218,6 @@
 	c.record.logf("%s killed", m.name)
 }
 
-// signal sends a signal to the process of a controller.
-func (c *cluster) signal(m *member, s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.process != nil {
-		_ = m.process.Process.Signal(s)
-		c.record.logf("%s got signal %v", m.name, s)
-	}
-}
-
 // awaitLeader waits until every controller answers a question about a job that nobody has
 // submitted.
 func (c *cluster) awaitLeader() error {
@@ -246,23 +236,6 @@
 	return nil
 }
 
-// leader returns the controller that leads according to the state service, or nil.
-func (c *cluster) leader() *member {
-	entry, ok := c.store.Entry("lead/holder")
-	var holder struct {
-		Member string `codec:"member"`
-	}
-	if !ok || wire.Unmarshal(entry.Value, &holder) != nil {
-		return nil
-	}
-	for _, m := range c.members {
-		if m.name == holder.Member {
-			return m
-		}
-	}
-	return nil
-}
-
 // close ends all processes and stand-ins, and adds the controllers' logs to the record.
 func (c *cluster) close() {
 	for _, m := range c.members {
--- a/review/stand/lowered.go
+++ b/review/stand/lowered.go
@@ -55,7 +55,7 @@
 	burstRunS      = 25.0             // run time of their tasks
 	cancelledJobs  = 3                // jobs among them that their users cancel
 	limitsLowerAt  = 8 * time.Second  // after the burst
-	observeFor     = 95 * time.Second // after the burst
+	observeFor     = 85 * time.Second // after the burst
 	expectDoneFor  = 30 * time.Second // a job that is not called done for this long after its last task counts
 	expectAbortFor = 60 * time.Second // so does a cancellation without an answer for this long
 )
