--- a/review/stand/lowered.go
+++ b/review/stand/lowered.go
@@ -136,7 +136,7 @@
 					return
 				}
 				mu.Unlock()
-				time.Sleep(5 * time.Second)
+				time.Sleep(min(pollPause, time.Until(end)))
 			}
 		})
 	}
--- a/review/stand/users.go
+++ b/review/stand/users.go
@@ -17,6 +17,7 @@
 	changeTimeout = 5 * time.Second // for the answer to a submission or a cancellation
 	pollTimeout   = 2 * time.Second // for the answer to a poll
 	retryPause    = time.Second     // before a request is repeated
+	pollPause     = 5 * time.Second // between two polls of a job
 )
 
 // timeNow returns the current time.
