--- /dev/null
+++ b/review/stand-2/site/store.go
@@ -0,0 +1,152 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"vetchstream/internal/config"
+	"vetchstream/internal/emulate"
+	"vetchstream/internal/state"
+	"vetchstream/internal/wire"
+)
+
+// Store is the stand-in for the state service: the project's emulation, with the limits of the
+// protocol in front of it, and with refusals of single controllers.
+type Store struct {
+	*emulate.Store
+
+	mu       sync.Mutex
+	limits   config.StateLimits
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	refused  map[int]bool
+	rejected map[string]int // rejected transactions by the first key that they put
+	largest  map[string]int // size of the largest value by the prefix of its key
+}
+
+// NewStore returns an empty state service with the given limits.
+func NewStore(limits config.StateLimits) *Store {
+	s := &Store{Store: emulate.NewStore(), refused: map[int]bool{}, rejected: map[string]int{}, largest: map[string]int{}}
+	s.SetLimits(limits)
+	return s
+}
+
+// SetLimits sets the limits. What is stored already stays readable.
+func (s *Store) SetLimits(limits config.StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	s.requests = rate.NewLimiter(rate.Limit(limits.RPS), int(limits.RPS))
+	s.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))
+}
+
+// Refuse makes the service answer controller i with 503, or serve it again.
+func (s *Store) Refuse(i int, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[i] = on
+}
+
+// Rejected returns how many transactions were rejected as too large, by the first key that each puts.
+func (s *Store) Rejected() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rejected := map[string]int{}
+	for key, count := range s.rejected {
+		rejected[key] = count
+	}
+	return rejected
+}
+
+// Largest returns the size of the largest value that was stored under keys with the prefix.
+func (s *Store) Largest(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.largest[prefix]
+}
+
+// verdict is the answer to a request before it reaches the store; 0 lets it through.
+func (s *Store) verdict(i int, path string, body []byte) (status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused[i] {
+		return http.StatusServiceUnavailable
+	}
+	now := time.Now()
+	if !s.requests.AllowN(now, 1) {
+		return http.StatusTooManyRequests
+	}
+	if path != "/commit" {
+		return 0
+	}
+	var txn state.Txn
+	if wire.Unmarshal(body, &txn) != nil {
+		return http.StatusBadRequest
+	}
+	if s.tooLarge(&txn) {
+		key := ""
+		if len(txn.Writes) > 0 {
+			key = txn.Writes[0].Put + txn.Writes[0].Delete
+		}
+		s.rejected[key]++
+		return http.StatusBadRequest
+	}
+	if n := len(txn.Writes); n > 0 && !s.writes.AllowN(now, n) {
+		return http.StatusTooManyRequests
+	}
+	return 0
+}
+
+// maxTxnBytes is the limit of a whole transaction.
+const maxTxnBytes = 64 << 10
+
+// tooLarge reports whether a transaction exceeds the limits; sizes count in the form of JSON.
+func (s *Store) tooLarge(txn *state.Txn) bool {
+	total := 0
+	for _, write := range txn.Writes {
+		size := jsonSize(write.Value)
+		total += size + len(write.Put) + len(write.Delete)
+		if float64(size) > s.limits.ValueKB*1024 {
+			return true
+		}
+		prefix, _, _ := strings.Cut(write.Put, "/")
+		s.largest[prefix+"/"] = max(s.largest[prefix+"/"], size)
+	}
+	return len(txn.Writes) > s.limits.TxnOps || len(txn.If) > 4*s.limits.TxnOps || total > maxTxnBytes
+}
+
+// jsonSize returns the size of a value in the form of JSON.
+func jsonSize(value wire.Raw) int {
+	var decoded any
+	if len(value) == 0 || wire.Unmarshal(value, &decoded) != nil {
+		return len(value)
+	}
+	encoded, err := json.Marshal(decoded)
+	if err != nil {
+		return len(value)
+	}
+	return len(encoded)
+}
+
+// Handler returns the service as controller i reaches it.
+func (s *Store) Handler(i int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+		if err != nil {
+			return
+		}
+		if status := s.verdict(i, r.URL.Path, body); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		s.ServeHTTP(w, r)
+	})
+}
