--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -39,8 +39,9 @@
 
 // cases are the cases by name. A case returns its exit code.
 var cases = map[string]func(r *record, trouble bool) (int, error){
-	"limits": runLimits,
-	"sick":   runSick,
+	"limits":  runLimits,
+	"sick":    runSick,
+	"rollout": runRollout,
 }
 
 func main() { os.Exit(run()) }
@@ -71,7 +72,9 @@
 // startSite starts a deployment with its controllers and waits until all of them are healthy.
 func startSite(o *site.Options) (*site.Site, error) {
 	o.Binary = "target/vetchstream"
-	o.Tuning = "deploy/shares.json"
+	if o.Tuning == "" {
+		o.Tuning = "deploy/shares.json"
+	}
 	s, err := site.Start(o)
 	if err != nil {
 		return nil, err
--- a/review/stand-2/site/store.go
+++ b/review/stand-2/site/store.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +29,7 @@
 	requests *rate.Limiter
 	writes   *rate.Limiter
 	refused  map[int]bool
+	loseNext string         // prefix of a key: the answer to the next transaction that puts such a key is lost
 	rejected map[string]int // rejected transactions by the first key that they put
 	largest  map[string]int // size of the largest value by the prefix of its key
 }
@@ -54,6 +57,30 @@
 	s.refused[i] = on
 }
 
+// LoseNextAnswer makes the service carry out the next transaction that puts a key with the prefix at
+// once, and give no answer to it.
+func (s *Store) LoseNextAnswer(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = prefix
+}
+
+// losesAnswer reports whether the answer to a transaction is to be lost, which happens once.
+func (s *Store) losesAnswer(path string, body []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var txn state.Txn
+	if s.loseNext == "" || path != "/commit" || wire.Unmarshal(body, &txn) != nil {
+		return false
+	}
+	matches := func(write state.Write) bool { return strings.HasPrefix(write.Put, s.loseNext) }
+	if !slices.ContainsFunc(txn.Writes, matches) {
+		return false
+	}
+	s.loseNext = ""
+	return true
+}
+
 // Rejected returns how many transactions were rejected as too large, by the first key that each puts.
 func (s *Store) Rejected() map[string]int {
 	s.mu.Lock()
@@ -147,6 +174,11 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
+		if s.losesAnswer(r.URL.Path, body) {
+			s.ServeHTTP(httptest.NewRecorder(), r)
+			<-r.Context().Done() // the client gives up
+			return
+		}
 		s.ServeHTTP(w, r)
 	})
 }
--- a/review/stand-2/site/user.go
+++ b/review/stand-2/site/user.go
@@ -61,3 +61,8 @@
 func (c *Controller) Abort(id string) Answer {
 	return ask(http.MethodPost, "http://"+c.Addr+"/api/jobs/"+id+"/abort", nil, 5*time.Second)
 }
+
+// StartRollout asks a controller once to start a roll-out. The answer has a status only.
+func (c *Controller) StartRollout(spec map[string]any) (status int) {
+	return ask(http.MethodPost, "http://"+c.Addr+"/api/rollouts", spec, 5*time.Second).Status
+}
