--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -39,9 +39,9 @@
 
 // cases are the cases by name. A case returns its exit code.
 var cases = map[string]func(r *record, trouble bool) (int, error){
-	"limits":  runLimits,
 	"sick":    runSick,
 	"rollout": runRollout,
+	"undo":    runUndo,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/site/controller.go
+++ b/review/stand-2/site/controller.go
@@ -6,7 +6,6 @@
 	"os/exec"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -47,21 +46,6 @@
 	return nil
 }
 
-// Running reports whether the controller's process runs.
-func (c *Controller) Running() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.process == nil {
-		return false
-	}
-	select {
-	case <-c.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // Kill ends the controller's process without a warning and waits for its end.
 func (c *Controller) Kill() {
 	c.mu.Lock()
@@ -75,19 +59,6 @@
 	<-ended
 }
 
-// Freeze makes the controller's process stand still, and lets it go on if on is false.
-func (c *Controller) Freeze(on bool) {
-	signal := syscall.SIGCONT
-	if on {
-		signal = syscall.SIGSTOP
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.process != nil {
-		_ = c.process.Signal(signal)
-	}
-}
-
 // Healthy reports whether the controller answers the load balancer's probe with 200.
 func (c *Controller) Healthy() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/stand-2/site/site.go
+++ b/review/stand-2/site/site.go
@@ -103,11 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
+	state, err := s.serve(s.Store.Handler())
+	if err != nil {
+		return nil, err
+	}
 	for i := range o.Facts.Nodes {
-		state, err := s.serve(s.Store.Handler(i))
-		if err != nil {
-			return nil, err
-		}
 		controller, err := newController(o, dir, i, ports, config.External{Cloud: cloud, State: state})
 		if err != nil {
 			return nil, err
--- a/review/stand-2/site/store.go
+++ b/review/stand-2/site/store.go
@@ -20,7 +20,7 @@
 )
 
 // Store is the stand-in for the state service: the project's emulation, with the limits of the
-// protocol in front of it, and with refusals of single controllers.
+// protocol in front of it.
 type Store struct {
 	*emulate.Store
 
@@ -28,7 +28,6 @@
 	limits   config.StateLimits
 	requests *rate.Limiter
 	writes   *rate.Limiter
-	refused  map[int]bool
 	loseNext string         // prefix of a key: the answer to the next transaction that puts such a key is lost
 	rejected map[string]int // rejected transactions by the first key that they put
 	largest  map[string]int // size of the largest value by the prefix of its key
@@ -36,7 +35,7 @@
 
 // NewStore returns an empty state service with the given limits.
 func NewStore(limits config.StateLimits) *Store {
-	s := &Store{Store: emulate.NewStore(), refused: map[int]bool{}, rejected: map[string]int{}, largest: map[string]int{}}
+	s := &Store{Store: emulate.NewStore(), rejected: map[string]int{}, largest: map[string]int{}}
 	s.SetLimits(limits)
 	return s
 }
@@ -50,13 +49,6 @@
 	s.writes = rate.NewLimiter(rate.Limit(limits.WriteRPS), int(limits.WriteRPS))
 }
 
-// Refuse makes the service answer controller i with 503, or serve it again.
-func (s *Store) Refuse(i int, on bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused[i] = on
-}
-
 // LoseNextAnswer makes the service carry out the next transaction that puts a key with the prefix at
 // once, and give no answer to it.
 func (s *Store) LoseNextAnswer(prefix string) {
@@ -100,12 +92,9 @@
 }
 
 // verdict is the answer to a request before it reaches the store; 0 lets it through.
-func (s *Store) verdict(i int, path string, body []byte) (status int) {
+func (s *Store) verdict(path string, body []byte) (status int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.refused[i] {
-		return http.StatusServiceUnavailable
-	}
 	now := time.Now()
 	if !s.requests.AllowN(now, 1) {
 		return http.StatusTooManyRequests
@@ -162,14 +151,14 @@
 	return len(encoded)
 }
 
-// Handler returns the service as controller i reaches it.
-func (s *Store) Handler(i int) http.Handler {
+// Handler returns the service as the controllers reach it.
+func (s *Store) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 		if err != nil {
 			return
 		}
-		if status := s.verdict(i, r.URL.Path, body); status != 0 {
+		if status := s.verdict(r.URL.Path, body); status != 0 {
 			w.WriteHeader(status)
 			return
 		}
--- a/review/stand-2/site/user.go
+++ b/review/stand-2/site/user.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"vetchstream/internal/rollout"
 	"vetchstream/internal/wire"
 )
 
@@ -13,6 +14,7 @@
 type Answer struct {
 	Status int
 	wire.JobStatus
+	body []byte
 }
 
 // ask sends one request on a connection of its own.
@@ -41,6 +43,7 @@
 		return Answer{}
 	}
 	answer.Status = response.StatusCode
+	answer.body = content
 	if response.StatusCode < 300 {
 		_ = wire.Unmarshal(content, &answer.JobStatus) // the caller checks the phase
 	}
@@ -66,3 +69,18 @@
 func (c *Controller) StartRollout(spec map[string]any) (status int) {
 	return ask(http.MethodPost, "http://"+c.Addr+"/api/rollouts", spec, 5*time.Second).Status
 }
+
+// UndoRollout asks a controller once to take back a service's roll-out. The answer has a status only.
+func (c *Controller) UndoRollout(service string) (status int) {
+	return ask(http.MethodPost, "http://"+c.Addr+"/api/rollouts/"+service+"/undo", nil, 5*time.Second).Status
+}
+
+// RolloutState asks a controller once for the state of a service's roll-out; empty without an answer.
+func (c *Controller) RolloutState(service string) (state string) {
+	var status rollout.Status
+	answer := ask(http.MethodGet, "http://"+c.Addr+"/api/rollouts/"+service, nil, 5*time.Second)
+	if answer.Status != http.StatusOK || wire.Unmarshal(answer.body, &status) != nil {
+		return ""
+	}
+	return status.State
+}
--- a/review/stand-2/users.go
+++ b/review/stand-2/users.go
@@ -26,8 +26,6 @@
 const (
 	// retryPause is the time after which users repeat a request that was not answered.
 	retryPause = time.Second
-	// retryTime is the time for which users repeat a request.
-	retryTime = 60 * time.Second
 	// submitTime is the time after which a case gives up a submission that nothing disturbs.
 	submitTime = 15 * time.Second
 	// pollPause is the time between the polls of a user.
@@ -78,21 +76,6 @@
 	return false
 }
 
-// abort cancels a job until the cancellation is answered. It returns the phase in the answer, or an
-// empty phase if there was no answer in time.
-func (u *users) abort(spec *job.Spec) wire.JobPhase {
-	for end := time.Now().Add(retryTime); time.Now().Before(end); time.Sleep(retryPause) {
-		node := u.node()
-		answer := node.Abort(spec.ID)
-		u.record.note("abort %s at %s: %d %s", spec.ID, node.Member, answer.Status, answer.Phase)
-		if answer.Status == http.StatusOK {
-			u.site.World.CancellationAnswered(spec.ID, answer.Phase)
-			return answer.Phase
-		}
-	}
-	return ""
-}
-
 // awaitDone polls a job until it is done, at most until the given time. It returns the last phase
 // that was answered.
 func (u *users) awaitDone(spec *job.Spec, until time.Time) (last wire.JobPhase) {
