--- a/review/stand-3/case_waiting.go
+++ b/review/stand-3/case_waiting.go
@@ -75,7 +75,7 @@
 func playLateLaunch(r *run) int {
 	service := boundJob("run-005001", "desk", job.ServiceName, job.ProductionName, 1, 4, 0)
 	urgent := boundJob("run-005002", "fraudmatch", job.GangName, job.UrgentName, 1, 12, 2)
-	if !r.submit(service) || !until(8*time.Second, func() bool { return r.running(service.ID) == 1 }) {
+	if !r.submit(service) || !until(15*time.Second, func() bool { return r.running(service.ID) == 1 }) {
 		r.logf("not run: the service does not run")
 		return notRun
 	}
@@ -128,22 +128,32 @@
 // ended reports whether a task of the job has run and none runs.
 func (r *run) ended(id string) bool { return r.starts(id, time.Time{}) > 0 && r.running(id) == 0 }
 
-// playQuarantine plays the case "quarantine": two jobs were submitted with a mistake and fail until their users
-// cancel them. Another job waits for the same machine.
+// goodJobs is the number of sound jobs of the class that has two jobs with a mistake: these are 4 in 100.
+const goodJobs = 48
+
+// playQuarantine plays the case "quarantine": two jobs of a class were submitted with a mistake and fail until
+// their users cancel them. Then another job needs the machine on which they failed.
 func playQuarantine(r *run) int {
 	service := boundJob("run-006001", "desk", job.ServiceName, job.ProductionName, 1, 4, 0)
-	good := boundJob("run-006004", "fraudmatch", job.GangName, job.UrgentName, 1, 7, 5)
+	waiting := boundJob("run-006004", "fraudmatch", job.GangName, job.UrgentName, 1, 7, 5)
 	mistakes := []*job.Spec{
-		boundJob("run-006002", "yearsweep", job.ArrayName, job.StandardName, 1, 1, 20),
-		boundJob("run-006003", "yearsweep", job.ArrayName, job.StandardName, 1, 1, 20),
+		boundJob("run-006002", "ocrread", job.ArrayName, job.StandardName, 1, 1, 20),
+		boundJob("run-006003", "ocrread", job.ArrayName, job.StandardName, 1, 1, 20),
 	}
-	if !r.submit(service) || !until(8*time.Second, func() bool { return r.running(service.ID) == 1 }) {
+	if !r.submit(service) || !until(15*time.Second, func() bool { return r.running(service.ID) == 1 }) {
 		r.logf("not run: the service does not run")
 		return notRun
 	}
+	for i := range goodJobs {
+		spec := smallJob(i)
+		spec.Types = []string{"narrow"}
+		if !r.submit(spec) {
+			return notRun
+		}
+	}
 	if r.trouble {
-		r.logf("the two jobs of class yearsweep have a mistake: their tasks fail as they start")
-		r.world.SetImageBehavior("img-yearsweep", emulate.ImageBehavior{CrashAfter: time.Millisecond})
+		r.logf("the two next jobs of class ocrread have a mistake: their tasks fail as they start")
+		r.world.SetImageBehavior("img-ocrread", emulate.ImageBehavior{CrashAfter: time.Millisecond})
 	}
 	for _, spec := range mistakes {
 		if !r.submit(spec) {
@@ -156,9 +166,9 @@
 			return notRun
 		}
 	}
-	if !r.submit(good) {
+	if !r.submit(waiting) {
 		return notRun
 	}
-	r.logf("the trouble is over: the jobs with a mistake are cancelled; the machine has room for %s", good.ID)
-	return r.judgeWaiting(good.ID, time.Now())
+	r.logf("the trouble is over: the jobs with a mistake are cancelled; the machine has room for %s", waiting.ID)
+	return r.judgeWaiting(waiting.ID, time.Now())
 }
--- a/review/stand-3/network.go
+++ b/review/stand-3/network.go
@@ -24,11 +24,12 @@
 	held     int           // number of commands that were held up
 }
 
-// newNetwork returns a network in a block of loopback addresses that no other run uses.
+// newNetwork returns a network in a block of loopback addresses that no other run uses. The first worker is the third
+// host of a block.
 func newNetwork() *network {
 	block := 65 + os.Getpid()%180
 	for range 180 {
-		listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.1:9000", block))
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.%d.0.3:9000", block))
 		if err == nil {
 			_ = listener.Close()
 			break
--- a/review/stand-3/platform.go
+++ b/review/stand-3/platform.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -113,18 +114,31 @@
 
 func member(i int) string { return fmt.Sprintf("drover-%d", i) }
 
-// freeAddresses returns free loopback addresses of the controllers for users and for peers.
+// Ports of the controllers. They are below those that the system gives to connections, so that no connection takes
+// one before its controller listens.
+const (
+	firstPort  = 20000
+	portBlocks = 1000
+	blockPorts = 2 * controllers
+)
+
+// freeAddresses returns loopback addresses of the controllers for users and for peers, in a block of free ports.
 func freeAddresses() (users, peers []string, err error) {
-	var all []string
-	for range 2 * controllers {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, nil, err
+	for i := range portBlocks {
+		block := (os.Getpid() + i) % portBlocks
+		var all []string
+		for port := range blockPorts {
+			addr := fmt.Sprintf("127.0.0.1:%d", firstPort+block*blockPorts+port)
+			if listener, err := net.Listen("tcp4", addr); err == nil {
+				_ = listener.Close()
+				all = append(all, addr)
+			}
+		}
+		if len(all) == blockPorts {
+			return all[:controllers], all[controllers:], nil
 		}
-		defer listener.Close()
-		all = append(all, listener.Addr().String())
 	}
-	return all[:controllers], all[controllers:], nil
+	return nil, nil, errors.New("no block of free ports")
 }
 
 // serve serves a stand-in at a free port of its host.
