--- a/review/stand-3/case_waiting.go
+++ b/review/stand-3/case_waiting.go
@@ -12,6 +12,9 @@
 // that fits has room and its team is under its limit.
 const waitLimit = 90 * time.Second
 
+// runLimit is how long a run may take. It leaves time to end the processes.
+const runLimit = 117 * time.Second
+
 const (
 	// boundHost is the network name of the only machine of the type wide in aqaba, the last one of bootMachines.
 	boundHost = "w7"
@@ -64,6 +67,10 @@
 			nextPoll = time.Now().Add(pollInterval)
 			r.poll(id)
 		}
+		if time.Since(r.start) > runLimit {
+			r.logf("not run: the time of a run is over")
+			return notRun
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
 	r.logf("BROKEN: %s has waited for %v while the machine that fits it has room", id, waitLimit)
@@ -128,6 +135,16 @@
 // ended reports whether a task of the job has run and none runs.
 func (r *run) ended(id string) bool { return r.starts(id, time.Time{}) > 0 && r.running(id) == 0 }
 
+// smallJob returns an array of one or two short tasks, like those of ocrread.
+func smallJob(i int) *job.Spec {
+	dueS := 120.0
+	return &job.Spec{
+		ID: fmt.Sprintf("run-%06d", 4000+i), Class: "ocrread", Team: teams[i%len(teams)].Name, ShapeName: job.ArrayName,
+		PriorityName: job.StandardName, Tasks: 1 + i%2, CPUs: 1, MemGB: 1.2, Image: "img-07", ImageGB: 0.6, Spot: true,
+		EstimateS: 12, DeadlineS: &dueS,
+	}
+}
+
 // goodJobs is the number of sound jobs of the class that has two jobs with a mistake: these are 4 in 100.
 const goodJobs = 48
 
--- a/review/stand-3/limits.go
+++ b/review/stand-3/limits.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -28,27 +27,19 @@
 type limitedState struct {
 	next http.Handler
 
-	mu       sync.Mutex
 	limits   limits
 	requests *rate.Limiter
 	writes   *rate.Limiter
-	refused  map[string]int // number of refused transactions, by reason
-	onRefuse func(reason string, keys []string)
 }
 
+// newLimitedState returns a state service with the limits. Both rates allow bursts of one second's worth.
 func newLimitedState(next http.Handler, l limits) *limitedState {
-	s := &limitedState{next: next, refused: map[string]int{}}
-	s.set(l)
-	return s
-}
-
-// set replaces the limits. Both rates allow bursts of one second's worth.
-func (s *limitedState) set(l limits) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.limits = l
-	s.requests = rate.NewLimiter(rate.Limit(l.RPS), int(l.RPS))
-	s.writes = rate.NewLimiter(rate.Limit(l.WriteRPS), int(l.WriteRPS))
+	return &limitedState{
+		next:     next,
+		limits:   l,
+		requests: rate.NewLimiter(rate.Limit(l.RPS), int(l.RPS)),
+		writes:   rate.NewLimiter(rate.Limit(l.WriteRPS), int(l.WriteRPS)),
+	}
 }
 
 // transaction is the body of POST /commit.
@@ -59,7 +50,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *limitedState) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !s.requestAllowed() {
+	if !s.requests.Allow() {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
@@ -73,8 +64,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if status, reason := s.check(&txn); status != 0 {
-		s.report(reason, &txn)
+	if status := s.check(&txn); status != 0 {
 		w.WriteHeader(status)
 		return
 	}
@@ -82,50 +72,23 @@
 	s.next.ServeHTTP(w, r)
 }
 
-func (s *limitedState) requestAllowed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.requests.Allow()
-}
-
-// check returns the status and the reason of a refusal, or 0 if the transaction is within the limits.
-func (s *limitedState) check(txn *transaction) (status int, reason string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// check returns the status of a refusal, or 0 if the transaction is within the limits.
+func (s *limitedState) check(txn *transaction) (status int) {
 	if len(txn.Writes) > s.limits.TxnOps || len(txn.If) > 4*s.limits.TxnOps {
-		return http.StatusBadRequest, "too many writes or conditions"
+		return http.StatusBadRequest
 	}
 	if jsonSize(map[string]any{"if": txn.If, "writes": txn.Writes}) > maxTxnBytes {
-		return http.StatusBadRequest, "transaction too large"
+		return http.StatusBadRequest
 	}
 	for _, write := range txn.Writes {
 		if float64(jsonSize(write["data"])) > s.limits.ValueKB*1024 {
-			return http.StatusBadRequest, "value too large"
+			return http.StatusBadRequest
 		}
 	}
 	if !s.writes.AllowN(time.Now(), len(txn.Writes)) {
-		return http.StatusTooManyRequests, "too many writes per second"
-	}
-	return 0, ""
-}
-
-// report counts a refusal and passes it to the callback.
-func (s *limitedState) report(reason string, txn *transaction) {
-	var keys []string
-	for _, write := range txn.Writes {
-		for _, field := range []string{"put", "drop"} {
-			if key, ok := write[field].(string); ok {
-				keys = append(keys, key)
-			}
-		}
-	}
-	s.mu.Lock()
-	s.refused[reason]++
-	callback := s.onRefuse
-	s.mu.Unlock()
-	if callback != nil {
-		callback(reason, keys)
+		return http.StatusTooManyRequests
 	}
+	return 0
 }
 
 // jsonSize returns the size of a value in the JSON form.
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -1,4 +1,4 @@
-// Command stand-3 is the stand-in of the cases this review: the state service, the cloud, the workers
+// Command stand-3 is the stand-in of the cases review/4 and review/5: the state service, the cloud, the workers
 // and the users of a small deployment, all on loopback. It writes the settings of three controllers, which the
 // case's script starts, plays the case and judges it by what users, workers and the platform can see.
 //
@@ -22,7 +22,6 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(*run) int{
-	"limits":      playLimits,
 	"late-launch": playLateLaunch,
 	"quarantine":  playQuarantine,
 }
--- a/review/stand-3/platform.go
+++ b/review/stand-3/platform.go
@@ -41,11 +41,8 @@
 	{Name: "aqabatravel", CPUs: 48, CPUsMax: 80},
 }
 
-// stateLimits are the limits of the state service in the settings, nextLimits those in state.next.
-var (
-	stateLimits = limits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 12}
-	nextLimits  = limits{RPS: 200, WriteRPS: 56, ValueKB: 2, TxnOps: 4}
-)
+// stateLimits are the limits of the state service.
+var stateLimits = limits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 12}
 
 const controllers = 3
 
@@ -176,11 +173,9 @@
 		if err != nil {
 			return err
 		}
-		next := fmt.Sprintf("\n[facts.state.next]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n",
-			nextLimits.RPS, nextLimits.WriteRPS, nextLimits.ValueKB, nextLimits.TxnOps)
 		// Written under another name first, so that the script never sees half a file.
 		name := filepath.Join(dir, fmt.Sprintf("node-%d.toml", i+1))
-		if err := os.WriteFile(name+".part", append(text, next...), 0o644); err != nil {
+		if err := os.WriteFile(name+".part", text, 0o644); err != nil {
 			return err
 		}
 		if err := os.Rename(name+".part", name); err != nil {
--- a/review/stand-3/users.go
+++ b/review/stand-3/users.go
@@ -125,20 +125,6 @@
 	return a
 }
 
-// awaitFinal polls a job until it is done or cancelled, or until the deadline.
-func (r *run) awaitFinal(id string, deadline time.Time) (phase wire.JobPhase, ok bool) {
-	for {
-		a := r.poll(id)
-		if a.status == http.StatusOK && a.body.Phase.Final() {
-			return a.body.Phase, true
-		}
-		if time.Now().Add(pollInterval).After(deadline) {
-			return a.body.Phase, false
-		}
-		time.Sleep(pollInterval)
-	}
-}
-
 // awaitService waits until a controller leads and answers.
 func (r *run) awaitService(limit time.Duration) bool {
 	for begin := time.Now(); time.Since(begin) < limit; time.Sleep(200 * time.Millisecond) {
