--- a/review/stand-3/cloud.go
+++ b/review/stand-3/cloud.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"time"
 
 	"vetchstream/internal/emulate"
 	"vetchstream/internal/wire"
@@ -24,18 +26,40 @@
 	{"wide", "aqaba"}:    1,
 }
 
-// smallCloud puts the capacity of the site in front of the emulated cloud: 503 "no capacity" for more machines
-// of a type in a zone than there are.
+// smallCloud rents out the machines of the emulated cloud. It has the capacity of the site, answers 503 "no
+// capacity" beyond that, and boots each machine in 0.8 to 1.2 times the boot time of its type.
 type smallCloud struct {
-	world *emulate.World
+	world     *emulate.World
+	unlimited bool // the capacity of the site does not bind, only maxMachines
+	log       func(format string, args ...any)
 
 	mu     sync.Mutex
-	rented map[string]offer  // by machine
-	hires  map[string][]byte // answers to rental requests, by name of the request
+	late   int                          // number of machines that are still to come up late
+	rented map[string]offer             // by machine
+	hires  map[string]wire.MachineNames // answers to rental requests, by name of the request
+	total  int                          // number of machines rented so far
 }
 
 func newSmallCloud(world *emulate.World) *smallCloud {
-	return &smallCloud{world: world, rented: map[string]offer{}, hires: map[string][]byte{}}
+	return &smallCloud{world: world, rented: map[string]offer{}, hires: map[string]wire.MachineNames{}}
+}
+
+// lateFactor is the boot time of a late machine, as a multiple of that of its type. It is the factor of the trouble
+// boot_trouble in the site files.
+const lateFactor = 2.0
+
+// delayNext makes the next machine that is rented come up late.
+func (c *smallCloud) delayNext() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late++
+}
+
+// rentals returns the number of machines rented so far.
+func (c *smallCloud) rentals() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total
 }
 
 // add starts a machine that is up at the start.
@@ -47,6 +71,9 @@
 
 // left returns how many machines of an offer can still be rented. The caller holds the lock.
 func (c *smallCloud) left(o offer) int {
+	if c.unlimited {
+		return maxMachines - len(c.rented)
+	}
 	n := capacity[o]
 	for _, rented := range c.rented {
 		if rented == o {
@@ -68,7 +95,7 @@
 		return
 	}
 	if r.URL.Path == "/hosts" {
-		c.rent(w, r, body)
+		c.rent(w, body)
 		return
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
@@ -83,8 +110,8 @@
 	}
 }
 
-// rent passes a rental on, cut to what is left of the offer.
-func (c *smallCloud) rent(w http.ResponseWriter, r *http.Request, body []byte) {
+// rent answers a rental request with as many machines as are left. A repeated request gets the same answer.
+func (c *smallCloud) rent(w http.ResponseWriter, body []byte) {
 	var request wire.RentalRequest
 	if wire.Unmarshal(body, &request) != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -92,35 +119,52 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if repeated := c.hires[request.Request]; repeated != nil {
-		w.Header().Set("Content-Type", wire.ContentType)
-		_, _ = w.Write(repeated)
+	if names, repeated := c.hires[request.Request]; repeated {
+		answerCBOR(w, http.StatusOK, names)
 		return
 	}
 	o := offer{request.Type, request.Zone}
-	request.Count = min(request.Count, c.left(o))
-	if request.Count <= 0 {
+	count := min(request.Count, c.left(o))
+	if count <= 0 {
 		answerCBOR(w, http.StatusServiceUnavailable, wire.Error{Error: "no capacity"})
 		return
 	}
-	encoded, err := wire.Marshal(request)
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	r.Body = io.NopCloser(bytes.NewReader(encoded))
-	answer := &capturedAnswer{header: http.Header{}}
-	c.world.ServeHTTP(answer, r)
 	var names wire.MachineNames
-	if answer.status == http.StatusOK && wire.Unmarshal(answer.body.Bytes(), &names) == nil {
-		for _, name := range names.Names {
-			c.rented[name] = o
+	for range count {
+		boot := c.bootTime(request.Type)
+		name := c.world.Boot(request.Type, request.Zone, request.Spot, boot)
+		c.rented[name] = o
+		c.total++
+		names.Names = append(names.Names, name)
+		if c.log != nil {
+			c.log("rented %s (%s in %s), boots in %.1f s", name, request.Type, request.Zone, boot.Seconds())
 		}
-		c.hires[request.Request] = answer.body.Bytes()
 	}
-	w.Header().Set("Content-Type", wire.ContentType)
-	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body.Bytes())
+	c.hires[request.Request] = names
+	answerCBOR(w, http.StatusOK, names)
+}
+
+// bootTime draws the boot time of a machine. The caller holds the lock.
+func (c *smallCloud) bootTime(typeName string) time.Duration {
+	factor := 0.8 + 0.4*rand.Float64()
+	if c.late > 0 {
+		c.late--
+		factor = lateFactor
+	}
+	return time.Duration(factor * c.bootS(typeName) * float64(time.Second))
+}
+
+// bootS returns the boot time of a type on the price list, in seconds.
+func (c *smallCloud) bootS(typeName string) float64 {
+	if c.unlimited {
+		return bootS
+	}
+	for i := range machineTypes {
+		if machineTypes[i].Name == typeName {
+			return machineTypes[i].BootS
+		}
+	}
+	return 0
 }
 
 // answerCBOR writes an answer.
@@ -134,19 +178,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
-
-// capturedAnswer keeps an answer.
-type capturedAnswer struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-// Header implements http.ResponseWriter.
-func (a *capturedAnswer) Header() http.Header { return a.header }
-
-// WriteHeader implements http.ResponseWriter.
-func (a *capturedAnswer) WriteHeader(status int) { a.status = status }
-
-// Write implements http.ResponseWriter.
-func (a *capturedAnswer) Write(b []byte) (int, error) { return a.body.Write(b) }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -22,6 +22,7 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(*run) int{
+	lateBoot:      playLateBoot,
 	"late-launch": playLateLaunch,
 	"quarantine":  playQuarantine,
 }
@@ -47,7 +48,7 @@
 		return notRun
 	}
 	defer file.Close()
-	p, err := startPlatform(dir)
+	p, err := startPlatform(dir, name != lateBoot)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "stand-3:", err)
 		return notRun
@@ -59,6 +60,9 @@
 		record:   file,
 		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 	}
+	p.cloud.mu.Lock()
+	p.cloud.log = r.logf
+	p.cloud.mu.Unlock()
 	r.logf("case %s, trouble %v", name, r.trouble)
 	if !r.awaitService(20 * time.Second) {
 		r.logf("not run: no controller answers")
--- a/review/stand-3/platform.go
+++ b/review/stand-3/platform.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -44,8 +45,19 @@
 // stateLimits are the limits of the state service.
 var stateLimits = limits{RPS: 200, WriteRPS: 80, ValueKB: 16, TxnOps: 12}
 
+// grownTeams are those of the site levant-claims-grid-grown.
+var grownTeams = []config.Team{
+	{Name: "ammanfin", CPUs: 2000, CPUsMax: 8000},
+	{Name: "zarqaops", CPUs: 1800, CPUsMax: 4000},
+	{Name: "irbidaudit", CPUs: 2500, CPUsMax: 4000},
+	{Name: "aqabatravel", CPUs: 1500, CPUsMax: 2500},
+}
+
 const controllers = 3
 
+// maxMachines is the number of machines of the cloud where the capacity of the site does not bind.
+const maxMachines = 200
+
 // stateLatency is the latency of the state service at the site lonestar-ctv-shared.
 const stateLatency = 6 * time.Millisecond
 
@@ -58,8 +70,9 @@
 	nodes   []string // addresses of the controllers for users
 }
 
-// startPlatform starts the stand-ins and writes a settings file for each controller.
-func startPlatform(dir string) (*platform, error) {
+// startPlatform starts the stand-ins and writes a settings file for each controller. Without machines none is up at
+// the start and boots take bootS.
+func startPlatform(dir string, machines bool) (*platform, error) {
 	users, peers, err := freeAddresses()
 	if err != nil {
 		return nil, err
@@ -72,11 +85,18 @@
 	for i, addr := range users {
 		members = append(members, emulate.Controller{Member: member(i), Addr: addr})
 	}
+	types, siteTeams := slices.Clone(machineTypes), teams
+	if !machines {
+		siteTeams = grownTeams
+		for i := range types {
+			types[i].BootS = bootS
+		}
+	}
 	p.world = emulate.New(emulate.Config{
 		Network:           p.network,
 		Store:             store,
-		Types:             machineTypes,
-		MaxMachines:       28,
+		Types:             types,
+		MaxMachines:       maxMachines,
 		Controllers:       members,
 		LeaseDuration:     leaseS * time.Second,
 		CancelTimeout:     cancelS * time.Second,
@@ -91,12 +111,15 @@
 		return nil, err
 	}
 	p.cloud = newSmallCloud(p.world)
+	p.cloud.unlimited = !machines
 	cloudAddr, err := serve(p.network, "cloud", p.cloud)
 	if err != nil {
 		return nil, err
 	}
-	p.bootMachines()
-	return p, writeSettings(dir, users, peers, stateAddr, cloudAddr)
+	if machines {
+		p.bootMachines()
+	}
+	return p, writeSettings(dir, users, peers, stateAddr, cloudAddr, siteTeams)
 }
 
 // bootMachines starts the seven machines that are up at the start at levant-claims-grid.
@@ -150,7 +173,7 @@
 }
 
 // writeSettings writes DIR/node-N.toml for each controller.
-func writeSettings(dir string, users, peers []string, stateAddr, cloudAddr string) error {
+func writeSettings(dir string, users, peers []string, stateAddr, cloudAddr string, siteTeams []config.Team) error {
 	for i := range users {
 		s := config.Settings{Member: member(i), Site: zones[i], Listen: users[i], PeerListen: peers[i]}
 		for j := range users {
@@ -163,7 +186,7 @@
 			Nodes:     controllers,
 			Zones:     zones,
 			SkewMs:    100,
-			Teams:     teams,
+			Teams:     siteTeams,
 			Workers:   config.Workers{ReportS: reportS, LeaseS: leaseS, GangWaitS: gangWaitS, GangPeerS: gangPeerS, CancelS: cancelS},
 			State:     config.StateLimits{RPS: stateLimits.RPS, WriteRPS: stateLimits.WriteRPS, ValueKB: stateLimits.ValueKB, TxnOps: stateLimits.TxnOps},
 			Cloud:     config.CloudLimits{RPS: 6, ListLagS: 8},
