--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -1,4 +1,4 @@
-// Command stand-2 runs case 6 of the review (rollout), and two findings that are no cases (sick, undo): each starts a small deployment on
+// Command stand-2 plays three findings of the review that are no cases (rollout, sick, undo): each starts a small deployment on
 // loopback, sends what users send, injects the case's disruption unless TROUBLE=0, and checks the rule.
 // It exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
 package main
