--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -24,6 +24,9 @@
 		{`[{"kind":"machines_hang"}]`, "troubles[0].machines"},
 		{`[{"kind":"image_crashes"}]`, "troubles[0].image"},
 		{`[{"kind":"state_slow"}]`, "troubles[0].delay_ms"},
+		{`[{"kind":"command_copies","share":0.2,"delay_ms":30000,"for_s":60}]`, ""},
+		{`[{"kind":"command_copies","share":0.2}]`, "troubles[0].delay_ms"},
+		{`[{"kind":"report_copies","share":1.2,"delay_ms":1}]`, "troubles[0].share"},
 	}
 	for _, tt := range tests {
 		_, err := ParseFaults([]byte(tt.text))
--- a/internal/emulate/faults.go
+++ b/internal/emulate/faults.go
@@ -23,15 +23,18 @@
 	// their start.
 	Image  string  `json:"image"`
 	AfterS float64 `json:"after_s"`
-	// DelayMs is the added latency of responses, in milliseconds.
+	// DelayMs is the added latency of responses, or the longest delay of a copy of a message, in
+	// milliseconds.
 	DelayMs int `json:"delay_ms"`
+	// Share is the share of the messages that are delivered once more, above 0 and at most 1.
+	Share float64 `json:"share"`
 }
 
 // faultKind describes a kind of fault: the fields that it requires and the function that injects
 // it. A fault that can be undone is undone after wait returns, which blocks for its duration.
 type faultKind struct {
-	needsMachines, needsImage, needsDelay bool
-	inject                                func(cl *Cluster, f Fault, r *rand.Rand, wait func())
+	needsMachines, needsImage, needsDelay, needsShare bool
+	inject                                            func(cl *Cluster, f Fault, r *rand.Rand, wait func())
 }
 
 // faultKinds has the kinds of faults by name.
@@ -43,6 +46,8 @@
 	"machines_sick":   {needsMachines: true, inject: injectFaultyMachines},
 	"image_unhealthy": {needsImage: true, inject: injectUnhealthyImage},
 	"image_crashes":   {needsImage: true, inject: injectCrashingImage},
+	"command_copies":  {needsShare: true, needsDelay: true, inject: injectCommandCopies},
+	"report_copies":   {needsShare: true, needsDelay: true, inject: injectReportCopies},
 }
 
 func injectStoreOutage(cl *Cluster, _ Fault, _ *rand.Rand, wait func()) {
@@ -84,6 +89,23 @@
 	cl.World.SetImageBehavior(f.Image, ImageBehavior{})
 }
 
+func injectCommandCopies(cl *Cluster, f Fault, r *rand.Rand, wait func()) {
+	cl.World.DuplicateCommands(f.duplication(r))
+	wait()
+	cl.World.DuplicateCommands(Duplication{})
+}
+
+func injectReportCopies(cl *Cluster, f Fault, r *rand.Rand, wait func()) {
+	cl.World.DuplicateHeartbeats(f.duplication(r))
+	wait()
+	cl.World.DuplicateHeartbeats(Duplication{})
+}
+
+// duplication returns the selection of the messages that the fault delivers once more.
+func (f Fault) duplication(r *rand.Rand) Duplication {
+	return Duplication{Share: f.Share, MaxDelay: time.Duration(f.DelayMs) * time.Millisecond, Random: r}
+}
+
 // failureDelay returns the time from the start of an image's tasks to their failure. It is at least
 // a millisecond because 0 disables the failure in ImageBehavior.
 func (f Fault) failureDelay() time.Duration { return seconds(max(f.AfterS, 0.001)) }
@@ -133,6 +155,8 @@
 		return "image", "missing"
 	case kind.needsDelay && (f.DelayMs < 1 || f.DelayMs > maxFaultDelayMs):
 		return "delay_ms", "must be from 1 to 60,000"
+	case kind.needsShare && (f.Share <= 0 || f.Share > 1):
+		return "share", "must be above 0 and at most 1"
 	}
 	return "", ""
 }
--- a/internal/emulate/worker_commands.go
+++ b/internal/emulate/worker_commands.go
@@ -116,7 +116,7 @@
 		return
 	}
 	worker.step(time.Now())
-	valid := request.Token >= worker.token && request.Session == worker.session
+	valid := worker.accepts(request)
 	worker.world.recordDirectCommands(request.Commands, valid)
 	switch {
 	case r.URL.Path == "/show":
@@ -133,10 +133,17 @@
 		worker.raiseToken(request.Token)
 		worker.world.checker.directCommands++
 		worker.execute(request.Commands)
+		worker.duplicateCommands(request)
 	}
 	writeResponse(rw, http.StatusOK, worker.heartbeat())
 }
 
+// accepts reports whether direct commands are from the newest leader that the worker has heard of and
+// for its current session.
+func (worker *Worker) accepts(request wire.DirectCommands) bool {
+	return request.Token >= worker.token && request.Session == worker.session
+}
+
 // raiseToken raises the worker's fencing token if the given one is higher.
 func (worker *Worker) raiseToken(token uint64) {
 	if token > worker.token {
--- a/internal/emulate/worker_heartbeat.go
+++ b/internal/emulate/worker_heartbeat.go
@@ -139,6 +139,7 @@
 	if w.capturing && len(w.captured) < maxCapturedHeartbeats {
 		w.captured = append(w.captured, CapturedHeartbeat{worker.Host(), encoded})
 	}
+	worker.duplicateHeartbeat(client, encoded)
 	w.mu.Unlock()
 	response, err := client.Post("http://"+w.cfg.Controllers[controller].Addr+"/checkin", wire.ContentType, bytes.NewReader(encoded))
 	var body []byte
--- a/internal/emulate/world.go
+++ b/internal/emulate/world.go
@@ -72,6 +72,8 @@
 	capturing bool // whether heartbeats are captured
 	captured  []CapturedHeartbeat
 
+	duplicator duplicator
+
 	wg   sync.WaitGroup
 	done chan struct{}
 }
--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -7,6 +7,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"time"
+
+	"vetchstream/internal/emulate"
 )
 
 // Kinds of faults.
@@ -21,6 +24,10 @@
 	KindRegionPartition = "regions_cut"
 	// KindStoreOutage makes the region's key-value store unavailable.
 	KindStoreOutage = "state_out"
+	// KindCommandCopies delivers a share of the region's executed direct commands once more.
+	KindCommandCopies = "command_copies"
+	// KindReportCopies delivers a share of the heartbeats of the region's workers once more.
+	KindReportCopies = "report_copies"
 )
 
 // Fault is a fault that a run injects and, after a duration, reverts.
@@ -36,11 +43,16 @@
 	Region   string `json:"region"`
 	Other    string `json:"other"`
 	Machines int    `json:"machines"`
+	// Share is the share of the messages that are delivered once more, above 0 and at most 1, and
+	// DelayMs the longest delay of a copy in milliseconds.
+	Share   float64 `json:"share"`
+	DelayMs int     `json:"delay_ms"`
 }
 
 const (
-	maxFaults   = 100
-	maxFaultAtS = 3600
+	maxFaults       = 100
+	maxFaultAtS     = 3600
+	maxFaultDelayMs = 60_000
 )
 
 // ParseFaults decodes a JSON list of faults. It does not check their values; Run does.
@@ -68,7 +80,12 @@
 }
 
 // faultKinds lists all kinds of faults.
-var faultKinds = []string{KindLeaderKilled, KindRackLost, KindZonePartition, KindRegionPartition, KindStoreOutage}
+var faultKinds = []string{KindLeaderKilled, KindRackLost, KindZonePartition, KindRegionPartition, KindStoreOutage, KindCommandCopies, KindReportCopies}
+
+// copiesMessages reports whether the fault delivers messages once more.
+func (f Fault) copiesMessages() bool {
+	return f.Kind == KindCommandCopies || f.Kind == KindReportCopies
+}
 
 // invalidField returns the name of the first invalid field and the reason, or empty texts if all
 // fields are valid.
@@ -86,6 +103,10 @@
 		return "other", fmt.Sprintf("%q is not another region", f.Other)
 	case f.Kind == KindRackLost && f.Machines < 1:
 		return "machines", "must be greater than 0"
+	case f.copiesMessages() && (f.Share <= 0 || f.Share > 1):
+		return "share", "must be above 0 and at most 1"
+	case f.copiesMessages() && (f.DelayMs < 1 || f.DelayMs > maxFaultDelayMs):
+		return "delay_ms", fmt.Sprintf("must be from 1 to %d", maxFaultDelayMs)
 	}
 	return "", ""
 }
@@ -115,9 +136,22 @@
 		region.store.SetOutage(true)
 		wait()
 		region.store.SetOutage(false)
+	case KindCommandCopies:
+		region.world.DuplicateCommands(f.duplication(random))
+		wait()
+		region.world.DuplicateCommands(emulate.Duplication{})
+	case KindReportCopies:
+		region.world.DuplicateHeartbeats(f.duplication(random))
+		wait()
+		region.world.DuplicateHeartbeats(emulate.Duplication{})
 	}
 }
 
+// duplication returns the selection of the messages that the fault delivers once more.
+func (f Fault) duplication(random *rand.Rand) emulate.Duplication {
+	return emulate.Duplication{Share: f.Share, MaxDelay: time.Duration(f.DelayMs) * time.Millisecond, Random: random}
+}
+
 // killLeader kills the leader of a region and restarts it after wait returns, unless the context
 // has ended by then.
 func (r *run) killLeader(ctx context.Context, region *region, wait func()) {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -47,6 +47,9 @@
 		{`[{"kind":"regions_cut","region":"region-0","other":"region-0"}]`, "troubles[0].other"},
 		{`[{"kind":"rack_gone","region":"region-0"}]`, "troubles[0].machines"},
 		{`[{"kind":"zone_cut","region":"region-0","at_s":-1}]`, "troubles[0].at_s"},
+		{`[{"kind":"command_copies","region":"region-0","share":0.2,"delay_ms":30000}]`, ""},
+		{`[{"kind":"command_copies","region":"region-0","delay_ms":30000}]`, "troubles[0].share"},
+		{`[{"kind":"report_copies","region":"region-0","share":1}]`, "troubles[0].delay_ms"},
 		{`[{"kinds":1}]`, "unknown field"},
 	} {
 		faults, err := ParseFaults([]byte(tt.text))
