Log and count each launch, halt and clear

The records of the incident have no line of the leader about the task that ran again: which message started, stopped and cleared it could be read only from the worker's side. Each command to a worker is logged at debug level with its attempt, path, token, session and the heartbeat that it answers, and counted by verb and path on the metrics page. The three places that composed a message now share one. Behaviour is unchanged.

--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -77,9 +77,7 @@
 // delivers launches and stops without waiting for the next heartbeat.
 func (cm *commands) send(machine *fleet.Machine, now time.Time) {
 	session := max(1, machine.Session)
-	orders, sent, events := cm.fleet.ComposeOrders(machine, 0, machine.Usable(), now, maxCommands)
-	cm.takeover.recordLaunches(len(sent), now)
-	cm.taskTracker.applyEvents(events, now)
+	orders, sent := cm.compose(machine, 0, machine.Usable(), now)
 	body, err := wire.Marshal(wire.DirectCommands{Token: cm.term, Session: session, Commands: orders})
 	if err != nil {
 		cm.log.Error("cannot encode direct commands; they are not sent", "error", err)
--- a/internal/control/leader_term_connect.go
+++ b/internal/control/leader_term_connect.go
@@ -171,7 +171,6 @@
 func (lt *leaderTerm) connectShards() {
 	lt.shards.nameIndex = lt.nameIndex
 	lt.shards.machinePool = lt.machinePool
-	lt.shards.takeover = lt.takeover
 	lt.shards.commands = lt.commands
 	lt.shards.taskTracker = lt.taskTracker
 }
--- a/internal/control/leader_term_loop.go
+++ b/internal/control/leader_term_loop.go
@@ -114,9 +114,7 @@
 		return
 	}
 	lt.planner.place(now)
-	commands, sent, events := lt.fleet.ComposeOrders(machine, heartbeat.Seq, fresh, now, maxCommands)
-	lt.takeover.recordLaunches(len(sent), now)
-	lt.taskTracker.applyEvents(events, now)
+	commands, _ := lt.commands.compose(machine, heartbeat.Seq, fresh, now)
 	response := reply(http.StatusOK, wire.HeartbeatResponse{Token: lt.term, Commands: commands})
 	response.HasTasks = machine.Busy()
 	respond(response)
--- a/internal/control/shards.go
+++ b/internal/control/shards.go
@@ -19,7 +19,6 @@
 	*core
 	nameIndex   *nameIndex
 	machinePool *machinePool
-	takeover    *takeover
 	taskTracker *taskTracker
 	commands    *commands
 
--- a/internal/control/shards_sync.go
+++ b/internal/control/shards_sync.go
@@ -158,6 +158,7 @@
 		sh.revokeFrom(box, machine, "the leader does not know its tasks", now)
 	}
 	if clears := machine.ClearOrders(maxCommands); clears != nil {
+		sh.commands.recordCommands(machine, pathHolder, 0, clears)
 		box.clearances = append(box.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears})
 	}
 }
@@ -210,9 +211,7 @@
 			if !sh.answerable(member, &heartbeat) || !sh.machinePool.mayRenewLease(heartbeat.machine, now) {
 				continue
 			}
-			orders, sent, events := sh.fleet.ComposeOrders(heartbeat.machine, heartbeat.seq, heartbeat.fresh, now, maxCommands)
-			sh.takeover.recordLaunches(len(sent), now)
-			sh.taskTracker.applyEvents(events, now)
+			orders, _ := sh.commands.compose(heartbeat.machine, heartbeat.seq, heartbeat.fresh, now)
 			box.answers = append(box.answers, shard.Answer{
 				Machine:  heartbeat.machine.Name,
 				Session:  heartbeat.session,
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,6 +14,7 @@
 var (
 	UserResponses    = Metric{"vetchstream_answers_total", "Responses to users, by kind of request and status.", "request"}
 	TaskLaunches     = Metric{"vetchstream_launches_total", "Task launches sent to workers.", ""}
+	CommandsSent     = Metric{"vetchstream_commands_total", "Commands sent to workers, by verb and path.", "command"}
 	JobsEnded        = Metric{"vetchstream_jobs_ended_total", "Jobs that have ended, by their final phase.", "phase"}
 	ReservationSlots = Metric{"vetchstream_slots_total", "Occurrences of reservations whose outcome is decided, by outcome.", "outcome"}
 	MaintenanceMoves = Metric{"vetchstream_maintenance_moves_total", "Tasks moved or stopped for maintenance.", ""}
