--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -78,7 +78,7 @@
 func (cm *commands) send(machine *fleet.Machine, now time.Time) {
 	session := max(1, machine.Session)
 	orders, sent := cm.compose(machine, 0, machine.Usable(), now)
-	body, err := wire.Marshal(wire.DirectCommands{Token: cm.term, Session: session, Commands: orders})
+	body, err := wire.Marshal(wire.DirectCommands{Token: machine.Token, Session: session, Commands: orders})
 	if err != nil {
 		cm.log.Error("cannot encode direct commands; they are not sent", "error", err)
 		return
--- a/internal/control/commands_compose.go
+++ b/internal/control/commands_compose.go
@@ -44,7 +44,7 @@
 		cm.controller.Meter.Add(metrics.CommandsSent, string(order.Verb)+" "+string(path), 1)
 		if cm.debug {
 			cm.log.Debug("command sent", "verb", order.Verb, "task", order.Task, "attempt", order.Attempt, "machine", machine.Name,
-				"path", path, "token", cm.term, "session", machine.Session, "heartbeat", reportSeq)
+				"path", path, "token", machine.Token, "session", machine.Session, "heartbeat", reportSeq)
 		}
 	}
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -37,7 +37,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // stops any background goroutine at once
-	return newLeaderTerm(ctx, controller, election.Term{Number: 7, Since: testStart})
+	return newLeaderTerm(ctx, controller, election.Term{Number: 7 * wire.TokensPerTerm, Since: testStart})
 }
 
 // addMachine adds a machine to the fleet.
--- a/internal/control/leader_fixture_test.go
+++ b/internal/control/leader_fixture_test.go
@@ -30,7 +30,7 @@
 	entitlementLapsed atomic.Bool
 }
 
-// startLeader starts a leader of the term. It stops when the test ends, if not
+// startLeader starts a leader of the term with the given ordinal. It stops when the test ends, if not
 // earlier.
 func startLeader(t *testing.T, service *fakeStateService, term uint64) *testLeader {
 	t.Helper()
@@ -40,6 +40,7 @@
 // startLeaderWith is like startLeader but lets tune change the default tuning.
 func startLeaderWith(t *testing.T, service *fakeStateService, term uint64, tune func(*config.Tuning)) *testLeader {
 	t.Helper()
+	term *= wire.TokensPerTerm
 	st := &testLeader{t: t, service: service, term: term}
 	settings := testLeaderSettings()
 	controller := New(Deps{
@@ -167,7 +168,7 @@
 		machine.Described = true
 		machine.Type = 0
 		machine.Zone = 0
-		lt.taskTracker.observe(machine, &wire.Heartbeat{Machine: name, Session: 1, Seq: seq, Token: st.term, Tasks: tasks}, true, time.Now())
+		lt.taskTracker.observe(machine, &wire.Heartbeat{Machine: name, Session: 1, Seq: seq, Token: wire.FirstToken(st.term), Tasks: tasks}, true, time.Now())
 	})
 	time.Sleep(time.Second)
 	done := make(chan struct{})
--- a/internal/control/leader_term_loop.go
+++ b/internal/control/leader_term_loop.go
@@ -115,7 +115,7 @@
 	}
 	lt.planner.place(now)
 	commands, _ := lt.commands.compose(machine, heartbeat.Seq, fresh, now)
-	response := reply(http.StatusOK, wire.HeartbeatResponse{Token: lt.term, Commands: commands})
+	response := reply(http.StatusOK, wire.HeartbeatResponse{Token: machine.Token, Commands: commands})
 	response.HasTasks = machine.Busy()
 	respond(response)
 	lt.shards.recordAnswered(machine, forwarder, now)
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -24,7 +24,7 @@
 	for i := range max(2, services*replicas/20) {
 		machine := lt.addMachine(fmt.Sprintf("h%d", i))
 		lt.nameIndex.describeMachine(machine, "small", []string{"a", "b"}[i%2], false)
-		lt.fleet.Observe(machine, &wire.Heartbeat{Machine: machine.Name, Addr: "10.0.0.1:1", Session: 1, Seq: 1, Token: lt.term}, true, now, lt.jobTable.findOrAdd)
+		lt.fleet.Observe(machine, &wire.Heartbeat{Machine: machine.Name, Addr: "10.0.0.1:1", Session: 1, Seq: 1, Token: wire.FirstToken(lt.term)}, true, now, lt.jobTable.findOrAdd)
 		machine.Registered = true
 		machines = append(machines, machine)
 	}
--- a/internal/control/shards_reclaim.go
+++ b/internal/control/shards_reclaim.go
@@ -6,18 +6,23 @@
 	"vetchstream/internal/fleet"
 )
 
-// The leader itself answers machines that may run a task of a cancelled job.
+// The leader itself answers machines that may run a task of a cancelled job, and those that
+// get launches in its answers only.
 
-// retain makes the leader serve a machine itself, and takes it back from its holder if it has
-// one. This happens in time before the machine's lease may only be renewed by answers that
-// carry halts.
+// retain makes the leader serve a machine itself if only the leader may, and takes it back from
+// its holder if it has one. This happens in time before the machine's lease may only be renewed
+// by answers that carry halts.
 func (sh *shards) retain(machine *fleet.Machine, now time.Time) {
 	limit, bounded := sh.fleet.RenewalLimit(machine)
-	if !bounded || limit.Sub(now) > sh.assigner.RevocationTime()+2*urgentScanInterval {
+	switch {
+	case bounded && limit.Sub(now) <= sh.assigner.RevocationTime()+2*urgentScanInterval:
+		sh.assigner.Retain(machine.Name, "a cancelled task may be on it", now)
+	case machine.TokensUsedUp():
+		sh.assigner.Retain(machine.Name, "its fencing tokens are used up", now)
+	default:
 		return
 	}
 	sh.retained[machine] = struct{}{}
-	sh.assigner.Retain(machine.Name, "a cancelled task may be on it", now)
 }
 
 // updateRetained retains those machines awaiting a command that require it, and lets holders
@@ -32,7 +37,8 @@
 		sh.retain(machine, now)
 	}
 	for machine := range sh.retained {
-		if _, bounded := sh.fleet.RenewalLimit(machine); bounded && sh.fleet.Machines[machine.Name] == machine {
+		_, bounded := sh.fleet.RenewalLimit(machine)
+		if (bounded || machine.TokensUsedUp()) && sh.fleet.Machines[machine.Name] == machine {
 			continue
 		}
 		delete(sh.retained, machine)
--- a/internal/control/shards_sync.go
+++ b/internal/control/shards_sync.go
@@ -157,9 +157,9 @@
 		// the tasks again. The leader reads them from the worker's next heartbeat.
 		sh.revokeFrom(box, machine, "the leader does not know its tasks", now)
 	}
-	if clears := machine.ClearOrders(maxCommands); clears != nil {
+	if clears := machine.ClearOrders(now, maxCommands); clears != nil {
 		sh.commands.recordCommands(machine, pathHolder, 0, clears)
-		box.clearances = append(box.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears})
+		box.clearances = append(box.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears, Token: machine.Token})
 	}
 }
 
@@ -217,6 +217,7 @@
 				Session:  heartbeat.session,
 				Seq:      heartbeat.seq,
 				Commands: orders,
+				Token:    heartbeat.machine.Token,
 			})
 		}
 		box.heartbeats = nil
--- a/internal/control/shards_test.go
+++ b/internal/control/shards_test.go
@@ -62,7 +62,7 @@
 	now := lt.termStart
 	lt.shards.start(now)
 	machine := lt.addMachine("h1")
-	heartbeat := &wire.Heartbeat{Machine: "h1", Type: "x", Zone: "a", Session: 1, Seq: 10, Token: 7}
+	heartbeat := &wire.Heartbeat{Machine: "h1", Type: "x", Zone: "a", Session: 1, Seq: 10, Token: wire.FirstToken(7 * wire.TokensPerTerm)}
 	encoded, err := wire.Marshal(heartbeat)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/worker_restart_test.go
+++ b/internal/control/worker_restart_test.go
@@ -62,7 +62,7 @@
 		holder:     shard.NewHolder("n1", "a", 1),
 		machine:    lt.fleet.Add("h1", time.Now()),
 		session:    1,
-		token:      lt.term,
+		token:      wire.FirstToken(lt.term),
 		leaseStart: time.Now(),
 	}
 	lt.nameIndex.describeMachine(w.machine, "x", "a", false)
@@ -111,7 +111,7 @@
 // receive handles an answer to the heartbeat that was sent at the given time.
 func (w *restartWorld) receive(answered bool, sentAt time.Time) {
 	if answered {
-		w.token = w.lt.term
+		w.token = w.machine.Token
 		w.leaseStart = sentAt
 	}
 }
@@ -167,8 +167,8 @@
 // leader gives the machine back to it.
 func (w *restartWorld) holdInEarlierTerm() {
 	now := time.Now()
-	w.holder.HandleReply(&shard.Reply{Term: w.lt.term - 1, Number: 1, GrantMs: 2000, Add: []string{"h1"}}, now)
-	w.holder.HandleHeartbeat(&wire.Heartbeat{Machine: "h1", Session: 1, Seq: 1, Token: w.lt.term - 1}, []byte{1}, now)
+	w.holder.HandleReply(&shard.Reply{Term: w.lt.term - wire.TokensPerTerm, Number: 1, GrantMs: 2000, Add: []string{"h1"}}, now)
+	w.holder.HandleHeartbeat(&wire.Heartbeat{Machine: "h1", Session: 1, Seq: 1, Token: wire.FirstToken(w.lt.term) - 1}, []byte{1}, now)
 	w.holder.EndTerm()
 }
 
--- a/internal/election/campaign.go
+++ b/internal/election/campaign.go
@@ -70,7 +70,7 @@
 		e.log.Warn("stored term is lower than the highest observed term, advancing past the observed term", "stored_term", stored, "seen_term", seen)
 		stored = seen
 	}
-	return stored + 1, storeRolledBack
+	return wire.NextTerm(stored), storeRolledBack
 }
 
 // leadershipWrites returns the writes that make this member the leader of the term:
@@ -115,7 +115,7 @@
 	leadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	deposed := e.beginTerm(term.Number, leaseStart)
-	e.log.Info("became leader", "term", term.Number)
+	e.log.Info("became leader", "term", term.Number, "first_token", wire.FirstToken(term.Number))
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
--- a/internal/fleet/compose.go
+++ b/internal/fleet/compose.go
@@ -69,12 +69,12 @@
 		// haltCancelled has already added the halt.
 	case !s.LaunchSent:
 		c.launch(s)
-	case (c.isAnswer() || c.machine.holder != nil) && c.allowLaunches && c.machine.Fenced && s.resendDue(c.now):
+	case (c.isAnswer() || c.machine.holder != nil) && c.allowLaunches && c.machine.Fenced && s.resendDue(c.now) && c.mayLaunch():
 		c.resend(s)
 	case s.haltDue(c.now):
 		c.orders = append(c.orders, s.halt(c.now))
-	case c.isAnswer() && s.clearable():
-		c.orders = append(c.orders, s.order(wire.CommandClear))
+	case c.isAnswer() && s.clearable(c.now):
+		c.orders = append(c.orders, s.clear())
 	}
 }
 
@@ -86,27 +86,37 @@
 		c.events = append(c.events, c.fleet.removeSlot(m, s, NeverStarted)...)
 		return
 	}
-	if !c.allowLaunches || !m.Fenced || !m.Registered || m.Lost || !s.Job.RegisteredMachines.Has(m.Index) {
+	if !c.allowLaunches || !c.mayLaunch() || !m.Fenced || !m.Registered || m.Lost || !s.Job.RegisteredMachines.Has(m.Index) {
 		return
 	}
 	s.LaunchSent = true
 	s.DirectLaunch = !c.isAnswer()
 	s.launchReportSeq = c.reportSeq
 	s.PlacedAt = c.now
-	if s.DirectLaunch {
-		m.directLaunchAt = c.now
-	}
 	c.launched = append(c.launched, s)
+	c.addLaunch(s)
+}
+
+// mayLaunch reports whether the message may carry launches. A direct one may not once the
+// machine has the term's last token, because nothing could fence off its late copies.
+func (c *orderComposer) mayLaunch() bool { return c.isAnswer() || !c.machine.TokensUsedUp() }
+
+// addLaunch adds a launch of the slot's task.
+func (c *orderComposer) addLaunch(s *Slot) {
+	if !c.isAnswer() {
+		c.machine.directLaunchAt = c.now
+		s.launchToken = c.machine.Token
+	}
 	c.orders = append(c.orders, s.order(wire.CommandLaunch))
 }
 
-// resend adds a second copy of a direct launch. As long as the exit is not cleared, the
-// worker starts the task only once, whichever copy arrives first. If the task is to be
+// resend adds a second copy of a direct launch. The worker starts the task only once,
+// whichever copy arrives first. If the task is to be
 // stopped, the message launches and halts it, so that the worker reports an exit, which
 // settles the slot.
 func (c *orderComposer) resend(s *Slot) {
 	s.launchResentAt = c.now
-	c.orders = append(c.orders, s.order(wire.CommandLaunch))
+	c.addLaunch(s)
 	if s.Stopping {
 		c.orders = append(c.orders, s.halt(c.now))
 	}
@@ -132,6 +142,9 @@
 	// launchResendDelay is the time after which an unsettled direct launch is sent again.
 	// It is longer than the timeout of a direct command.
 	launchResendDelay = 4 * time.Second
+	// maxClearDelay bounds the time for which direct commands in flight delay a clear order.
+	// It is longer than a direct command is in flight.
+	maxClearDelay = 5 * time.Second
 )
 
 // haltDue reports whether a halt has to be sent, for the first time or again. While a
@@ -157,18 +170,34 @@
 		s.Job.EndingPhase == "" && s.Job.Phase == ""
 }
 
-// clearable reports whether the worker may discard its record of the slot's exit.
-func (s *Slot) clearable() bool { return !s.Active() && s.Settled && s.launchResentAt.IsZero() }
+// clearable reports whether the worker may discard its record of the slot's exit. If that
+// takes a higher token, the order waits for a direct command in flight, which the worker
+// would refuse after the order, but for no longer than maxClearDelay.
+func (s *Slot) clearable(now time.Time) bool {
+	if s.Active() || !s.Settled {
+		return false
+	}
+	refusesCall := s.Machine.CallInFlight && s.launchToken >= s.Machine.Token
+	return !refusesCall || now.Sub(s.exitedAt) >= maxClearDelay
+}
+
+// clear returns the order that makes the worker discard its record of the slot's exit. The
+// message with the order has a higher token than the direct launches of the slot: without
+// its record, the worker would execute a late copy of such a launch once more.
+func (s *Slot) clear() wire.Command {
+	s.Machine.Token = max(s.Machine.Token, s.launchToken+1)
+	return s.order(wire.CommandClear)
+}
 
 // ClearOrders returns at most limit orders to clear exits, which the machine's holder
-// includes in its next answer.
-func (m *Machine) ClearOrders(limit int) (orders []wire.Command) {
+// includes in its next answer. The answer must have Machine.Token or a higher token.
+func (m *Machine) ClearOrders(now time.Time, limit int) (orders []wire.Command) {
 	if m.ReportedExits == 0 {
 		return nil
 	}
 	for _, s := range m.Slots {
-		if s.clearable() && len(orders) < limit {
-			orders = append(orders, s.order(wire.CommandClear))
+		if s.clearable(now) && len(orders) < limit {
+			orders = append(orders, s.clear())
 		}
 	}
 	return orders
@@ -178,10 +207,10 @@
 // should not wait for the next report.
 func (m *Machine) NeedsDirectCommand(now time.Time) bool {
 	for _, s := range m.Slots {
-		if !s.LaunchSent && m.Usable() && s.Job.RegisteredMachines.Has(m.Index) {
+		if !s.LaunchSent && m.Usable() && !m.TokensUsedUp() && s.Job.RegisteredMachines.Has(m.Index) {
 			return true
 		}
-		if m.holder != nil && s.resendDue(now) {
+		if m.holder != nil && !m.TokensUsedUp() && s.resendDue(now) {
 			return true // a holder's answers carry no launches
 		}
 		if s.haltDue(now) {
--- a/internal/fleet/explore_test.go
+++ b/internal/fleet/explore_test.go
@@ -54,7 +54,7 @@
 	{Name: "halt", Count: 1, Do: func(w *world, _ int) bool { return !w.cancelledAt.IsZero() && w.sendDirectCommand() }},
 	{Name: "deliver command", Count: 2, Do: func(w *world, answered int) bool { return w.deliverCommand(answered == 1) }},
 	{Name: "new leader", Count: 1, Do: func(w *world, _ int) bool {
-		if w.fleet.Term > 1 || w.now.Before(w.grantEnd) || !w.launched {
+		if w.fleet.Term > wire.TokensPerTerm || w.now.Before(w.grantEnd) || !w.launched {
 			return false
 		}
 		w.beginTerm(2)
@@ -63,13 +63,16 @@
 	}},
 }
 
+// deliverCopy is a further step, which the guards of the deadline do not need.
+var deliverCopy = explorer.Action[*world]{Name: "deliver copy", Count: maxCopies, Do: func(w *world, index int) bool { return w.deliverCopy(index) }}
+
 // Violation implements explorer.World.
 func (w *world) Violation() string { return w.violation }
 
 // Fingerprint implements explorer.World.
 func (w *world) Fingerprint() string {
 	p := &explorer.FingerprintBuilder{Now: w.now, MaxAge: cancelTimeout + reportInterval}
-	p.Values(w.fleet.Term, w.launched, w.endedBeforeTerm, w.retainedByLeader, w.worker.session, w.worker.token, w.worker.phase, len(w.delayedCommands), w.holder.Term(), " ")
+	p.Values(w.fleet.Term, w.launched, w.endedBeforeTerm, w.retainedByLeader, w.worker.session, w.worker.token, w.worker.phase, len(w.delayedCommands), w.holder.Term(), w.machine.Token, len(w.clearances), " ")
 	p.Times(w.cancelledAt, w.worker.leaseRenewedAt, w.grantEnd, w.machine.leaseRenewedAt, w.machine.directLaunchAt)
 	by, asked := w.assigner.Holder("host-1")
 	p.Values(by, asked, w.machine.Session, w.machine.Fenced, w.machine.RenewalStopped, w.machine.Lost, w.machine.holder != nil, w.machine.lastSeq == w.worker.seq, w.machine.lastReportSeq == w.worker.seq, " ")
@@ -77,7 +80,7 @@
 		p.Values(s.Phase, s.Observed, s.DirectLaunch, s.Stopping)
 		p.Times(s.HaltSentAt, s.launchResentAt, s.PlacedAt)
 	}
-	for _, d := range w.delayedCommands {
+	for _, d := range slices.Concat(w.delayedCommands, w.executedCommands) {
 		p.Values(d.Token, d.Session, len(d.Commands), d.Commands[0].Verb)
 	}
 	return p.String()
@@ -90,7 +93,8 @@
 const stepsPerWalk = 24
 
 // TestExplore checks that no task of a cancelled job is on a machine, or starts there, after
-// its deadline, whichever messages are delayed or lost. With one guard disabled, the explorer
+// its deadline, and that no copy of a launch starts a task again, whichever messages are
+// delayed or lost. With one guard disabled, the explorer
 // has to find the fault that the guard prevents.
 func TestExplore(t *testing.T) {
 	withLeader, withHolder := []string{"report", "report"}, []string{"sync holder", "wait 1 s", "sync holder", "report", "report", "sync holder", "sync holder", "report"}
@@ -110,11 +114,15 @@
 		{"fault found: a holder answers reports of tasks unknown to the leader", holderReportsTasksFirst, [][]string{slices.Concat(withHolder, []string{"launch", "cancel"}, syncedReports)}},
 		{"fault found: not every answer of the leader repeats the halts", everyAnswerHalts, [][]string{slices.Concat(withLeader, runAndCancel)}},
 		{"fault found: the deadline counts from a later time than the commit of the cancellation", deadlineFromCommit, [][]string{withLeader}},
+		{"fault found: an exit is cleared while a copy of the launch may arrive", clearRaisesToken, [][]string{slices.Concat(withLeader, []string{"launch", "deliver command"})}},
 		{"fault found: a new leader counts the deadline from the start of its term", unknownCancelCountsAsPast, [][]string{slices.Concat(withHolder, runAndCancel)}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			x := &explorer.Explorer[*world]{New: func() *world { return newWorld(tt.disabled) }, Actions: actions}
+			if tt.disabled == noGuard || tt.disabled == clearRaisesToken {
+				x.Actions = append(slices.Clone(actions), deliverCopy)
+			}
 			steps, violation := 0, ""
 			for i, start := range tt.starts {
 				if violation != "" {
--- a/internal/fleet/explore_world_test.go
+++ b/internal/fleet/explore_world_test.go
@@ -35,6 +35,9 @@
 	// unknownCancelCountsAsPast: if an earlier leader cancelled the job, it may have been
 	// cancelled at any time before the term.
 	unknownCancelCountsAsPast
+	// clearRaisesToken: a message that clears the exit of a direct launch has a higher token than
+	// the launch.
+	clearRaisesToken
 )
 
 const (
@@ -44,6 +47,8 @@
 	grantDuration  = 2500 * time.Millisecond
 	// maxDelayedCommands bounds the direct commands in flight. Further commands are lost.
 	maxDelayedCommands = 2
+	// maxCopies bounds the executed direct commands of which copies may arrive.
+	maxCopies = 2
 )
 
 // Outcomes of a report.
@@ -70,6 +75,8 @@
 	cancelledAt      time.Time // earliest time at which the user may have got the confirmation; zero: not cancelled
 	endedBeforeTerm  bool      // the job had ended when the leader's term began
 	delayedCommands  []wire.DirectCommands
+	executedCommands []wire.DirectCommands // any number of copies of them may arrive
+	clearances       []shard.ExitClearance // for the next reply to the holder
 	worker           worker
 	violation        string
 }
@@ -96,7 +103,8 @@
 }
 
 // beginTerm starts a term with a new leader that has loaded the records.
-func (w *world) beginTerm(term uint64) {
+func (w *world) beginTerm(ordinal uint64) {
+	term := ordinal * wire.TokensPerTerm
 	w.fleet = New(term, leaseDuration, cancelTimeout)
 	w.machine = w.fleet.Add("host-1", w.now)
 	w.machine.Described, w.machine.Registered, w.machine.Type, w.machine.Zone = true, true, 0, 0
@@ -111,6 +119,7 @@
 	w.assigner = shard.NewAssigner(term, "n0", "", settings, w.now)
 	w.assigner.AddMachine("host-1", "")
 	w.fleetHolder = &Holder{Name: "n1"}
+	w.clearances = nil
 	w.retainedByLeader = false
 	w.job.RegisteredMachines.Add(w.machine.Index)
 	w.endedBeforeTerm = !w.cancelledAt.IsZero()
@@ -132,13 +141,24 @@
 // observe handles a message of the worker like the leader: it also stops the tasks of a
 // cancelled job.
 func (w *world) observe(m *wire.Heartbeat, isReport bool) (fresh bool) {
-	fresh = w.fleet.Observe(w.machine, m, isReport, w.now, w.find).Fresh
+	result := w.fleet.Observe(w.machine, m, isReport, w.now, w.find)
+	for _, event := range result.Events {
+		event.Slot.Settled = event.Slot.Settled || event.Kind == Exited
+	}
 	for s := range w.fleet.SlotsOf(w.job) {
 		if s.Active() && w.job.Cancelled() && !s.Stopping {
 			w.fleet.Stop(s, 0)
 		}
 	}
-	return fresh
+	return result.Fresh
+}
+
+// token returns the token of the leader's next message to the worker.
+func (w *world) token() uint64 {
+	if w.disabled == clearRaisesToken {
+		return wire.FirstToken(w.fleet.Term)
+	}
+	return w.machine.Token
 }
 
 // retainBeforeLimit takes the machine back from its holder when its renewal limit is near.
@@ -172,7 +192,7 @@
 	if w.disabled == everyAnswerHalts && haltedNow {
 		orders = nil
 	}
-	return &wire.HeartbeatResponse{Token: w.fleet.Term, Commands: orders}
+	return &wire.HeartbeatResponse{Token: w.token(), Commands: orders}
 }
 
 // nextReport returns the worker's next report.
@@ -204,6 +224,8 @@
 			w.checkDeadline("starts")
 		case o.Verb == wire.CommandStop && w.worker.phase != "":
 			w.worker.phase = wire.TaskExited
+		case o.Verb == wire.CommandClear && w.worker.phase == wire.TaskExited:
+			w.worker.phase = ""
 		}
 	}
 }
@@ -227,12 +249,12 @@
 	if err != nil {
 		panic(err)
 	}
-	_, byHolder := w.holder.HandleHeartbeat(m, body, w.now)
+	holderAnswer, byHolder := w.holder.HandleHeartbeat(m, body, w.now)
 	switch byHolder {
 	case shard.GrantExpired:
 		return false
 	case shard.Answered:
-		receive(&wire.HeartbeatResponse{Token: w.holder.Term()})
+		receive(&holderAnswer)
 		return true
 	case shard.HeartbeatChanged, shard.LeaderRequired:
 		if outcome != reportAnsweredLate && w.holder.Term() == w.fleet.Term {
@@ -243,7 +265,7 @@
 			}
 		}
 		if byHolder == shard.HeartbeatChanged || w.disabled == holderReportsTasksFirst {
-			receive(&wire.HeartbeatResponse{Token: w.holder.Term()})
+			receive(&holderAnswer)
 		}
 		return true
 	}
@@ -285,6 +307,7 @@
 	w.clearHolder(revoked)
 	w.retainBeforeLimit()
 	reply := w.assigner.Reply("n1", w.now)
+	reply.Clearances, w.clearances = w.clearances, nil
 	w.holder.HandleReply(reply, w.now)
 	w.grantEnd = w.now.Add(time.Duration(reply.GrantMs) * time.Millisecond)
 	w.setHolder()
@@ -301,6 +324,9 @@
 		w.observe(message, true)
 	}
 	w.fleet.RecordRenewal(w.machine, report.Session, report.Seq, w.now.Add(-time.Duration(report.AgeMs)*time.Millisecond))
+	if clears := w.machine.ClearOrders(w.now, 100); clears != nil {
+		w.clearances = append(w.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears, Token: w.token()})
+	}
 }
 
 // clearHolder clears the machine's holder in the ledger after its revocation.
@@ -314,7 +340,7 @@
 func (w *world) sendDirectCommand() bool {
 	orders, _, _ := w.fleet.ComposeOrders(w.machine, 0, w.machine.Usable(), w.now, 100)
 	if len(orders) > 0 && len(w.delayedCommands) < maxDelayedCommands {
-		w.delayedCommands = append(w.delayedCommands, wire.DirectCommands{Token: w.fleet.Term, Session: max(1, w.machine.Session), Commands: orders})
+		w.delayedCommands = append(w.delayedCommands, wire.DirectCommands{Token: w.token(), Session: max(1, w.machine.Session), Commands: orders})
 	}
 	return len(orders) > 0
 }
@@ -327,9 +353,12 @@
 	}
 	d := w.delayedCommands[0]
 	w.delayedCommands = w.delayedCommands[1:]
-	if d.Token >= w.worker.token && d.Session == w.worker.session {
+	if w.worker.accepts(d) {
 		w.worker.token = d.Token
 		w.executeOrders(d.Commands)
+		if len(w.executedCommands) < maxCopies {
+			w.executedCommands = append(w.executedCommands, d)
+		}
 		if m := w.nextReport(); answered {
 			w.observe(m, false)
 		}
@@ -337,6 +366,24 @@
 	return true
 }
 
+// accepts reports whether the worker executes a direct command.
+func (wo *worker) accepts(d wire.DirectCommands) bool {
+	return d.Token >= wo.token && d.Session == wo.session
+}
+
+// deliverCopy delivers a copy of an executed command.
+func (w *world) deliverCopy(index int) bool {
+	if index >= len(w.executedCommands) || !w.worker.accepts(w.executedCommands[index]) {
+		return false
+	}
+	unknown := w.worker.phase == ""
+	w.executeOrders(w.executedCommands[index].Commands)
+	if unknown && w.worker.phase != "" {
+		w.violation = "restarted: a copy of an executed launch starts the task again"
+	}
+	return true
+}
+
 // advance advances the clock of the worker and the leader by d.
 func (w *world) advance(d time.Duration) {
 	const step = 500 * time.Millisecond
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,6 +88,8 @@
 	m := &Machine{
 		Index:          idx,
 		Name:           name,
+		Token:          wire.FirstToken(f.Term),
+		lastToken:      f.Term,
 		Type:           -1,
 		Zone:           -1,
 		AddedAt:        since,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -10,7 +10,11 @@
 	"vetchstream/internal/wire"
 )
 
-const testTerm = 7
+// testTerm is the term of the tests' leader, testToken its lowest fencing token.
+const (
+	testTerm  = 7 * wire.TokensPerTerm
+	testToken = testTerm - wire.TokensPerTerm + 1
+)
 
 // ledgerFixture is a fleet with one machine and one job, which a test drives step by step.
 type ledgerFixture struct {
@@ -92,7 +96,7 @@
 // TestLedger checks which placements the ledger keeps for a machine until a message settles
 // them. The numbers in the names are the points of docs/safety.md.
 func TestLedger(t *testing.T) {
-	tests := slices.Concat(ledgerLaunchTests(), ledgerDirectCommandTests(), ledgerHolderTests(), ledgerLeaseTests(), ledgerSessionTests(), ledgerCancelTests())
+	tests := slices.Concat(ledgerLaunchTests(), ledgerDirectCommandTests(), ledgerHolderTests(), ledgerLeaseTests(), ledgerSessionTests(), ledgerTokenTests(), ledgerCancelTests())
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) { tt.do(newLedgerFixture(t)) })
 	}
@@ -104,14 +108,14 @@
 	runningTask := map[uint64]wire.TaskPhase{1: wire.TaskRunning}
 	return []ledgerTest{
 		{"5: a machine gets no launch until it is fenced", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm-1, nil)
+			f.observe(true, 1, 1, testToken-1, nil)
 			f.assign(1)
 			f.checkOrders(f.compose(1, true), "")
-			f.observe(true, 1, 2, testTerm, nil)
+			f.observe(true, 1, 2, testToken, nil)
 			f.checkOrders(f.compose(2, true), "launch 1;")
 		}},
 		{"6: a machine gets no launch until its record names the job", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.job.RegisteredMachines.Remove(f.machine.Index)
 			f.assign(1)
 			f.checkOrders(f.compose(1, true), "")
@@ -121,27 +125,27 @@
 		}},
 		{"6: an inherited machine is unsettled until it is fenced", func(f *ledgerFixture) {
 			f.machine.Inherited = true
-			f.observe(true, 1, 1, testTerm-1, runningTask)
+			f.observe(true, 1, 1, testToken-1, runningTask)
 			if len(f.fleet.SettleInherited()) != 1 {
 				f.t.Error("SettleInherited settled a machine whose worker has not sent the current term")
 			}
-			f.observe(true, 1, 2, testTerm, runningTask)
+			f.observe(true, 1, 2, testToken, runningTask)
 			if len(f.fleet.SettleInherited()) != 0 {
 				f.t.Error("SettleInherited left a fenced machine unsettled")
 			}
 		}},
 		{"7: an older report changes nothing", func(f *ledgerFixture) {
-			f.observe(true, 1, 5, testTerm, runningTask)
-			if r := f.observe(true, 1, 4, testTerm, nil); r.Fresh {
+			f.observe(true, 1, 5, testToken, runningTask)
+			if r := f.observe(true, 1, 4, testToken, nil); r.Fresh {
 				f.t.Error("Observe reports an older report as fresh")
 			}
 			f.checkLive(1, "after an older report")
 		}},
 		{"8: the next report settles a launch that an answer carried", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(1, true)
-			f.observe(true, 1, 2, testTerm, nil)
+			f.observe(true, 1, 2, testToken, nil)
 			f.checkLive(0, "after the next report")
 		}},
 	}
@@ -152,11 +156,11 @@
 	runningTask := map[uint64]wire.TaskPhase{1: wire.TaskRunning}
 	return []ledgerTest{
 		{"15: while the task saves, only a halt without a grace period is repeated", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			for s := range f.fleet.SlotsOf(f.job) {
 				f.fleet.Stop(s, 5)
 				f.checkOrders(f.compose(1, true), "halt 1;")
-				f.observe(true, 1, 2, testTerm, map[uint64]wire.TaskPhase{1: wire.TaskCheckpointing})
+				f.observe(true, 1, 2, testToken, map[uint64]wire.TaskPhase{1: wire.TaskCheckpointing})
 				f.now = f.now.Add(haltInterval)
 				f.checkOrders(f.compose(2, true), "")
 				f.fleet.Stop(s, 0) // its job is cancelled
@@ -167,38 +171,106 @@
 			}
 		}},
 		{"8: the answer to a direct command does not settle a launch that an answer carried", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(1, true)
-			f.observe(false, 1, 2, testTerm, nil)
+			f.observe(false, 1, 2, testToken, nil)
 			f.checkLive(1, "after the answer to a direct command overtook the launch")
-			f.observe(true, 1, 3, testTerm, runningTask)
+			f.observe(true, 1, 3, testToken, runningTask)
 			f.checkLive(1, "after a report lists the task")
 		}},
-		{"8: a lost direct launch is sent again and its exit is not cleared", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+		{"8: a lost direct launch is sent again, and its exit is cleared with a higher token", func(f *ledgerFixture) {
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
-			f.observe(true, 1, 2, testTerm, nil)
+			f.observe(true, 1, 2, testToken, nil)
 			f.checkOrders(f.compose(2, true), "")
 			f.now = f.now.Add(launchResendDelay)
-			f.observe(true, 1, 3, testTerm, nil)
+			f.observe(true, 1, 3, testToken, nil)
 			f.checkOrders(f.compose(3, true), "launch 1;")
-			f.observe(true, 1, 4, testTerm, nil)
+			f.observe(true, 1, 4, testToken, nil)
 			f.checkOrders(f.compose(4, true), "")
 			f.checkLive(1, "after a report without the task, because the second copy may be lost too")
-			f.observe(true, 1, 5, testTerm, map[uint64]wire.TaskPhase{1: wire.TaskExited})
+			f.observe(true, 1, 5, testToken, map[uint64]wire.TaskPhase{1: wire.TaskExited})
 			f.checkLive(0, "after a report lists the exit")
 			for s := range f.fleet.SlotsOf(f.job) {
 				s.Settled = true
 			}
-			f.checkOrders(f.compose(5, true), "")
-			f.observe(true, 2, 1, testTerm, nil)
+			f.checkToken(testToken)
+			f.checkOrders(f.compose(5, true), "clear 1;")
+			f.checkToken(testToken + 1)
+			f.observe(true, 2, 1, testToken+1, nil)
 			f.checkOrders(f.compose(1, true), "")
 		}},
 	}
 }
 
+// ledgerTokenTests returns tests of point 11: the tokens of the messages that clear exits.
+func ledgerTokenTests() []ledgerTest {
+	exitedTask := map[uint64]wire.TaskPhase{1: wire.TaskExited}
+	launch := func(f *ledgerFixture, reportSeq uint64) {
+		f.observe(true, 1, 1, testToken, nil)
+		f.assign(1)
+		f.checkOrders(f.compose(reportSeq, true), "launch 1;")
+	}
+	exit := func(f *ledgerFixture) {
+		for _, event := range f.observe(true, 1, 2, testToken, exitedTask).Events {
+			event.Slot.Settled = true
+		}
+	}
+	return []ledgerTest{
+		{"11: a late copy of a direct launch is fenced off before the exit is cleared", func(f *ledgerFixture) {
+			launch(f, 0)
+			exit(f)
+			f.checkToken(testToken)
+			f.checkOrders(f.compose(2, true), "clear 1;")
+			f.checkToken(testToken + 1)
+			f.checkOrders(f.compose(2, true), "clear 1;") // the answer was lost
+			f.checkToken(testToken + 1)
+		}},
+		{"11: a holder clears the exit of a direct launch with a higher token", func(f *ledgerFixture) {
+			launch(f, 0)
+			exit(f)
+			f.checkOrders(f.machine.ClearOrders(f.now, 100), "clear 1;")
+			f.checkToken(testToken + 1)
+		}},
+		{"11: the exit of a launch in an answer is cleared with the same token", func(f *ledgerFixture) {
+			launch(f, 1)
+			exit(f)
+			f.checkOrders(f.compose(2, true), "clear 1;")
+			f.checkToken(testToken)
+		}},
+		{"11: a clear that would fence off a direct command in flight waits, but not without end", func(f *ledgerFixture) {
+			launch(f, 0)
+			f.machine.CallInFlight = true
+			exit(f)
+			f.checkOrders(f.compose(2, true), "")
+			f.now = f.now.Add(maxClearDelay)
+			f.checkOrders(f.compose(2, true), "clear 1;")
+		}},
+		{"11: a machine with the last token of the term gets launches in answers only", func(f *ledgerFixture) {
+			f.observe(true, 1, 1, testTerm, nil)
+			f.assign(1)
+			f.checkOrders(f.compose(0, true), "")
+			if f.machine.NeedsDirectCommand(f.now) {
+				f.t.Error("NeedsDirectCommand is true although a direct command may not carry the launch")
+			}
+			f.checkOrders(f.compose(1, true), "launch 1;")
+			f.observe(true, 1, 2, testTerm, nil)
+			exit(f)
+			f.checkToken(testTerm)
+		}},
+	}
+}
+
+// checkToken checks the token of the next message to the machine.
+func (f *ledgerFixture) checkToken(want uint64) {
+	f.t.Helper()
+	if f.machine.Token != want {
+		f.t.Errorf("the next message has token %d, want %d", f.machine.Token, want)
+	}
+}
+
 // ledgerHolderTests returns tests of points 4, 8, 9 and 15: machines with a holder, and
 // direct launches of tasks that have to be stopped.
 func ledgerHolderTests() []ledgerTest {
@@ -206,7 +278,7 @@
 	return []ledgerTest{
 		{"4, 9: a lease under a holder is judged as of its known answers, and afterwards as of its last possible answer", func(f *ledgerFixture) {
 			holder := &Holder{Name: "n1", KnownUntil: f.now}
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.fleet.SetHolder(f.machine, holder)
 			f.now = f.now.Add(15 * time.Second)
 			f.fleet.ExpireLeases(f.now)
@@ -222,7 +294,7 @@
 			f.checkLive(0, "11 s after the last answer that the holder may have sent")
 		}},
 		{"8: an unchanged report to the holder settles a launch that an answer carried", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.fleet.SetHolder(f.machine, &Holder{Name: "n1"})
 			f.assign(1)
 			f.compose(1, true)
@@ -232,7 +304,7 @@
 			f.checkLive(0, "after the next report")
 		}},
 		{"8, 15: a lost launch of a task to be stopped is sent again with a halt, unless its job is cancelled", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
 			for s := range f.fleet.SlotsOf(f.job) {
@@ -252,24 +324,24 @@
 	runningTask := map[uint64]wire.TaskPhase{1: wire.TaskRunning}
 	return []ledgerTest{
 		{"8: reports without the task do not settle an unanswered direct launch", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.checkOrders(f.compose(0, true), "launch 1;")
-			f.observe(true, 1, 2, testTerm, nil)
-			f.observe(true, 1, 3, testTerm, nil)
+			f.observe(true, 1, 2, testToken, nil)
+			f.observe(true, 1, 3, testToken, nil)
 			f.checkLive(1, "after two reports")
-			f.observe(true, 2, 1, testTerm, nil)
+			f.observe(true, 2, 1, testToken, nil)
 			f.checkLive(0, "after a new session")
 		}},
 		{"8: a direct launch that was certainly not executed is removed", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
 			f.fleet.RemoveUndelivered(f.sent)
 			f.checkLive(0, "after a refused connection")
 		}},
 		{"9: the placements of a silent machine are removed when the lease with its margin expires, not earlier", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.now = f.now.Add(10 * time.Second)
 			f.fleet.ExpireLeases(f.now)
 			f.checkLive(1, "after the lease without its margin")
@@ -278,18 +350,18 @@
 			f.checkLive(0, "after the lease with its margin")
 		}},
 		{"9: a report that the answer to a direct command overtook renews the lease", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.now = f.now.Add(8 * time.Second)
-			f.observe(false, 1, 3, testTerm, runningTask)
-			f.observe(true, 1, 2, testTerm, runningTask)
+			f.observe(false, 1, 3, testToken, runningTask)
+			f.observe(true, 1, 2, testToken, runningTask)
 			f.now = f.now.Add(8 * time.Second)
 			f.fleet.ExpireLeases(f.now)
 			f.checkLive(1, "8 s after the overtaken report")
 		}},
 		{"9: an answer to a direct command does not renew the lease", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.now = f.now.Add(8 * time.Second)
-			f.observe(false, 1, 2, testTerm, runningTask)
+			f.observe(false, 1, 2, testToken, runningTask)
 			f.now = f.now.Add(3 * time.Second)
 			f.fleet.ExpireLeases(f.now)
 			f.checkLive(0, "11 s after the only report")
@@ -304,10 +376,10 @@
 	return []ledgerTest{
 		{"9: the lease of a new session counts from its first message", func(f *ledgerFixture) {
 			f.now = f.now.Add(9 * time.Second) // after a takeover, with direct commands only
-			f.observe(false, 2, 1, testTerm, nil)
+			f.observe(false, 2, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
-			f.observe(false, 2, 2, testTerm, runningTask)
+			f.observe(false, 2, 2, testToken, runningTask)
 			f.now = f.now.Add(5 * time.Second)
 			f.fleet.ExpireLeases(f.now)
 			f.checkLive(1, "14 s after the takeover, 5 s after the first message of the session")
@@ -316,23 +388,23 @@
 			f.checkLive(0, "11 s after the first message of the session")
 		}},
 		{"9: a delayed message of an expired session restores no placement", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.now = f.now.Add(11 * time.Second)
 			f.fleet.ExpireLeases(f.now)
-			if r := f.observe(true, 1, 2, testTerm, runningTask); r.Fresh {
+			if r := f.observe(true, 1, 2, testToken, runningTask); r.Fresh {
 				f.t.Error("Observe reports a message of an expired session as fresh")
 			}
 			f.checkLive(0, "after a message of the expired session")
 		}},
 		{"11: only an answer to a report clears an exit, and only once it is settled", func(f *ledgerFixture) {
-			r := f.observe(true, 1, 1, testTerm, map[uint64]wire.TaskPhase{1: wire.TaskExited})
+			r := f.observe(true, 1, 1, testToken, map[uint64]wire.TaskPhase{1: wire.TaskExited})
 			f.checkOrders(f.compose(1, true), "")
 			r.Events[0].Slot.Settled = true
 			f.checkOrders(f.compose(0, true), "")
 			f.checkOrders(f.compose(1, true), "clear 1;")
 		}},
 		{"12: removing a machine removes its placements", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.fleet.Remove(f.machine)
 			f.checkLive(0, "after the removal")
 		}},
@@ -344,7 +416,7 @@
 	runningTask := map[uint64]wire.TaskPhase{1: wire.TaskRunning}
 	return []ledgerTest{
 		{"15: a cancelled job gets no launch, and its halts are repeated", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, runningTask)
+			f.observe(true, 1, 1, testToken, runningTask)
 			f.fleet.Assign(f.machine, PlacementKey{f.job, 1, 1}, f.now)
 			f.job.EndingPhase = wire.JobCancelled
 			for _, s := range f.machine.Slots {
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -32,6 +32,11 @@
 	AddedAt time.Time
 	Booting bool // no message of the worker has been observed yet
 
+	// Token is the fencing token of the next message to the worker. It only rises, within the
+	// tokens of the leader's term.
+	Token uint64
+	// lastToken is the highest token of the leader's term.
+	lastToken uint64
 	// Session is the newest session of the worker, a number that increases with each session.
 	Session uint64
 	// lastSeq is the sequence number of the newest message of the session, lastReportSeq that
@@ -64,7 +69,7 @@
 	// RenewalStopped reports whether the controllers leave the worker's reports unanswered
 	// until its session has ended (see renewal.go).
 	RenewalStopped bool
-	// Fenced reports whether the worker has sent a message with this leader's term, and thus
+	// Fenced reports whether the worker has sent a message with a token of this term, and thus
 	// refuses orders of earlier leaders.
 	Fenced bool
 	// leaseRenewedAt is the latest time at which an answer of this leader, one of its holders
@@ -190,6 +195,10 @@
 	}
 }
 
+// TokensUsedUp reports whether Token is the last one of the leader's term. The machine then gets
+// launches in answers to reports only.
+func (m *Machine) TokensUsedUp() bool { return m.Token >= m.lastToken }
+
 // SinceLastReport returns the time since the machine's last report, as far as the leader
 // knows it from the renewals of the lease.
 func (m *Machine) SinceLastReport(now time.Time) time.Duration { return now.Sub(m.leaseRenewedAt) }
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -146,9 +146,10 @@
 	m.TasksUnknown = false
 	m.Booting = false
 	m.CallUnanswered = false
-	if message.Token == o.fleet.Term {
+	if message.Token >= wire.FirstToken(o.fleet.Term) {
 		m.Fenced = true
 	}
+	m.Token = max(m.Token, message.Token)
 	if message.Addr != "" {
 		m.Addr = message.Addr
 	}
@@ -191,6 +192,7 @@
 	switch {
 	case t.Phase == wire.TaskExited:
 		j.AdjustLive(task, -1)
+		s.exitedAt = o.now
 		o.events = append(o.events, Event{Kind: Exited, Slot: s})
 	case t.Phase == wire.TaskRunning && previous != wire.TaskRunning:
 		s.RunningSince = o.now
--- a/internal/fleet/renewal_test.go
+++ b/internal/fleet/renewal_test.go
@@ -32,7 +32,7 @@
 
 // cancelWithLaunchInFlight cancels the job while its direct launch is in flight.
 func cancelWithLaunchInFlight(f *ledgerFixture) {
-	f.observe(true, 1, 1, testTerm, nil)
+	f.observe(true, 1, 1, testToken, nil)
 	f.assign(1)
 	f.checkOrders(f.compose(0, true), "launch 1;")
 	f.cancelJob()
@@ -51,25 +51,25 @@
 		{"with a direct launch in flight, the lease is renewable before the limit only", func(f *ledgerFixture) {
 			cancelWithLaunchInFlight(f)
 			f.now = f.now.Add(renewalWindow - time.Millisecond)
-			f.observe(true, 1, 2, testTerm, nil)
+			f.observe(true, 1, 2, testToken, nil)
 			f.checkRenewable(true, "1 ms before the limit")
 			f.now = f.now.Add(time.Millisecond)
-			f.observe(true, 1, 3, testTerm, nil)
+			f.observe(true, 1, 3, testToken, nil)
 			f.checkRenewable(false, "at the limit")
-			f.observe(true, 2, 1, testTerm, nil)
+			f.observe(true, 2, 1, testToken, nil)
 			f.checkRenewable(true, "after a report of the next session")
 			f.checkLive(0, "after a report of the next session")
 		}},
 		{"the answer that halts a task which started late renews the lease", func(f *ledgerFixture) {
 			cancelWithLaunchInFlight(f)
 			f.now = f.now.Add(renewalWindow + time.Second)
-			f.observe(true, 1, 2, testTerm, running)
+			f.observe(true, 1, 2, testToken, running)
 			f.checkRenewable(true, "after a report that lists the task")
 			f.checkOrders(f.compose(2, true), "halt 1;")
 			if _, bounded := f.fleet.RenewalLimit(f.machine); !bounded {
 				f.t.Error("RenewalLimit sets no limit for a holder while the task runs")
 			}
-			f.observe(true, 1, 3, testTerm, map[uint64]wire.TaskPhase{1: wire.TaskExited})
+			f.observe(true, 1, 3, testToken, map[uint64]wire.TaskPhase{1: wire.TaskExited})
 			if _, bounded := f.fleet.RenewalLimit(f.machine); bounded {
 				f.t.Error("RenewalLimit sets a limit after the exit")
 			}
@@ -82,7 +82,7 @@
 		}},
 		{"a job cancelled by an earlier leader at an unknown time lets only answers with halts renew the lease", func(f *ledgerFixture) {
 			f.job.Phase = wire.JobCancelled
-			f.observe(true, 1, 1, testTerm-1, running)
+			f.observe(true, 1, 1, testToken-1, running)
 			f.checkRenewable(true, "for an answer with halts")
 			if limit, bounded := f.fleet.RenewalLimit(f.machine); !bounded || limit.After(f.now) {
 				f.t.Error("RenewalLimit lets a holder renew the lease")
@@ -99,7 +99,7 @@
 func TestRenewalLimitScope(t *testing.T) {
 	tests := []renewalTest{
 		{"an answer that cannot hold all halts does not renew the lease", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, map[uint64]wire.TaskPhase{1: wire.TaskRunning, 2: wire.TaskRunning})
+			f.observe(true, 1, 1, testToken, map[uint64]wire.TaskPhase{1: wire.TaskRunning, 2: wire.TaskRunning})
 			f.cancelJob()
 			f.now = f.now.Add(renewalWindow)
 			if f.fleet.Renewable(f.machine, f.now, 1) || !f.fleet.Renewable(f.machine, f.now, 2) {
@@ -113,7 +113,7 @@
 			f.checkRenewable(true, "1 min after the cancellation of a job that was done")
 		}},
 		{"a machine with a launch of a cancelled job in flight is unusable until its session ends", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
 			if !f.machine.Usable() {
@@ -124,13 +124,13 @@
 				f.t.Error("the machine is usable after the cancellation")
 			}
 			f.fleet.StopRenewal(f.machine)
-			f.observe(true, 2, 1, testTerm, nil)
+			f.observe(true, 2, 1, testToken, nil)
 			if !f.machine.Usable() || f.machine.InboundCut() {
 				f.t.Error("the machine is unusable, or its inbound direction is marked as cut, in the next session")
 			}
 		}},
 		{"8: a direct launch in flight awaits a command only once its machine has a holder", func(f *ledgerFixture) {
-			f.observe(true, 1, 1, testTerm, nil)
+			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
 			f.compose(0, true)
 			if len(f.fleet.AwaitingCommand()) != 0 {
--- a/internal/fleet/slot.go
+++ b/internal/fleet/slot.go
@@ -41,14 +41,18 @@
 	DirectLaunch bool
 	// launchReportSeq is the sequence number of the report whose answer carried the launch.
 	launchReportSeq uint64
-	// launchResentAt is when a direct launch with an unknown outcome was last sent again. The
-	// exit of such a task is not cleared, because a copy of the launch may arrive after it.
+	// launchResentAt is when a direct launch with an unknown outcome was last sent again.
 	launchResentAt time.Time
+	// launchToken is the highest token of a direct command that carried the launch, or 0. The
+	// worker executes a late copy of that command until it has seen a higher token.
+	launchToken uint64
 	// PlacedAt is when the task was placed or, once LaunchSent is set, when its launch was
 	// first sent.
 	PlacedAt time.Time
 	// RunningSince is when a message first listed the task as running.
 	RunningSince time.Time
+	// exitedAt is when a message first listed the task as exited.
+	exitedAt time.Time
 	// Adopted reports whether the leader learned of the placement from a message, so that
 	// its start time is unknown.
 	Adopted bool
--- a/internal/node/fault_scenarios_test.go
+++ b/internal/node/fault_scenarios_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"vetchstream/internal/wire"
 )
 
 // checkTermAbove checks that the last term exceeds the highest one that workers have seen, by at
@@ -59,7 +61,7 @@
 
 // TestWorkerAndLinkFaults injects faults of workers and of network links.
 func TestWorkerAndLinkFaults(t *testing.T) {
-	runDefault(t, 1, nil, finalChecks{"the stored term is older than the fencing tokens of the workers (1, 5)": checkTermAbove(41, 3)}, []scenario{
+	runDefault(t, 1, nil, finalChecks{"the stored term is older than the fencing tokens of the workers (1, 5)": checkTermAbove(41*wire.TokensPerTerm, 3*wire.TokensPerTerm)}, []scenario{
 		{"all controllers crash (6, 11, 13)", []fault{{20 * time.Second, crashControllers(3)}}},
 		{"workers are partitioned past their lease, their messages arrive late (7, 8, 9)", []fault{
 			{15 * time.Second, partitionWorkers(newRand(3), 3, 18*time.Second)},
--- a/internal/node/shard_holder.go
+++ b/internal/node/shard_holder.go
@@ -31,7 +31,7 @@
 type pendingHeartbeat struct {
 	session  uint64
 	seq      uint64
-	commands chan []wire.Command // buffered: takes one answer without a receiver
+	response chan wire.HeartbeatResponse // buffered: takes one answer without a receiver
 }
 
 const (
@@ -155,7 +155,7 @@
 		waiting, ok := sh.pending[answer.Machine]
 		if ok && waiting.session == answer.Session && waiting.seq == answer.Seq {
 			delete(sh.pending, answer.Machine)
-			waiting.commands <- answer.Commands
+			waiting.response <- wire.HeartbeatResponse{Token: answer.Token, Commands: answer.Commands}
 		}
 	}
 }
@@ -180,11 +180,11 @@
 
 // awaitAnswer waits for the leader's answer to a machine's heartbeat until the timeout or
 // the end of the context.
-func (sh *shardHolder) awaitAnswer(ctx context.Context, machine string, waiting pendingHeartbeat, timeout time.Duration) (commands []wire.Command, ok bool) {
+func (sh *shardHolder) awaitAnswer(ctx context.Context, machine string, waiting pendingHeartbeat, timeout time.Duration) (response wire.HeartbeatResponse, ok bool) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case commands = <-waiting.commands:
+	case response = <-waiting.response:
 		ok = true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -193,10 +193,10 @@
 	defer sh.mu.Unlock()
 	// From now on an answer of the leader is ignored. Its launches count as not executed
 	// once they are absent from the worker's next heartbeat.
-	if current, waits := sh.pending[machine]; waits && current.commands == waiting.commands {
+	if current, waits := sh.pending[machine]; waits && current.response == waiting.response {
 		delete(sh.pending, machine)
 	}
-	return commands, ok
+	return response, ok
 }
 
 // grantValid reports whether this node's grant from the leader of the term is valid now.
@@ -209,9 +209,9 @@
 // heartbeatDecision describes how a heartbeat is answered.
 type heartbeatDecision struct {
 	outcome  shard.Outcome
-	term     uint64           // term of the grant
-	commands []wire.Command   // commands of this node's own answer
-	pending  pendingHeartbeat // set if the leader's answer is awaited
+	term     uint64                 // term of the grant
+	response wire.HeartbeatResponse // this node's own answer
+	pending  pendingHeartbeat       // set if the leader's answer is awaited
 }
 
 // decide records a heartbeat and decides how it is answered. A heartbeat that reports a
@@ -219,17 +219,17 @@
 func (sh *shardHolder) decide(heartbeat *wire.Heartbeat, body []byte) heartbeatDecision {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	commands, outcome := sh.holder.HandleHeartbeat(heartbeat, body, time.Now())
+	response, outcome := sh.holder.HandleHeartbeat(heartbeat, body, time.Now())
 	decision := heartbeatDecision{
 		outcome:  outcome,
 		term:     sh.holder.Term(),
-		commands: commands,
+		response: response,
 	}
 	if outcome >= shard.HeartbeatChanged {
 		decision.pending = pendingHeartbeat{
 			session:  heartbeat.Session,
 			seq:      heartbeat.Seq,
-			commands: make(chan []wire.Command, 1),
+			response: make(chan wire.HeartbeatResponse, 1),
 		}
 		sh.pending[heartbeat.Machine] = decision.pending // replaces an earlier heartbeat of the machine
 	}
@@ -254,21 +254,22 @@
 		}
 		return control.Unavailable("the leader has not renewed this node's grant")
 	}
-	commands := decision.commands
+	response := decision.response
 	if decision.outcome >= shard.HeartbeatChanged {
 		timeout := leaderAnswerTimeout
 		if decision.outcome == shard.LeaderRequired {
 			timeout = requiredAnswerTimeout
 		}
-		leaderCommands, ok := sh.awaitAnswer(ctx, heartbeat.Machine, decision.pending, timeout)
+		leaderResponse, ok := sh.awaitAnswer(ctx, heartbeat.Machine, decision.pending, timeout)
 		switch {
 		case ok:
-			commands = leaderCommands
+			response.Commands = leaderResponse.Commands
+			response.Token = max(response.Token, leaderResponse.Token)
 		case decision.outcome == shard.LeaderRequired:
 			return control.Unavailable("the leader has not yet received the machine's complete task list")
 		}
 	}
-	encoded, err := wire.Marshal(wire.HeartbeatResponse{Token: decision.term, Commands: commands})
+	encoded, err := wire.Marshal(response)
 	if err != nil {
 		return control.Unavailable("the answer cannot be encoded")
 	}
--- a/internal/node/sim_faults_store_test.go
+++ b/internal/node/sim_faults_store_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vetchstream/internal/election"
+	"vetchstream/internal/wire"
 )
 
 // storeOutage lets the key-value store refuse all requests for the duration.
@@ -31,11 +32,11 @@
 // rollBackTerm stores a high term and crashes the leader, and then does the same with a much
 // lower term.
 func rollBackTerm(s *simulation) {
-	for _, term := range []uint64{40, 3} {
+	for _, term := range []uint64{40 * wire.TokensPerTerm, 3 * wire.TokensPerTerm} {
 		if err := s.store.Put(election.KeyTerm, map[string]any{"term": term}); err != nil {
 			panic(err)
 		}
-		crashControllers(1)(s) // the next leader has the stored term + 1
+		crashControllers(1)(s) // the next leader has the term after the stored one
 		time.Sleep(8 * time.Second)
 	}
 }
--- a/internal/rpc/fixtures_test.go
+++ b/internal/rpc/fixtures_test.go
@@ -46,6 +46,13 @@
 	return fixture.Filled[Promise]()
 }
 
+// releasedSyncRequest returns the request of the released version, which has no MachineTokens.
+func releasedSyncRequest() *shard.Request {
+	request := fixture.Filled[shard.Request]()
+	request.MachineTokens = false
+	return request
+}
+
 // TestServiceFixtures checks that the service and its methods have the expected names on
 // the wire, and that each method decodes the request of a released version and encodes a
 // response that decodes to the same value.
@@ -63,7 +70,7 @@
 		{"Forward", "forward-request.cbor", fixture.Filled[Request](), fixture.Filled[Reply]()},
 		{"Promise", "promise-request.cbor", fixture.Filled[PromiseRequest](), fixture.Filled[Promise]()},
 		{"Follow", "../../../dynconfig/testdata/fixtures/follow-request.cbor", fixture.Filled[dynconfig.Request](), fixture.Filled[dynconfig.Reply]()},
-		{"Sync", "../../../shard/testdata/fixtures/sync-request.cbor", fixture.Filled[shard.Request](), fixture.Filled[shard.Reply]()},
+		{"Sync", "../../../shard/testdata/fixtures/sync-request.cbor", releasedSyncRequest(), fixture.Filled[shard.Reply]()},
 	}
 	if len(service.Methods) != len(rows) {
 		t.Fatalf("service has %d methods, want %d", len(service.Methods), len(rows))
--- a/internal/shard/holder.go
+++ b/internal/shard/holder.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,6 +15,7 @@
 	seq         uint64 // number of the last request
 
 	term       uint64    // term of the last grant; 0 if there was none
+	firstToken uint64    // lowest fencing token of answers under the last grant
 	lastReply  uint64    // number of the last reply handled
 	grantUntil time.Time // when the grant ends
 
@@ -79,6 +81,7 @@
 		LastReply:        h.lastReply,
 		Capacity:         capacity,
 		MaxCalls:         calls,
+		MachineTokens:    true,
 		Overloaded:       overloaded,
 		PreviousMachines: h.previousMachines,
 	}
@@ -153,6 +156,7 @@
 	}
 	h.endRequest()
 	h.term = reply.Term
+	h.firstToken = cmp.Or(reply.FirstToken, reply.Term)
 	h.lastReply = reply.Number
 	h.previousMachines = nil
 	h.setGrant(time.Duration(reply.GrantMs)*time.Millisecond, sent)
@@ -161,6 +165,7 @@
 		clearance := &reply.Clearances[i]
 		if machine := h.machines[clearance.Machine]; machine != nil && !machine.dropped {
 			machine.recordSettledExits(clearance.Commands)
+			machine.token = max(machine.token, clearance.Token)
 		}
 	}
 	return reply.Calls
--- a/internal/shard/holder_reports.go
+++ b/internal/shard/holder_reports.go
@@ -43,6 +43,9 @@
 	// it until the leader has acknowledged its heartbeats.
 	dropped bool
 
+	// token is the lowest fencing token with which the worker may get clear commands.
+	token uint64
+
 	session     uint64    // of the last heartbeat
 	seq         uint64    // of the last heartbeat
 	heartbeatAt time.Time // when the last heartbeat arrived
@@ -70,20 +73,21 @@
 	fullHeartbeatNumber uint64
 }
 
-// HandleHeartbeat handles a worker's heartbeat, whose encoded form is body. The returned
-// commands clear exited tasks. All other commands come from the leader, in its answer to a
-// changed heartbeat or as direct commands.
-func (h *Holder) HandleHeartbeat(heartbeat *wire.Heartbeat, body []byte, now time.Time) ([]wire.Command, Outcome) {
+// HandleHeartbeat handles a worker's heartbeat, whose encoded form is body. The commands of
+// the returned answer clear exited tasks. All other commands come from the leader, in its
+// answer to a changed heartbeat or as direct commands.
+func (h *Holder) HandleHeartbeat(heartbeat *wire.Heartbeat, body []byte, now time.Time) (wire.HeartbeatResponse, Outcome) {
+	none := wire.HeartbeatResponse{}
 	machine := h.machines[heartbeat.Machine]
 	if machine == nil || machine.dropped {
-		return nil, NotHeld
+		return none, NotHeld
 	}
 	if !now.Before(h.grantUntil) || heartbeat.Token > h.term {
-		return nil, GrantExpired
+		return none, GrantExpired
 	}
 	if heartbeat.Session < machine.session || (heartbeat.Session == machine.session && heartbeat.Seq <= machine.seq) {
 		// The heartbeat was delayed. The answer to a newer one has already renewed the lease.
-		return nil, GrantExpired
+		return none, GrantExpired
 	}
 	machine.session = heartbeat.Session
 	machine.seq = heartbeat.Seq
@@ -94,7 +98,8 @@
 		machine.fullHeartbeat = slices.Clone(body)
 		machine.fullHeartbeatNumber = machine.lastHeartbeat
 	}
-	return machine.clearCommands(), outcome
+	token := max(h.firstToken, machine.token, heartbeat.Token)
+	return wire.HeartbeatResponse{Token: token, Commands: machine.clearCommands()}, outcome
 }
 
 // compare compares a heartbeat with the last one, and records its tasks if the two differ.
--- a/internal/shard/holder_test.go
+++ b/internal/shard/holder_test.go
@@ -21,7 +21,7 @@
 // TestHolder checks which heartbeats a holder answers and what it reports to the leader.
 func TestHolder(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tests := slices.Concat(holderRequestCases(), holderAnswerCases(), holderTermCases())
+	tests := slices.Concat(holderRequestCases(), holderTokenCases(), holderAnswerCases(), holderTermCases())
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			holder := NewHolder("n1", "a", 1)
@@ -82,20 +82,49 @@
 			}
 		}, "21 results, size within the limit true; 21 results, size within the limit true; 21 results, size within the limit true; 21 results, size within the limit true; 16 results, size within the limit true"},
 		{"an exited task is cleared after the leader's clearance, and a late clearance clears nothing", func(holder *Holder, record func(string, ...any)) {
-			commands, _ := holder.HandleHeartbeat(heartbeat(1, exited), body, now)
-			record("%d commands", len(commands))
+			answer, _ := holder.HandleHeartbeat(heartbeat(1, exited), body, now)
+			record("%d commands", len(answer.Commands))
 			settled := []ExitClearance{{Machine: "m", Commands: []wire.Command{{Verb: wire.CommandClear, Task: "run-1/0", Attempt: 3}}}}
 			holder.HandleReply(&Reply{Term: 7, Number: 2, GrantMs: 2000, Clearances: settled}, now)
-			commands, _ = holder.HandleHeartbeat(heartbeat(2, exited), body, now)
-			record("%d commands", len(commands))
+			answer, _ = holder.HandleHeartbeat(heartbeat(2, exited), body, now)
+			record("%d commands", len(answer.Commands))
 			holder.HandleHeartbeat(heartbeat(3), body, now)
 			holder.HandleReply(&Reply{Term: 7, Number: 3, GrantMs: 2000, Clearances: settled}, now)
-			commands, _ = holder.HandleHeartbeat(heartbeat(4, exited), body, now) // the same attempt of a gang has exited again
-			record("%d commands", len(commands))
+			answer, _ = holder.HandleHeartbeat(heartbeat(4, exited), body, now) // the same attempt of a gang has exited again
+			record("%d commands", len(answer.Commands))
 		}, "0 commands; 1 commands; 0 commands"},
 	}
 }
 
+// holderTokenCases are the cases about the fencing tokens of a holder's answers.
+func holderTokenCases() []holderCase {
+	const term, firstToken, clearToken, workerToken = 100, 90, 92, 95
+	now := time.Unix(1000, 0)
+	exited := wire.TaskStatus{Task: "run-1/0", Attempt: 3, Phase: wire.TaskExited, Cause: wire.CauseDone}
+	return []holderCase{
+		{"answers have the highest token that the leader, the clearance and the worker require", func(holder *Holder, record func(string, ...any)) {
+			token := uint64(7)
+			answerTo := func(seq uint64) wire.HeartbeatResponse {
+				heartbeat := &wire.Heartbeat{Machine: "m", Session: 1, Seq: seq, Token: token, Tasks: []wire.TaskStatus{exited}}
+				answer, _ := holder.HandleHeartbeat(heartbeat, []byte{1}, now)
+				return answer
+			}
+			answer := answerTo(1)
+			record("token %d of an earlier build's term", answer.Token)
+			holder.HandleReply(&Reply{Term: term, Number: 1, FirstToken: firstToken, GrantMs: 2000, Add: []string{"m"}}, now)
+			answer = answerTo(2)
+			record("%d", answer.Token)
+			clearance := ExitClearance{Machine: "m", Token: clearToken, Commands: []wire.Command{{Verb: wire.CommandClear, Task: "run-1/0", Attempt: 3}}}
+			holder.HandleReply(&Reply{Term: term, Number: 2, FirstToken: firstToken, GrantMs: 2000, Clearances: []ExitClearance{clearance}}, now)
+			answer = answerTo(3)
+			record("%d with %d commands", answer.Token, len(answer.Commands))
+			token = workerToken
+			answer = answerTo(4)
+			record("%d", answer.Token)
+		}, "token 7 of an earlier build's term; 90; 92 with 1 commands; 95"},
+	}
+}
+
 // holderAnswerCases are the cases about the heartbeats that a holder may answer itself.
 func holderAnswerCases() []holderCase {
 	now := time.Unix(1000, 0)
--- a/internal/shard/members.go
+++ b/internal/shard/members.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"vetchstream/internal/wire"
 )
 
 // This file handles the requests of members and tracks which replies they have
@@ -146,6 +148,9 @@
 	}
 	member.seq = request.Seq
 	member.capacity = request.Capacity
+	if !request.MachineTokens {
+		member.capacity = 0 // its answers would use up the tokens of its machines
+	}
 	member.lastRequestAt = now
 	switch {
 	case !request.Overloaded:
@@ -252,7 +257,12 @@
 	member := a.members[name]
 	member.lastReply++
 	member.replyTimes[member.lastReply] = now
-	reply := &Reply{Term: a.term, Number: member.lastReply, Reset: member.needsReset}
+	reply := &Reply{
+		Term:       a.term,
+		Number:     member.lastReply,
+		FirstToken: wire.FirstToken(a.term),
+		Reset:      member.needsReset,
+	}
 	if member.needsReset && member.resetInReply == 0 {
 		member.resetInReply = member.lastReply
 	}
--- a/internal/shard/message.go
+++ b/internal/shard/message.go
@@ -25,6 +25,9 @@
 	// direct commands that it can have in flight.
 	Capacity int `codec:"room"`
 	MaxCalls int `codec:"calls"`
+	// MachineTokens means that the holder answers each machine with the token that the leader
+	// has given for it. Earlier builds answer all machines with the leader's term.
+	MachineTokens bool `codec:"machine_tokens,omitempty"`
 	// Overloaded reports whether the process gets too little processor time.
 	Overloaded bool `codec:"behind,omitempty"`
 	// PreviousMachines names the machines that the member held in an earlier term. Their
@@ -82,6 +85,9 @@
 	Session  uint64         `codec:"shift"`
 	Seq      uint64         `codec:"tick"`
 	Commands []wire.Command `codec:"orders"`
+	// Token is the fencing token of the answer. It is 0 from leaders of earlier builds, whose
+	// only token is the term.
+	Token uint64 `codec:"baton,omitempty"`
 }
 
 // ExitClearance lists exited tasks of a machine that its worker may clear.
@@ -89,6 +95,9 @@
 	// Machine is the machine's name. Commands has one wire.CommandClear per exited task.
 	Machine  string         `codec:"host"`
 	Commands []wire.Command `codec:"clears"`
+	// Token is the lowest fencing token that an answer with the commands may have. It is 0
+	// from leaders of earlier builds, whose only token is the term.
+	Token uint64 `codec:"baton,omitempty"`
 }
 
 // Reply is the leader's reply to a request. Term 0 means that the node does not lead or
@@ -98,6 +107,9 @@
 	// term.
 	Term   uint64 `codec:"term"`
 	Number uint64 `codec:"number"`
+	// FirstToken is the lowest fencing token of the holder's answers. It is 0 from leaders of
+	// earlier builds, whose only token is Term.
+	FirstToken uint64 `codec:"first_token,omitempty"`
 	// GrantMs is the duration of the grant in milliseconds. The grant begins just before the
 	// holder sends the request. 0 means that the holder must not answer any machine.
 	GrantMs int64 `codec:"for_ms"`
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -23,6 +23,7 @@
 	lastIncarnation uint64
 	machineCount    int
 	seq             uint64
+	earlierBuild    string // member whose build has one token a term; empty if there is none
 	forwarder       string // member that forwards heartbeats to the leader; empty if workers reach it
 }
 
@@ -66,7 +67,9 @@
 		if holder == nil || f.stopped[name] {
 			continue
 		}
-		if _, ok := f.assigner.HandleRequest(holder.Request(500, 10, false, f.now), f.now); ok {
+		request := holder.Request(500, 10, false, f.now)
+		request.MachineTokens = name != f.earlierBuild
+		if _, ok := f.assigner.HandleRequest(request, f.now); ok {
 			holder.HandleReply(f.assigner.Reply(name, f.now), f.now)
 		} else {
 			holder.RequestFailed()
@@ -147,6 +150,12 @@
 				fixture.t.Errorf("%d changes of holder for about 200 machines, want at most two per machine (440 in all)", n)
 			}
 		}},
+		{"a holder of a build with one token a term gets no machines", nil, func(fixture *assignerFixture) {
+			fixture.earlierBuild = "n2"
+			fixture.startMember("n2", "c")
+			fixture.advance(30 * time.Second)
+			fixture.checkHeld(map[string]int{"n0": 300, "n1": 300})
+		}},
 		{"a restarted holder gets no machines before the join delay, and then its full share", nil, func(fixture *assignerFixture) {
 			fixture.stopped["n2"] = true
 			fixture.advance(10 * time.Second)
