A task that a worker runs again after its exit is counted and stopped

No halt was sent, and the leader's log has no line about the task. Its room counted as free and against no limit.

Cause: the copy arrived between the clear of the exit and the worker's next report, so every report that the leader saw listed the attempt. The ledger returned early for a slot that had exited and kept it as exited, whatever a newer message showed. Class: stale knowledge preferred to newer evidence.

Fix: a newer message is believed. An attempt that is listed as running after its exit, or an attempt of this term that the ledger has removed, counts again, blocks a second start and is stopped at once without grace; a gang's current attempt is left alone. It is warned of ("worker runs a task again after its attempt had ended") and counted (tasks_restarted_total). A message that lists an attempt both as exited and as running counts as running.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -34,8 +34,6 @@
 	// of capacity is logged.
 	waitLogInterval = 5 * time.Second
 	maxWaitLogJobs  = 5
-	// attemptTermShift is the bit position of the term in an attempt number.
-	attemptTermShift = 24
 )
 
 // machineReservation reserves capacity on a machine for a job.
@@ -195,7 +193,7 @@
 // nextAttempt returns an attempt number that is unique across terms.
 func (pl *planner) nextAttempt() uint64 {
 	pl.attemptCount++
-	return pl.term<<attemptTermShift | pl.attemptCount
+	return fleet.NewAttempt(pl.term, pl.attemptCount)
 }
 
 // applyPreemptions stops the victims of a plan and reserves their machines for the
--- a/internal/control/tasks_heartbeats.go
+++ b/internal/control/tasks_heartbeats.go
@@ -5,6 +5,7 @@
 
 	"vetchstream/internal/fleet"
 	"vetchstream/internal/job"
+	"vetchstream/internal/metrics"
 	"vetchstream/internal/wire"
 )
 
@@ -84,7 +85,7 @@
 		if slot.Active() && slot.Job.Phase+slot.Job.EndingPhase != "" && !slot.Stopping {
 			tt.applyEvents(tt.fleet.Stop(slot, 0), now)
 		}
-		if slot.Job.Shape == job.Gang && slot.Active() {
+		if slot.Job.Shape == job.Gang && slot.Active() && !slot.Restarted {
 			tt.observeGang(slot)
 		}
 	}
@@ -117,10 +118,12 @@
 		tt.taskStarted(slot, now)
 	case fleet.Exited:
 		tt.taskEnded(slot, slot.Job, slot.Machine, now)
+	case fleet.Restarted:
+		tt.taskRestarted(slot, now)
 	case fleet.TurnedUnhealthy:
 		tt.rollouts.recordFailure(slot.Job, slot.Task, slot.Machine.Name)
 	case fleet.Lost, fleet.NeverStarted:
-		if slot.Job.Shape == job.Gang && slot.Job.GangStarted {
+		if slot.Job.Shape == job.Gang && slot.Job.GangStarted && !slot.Restarted {
 			tt.stopGangAttempt(slot.Job)
 		}
 	}
@@ -137,11 +140,20 @@
 	if tt.debug {
 		tt.log.Debug("task running", "task", job.TaskName(j.ID, slot.Task), "machine", slot.Machine.Name, "since_placement", now.Sub(slot.PlacedAt))
 	}
-	if j.Shape == job.Gang {
+	if j.Shape == job.Gang && !slot.Restarted {
 		j.GangStarted = true
 	}
 }
 
+// taskRestarted stops a task that the worker runs again after its attempt had ended. Only this
+// task is stopped: a gang may be running with another attempt.
+func (tt *taskTracker) taskRestarted(slot *fleet.Slot, now time.Time) {
+	tt.controller.Meter.Add(metrics.TasksRestarted, "", 1)
+	tt.log.Warn("worker runs a task again after its attempt had ended, stopping it", "task", job.TaskName(slot.Job.ID, slot.Task),
+		"attempt", slot.Attempt, "machine", slot.Machine.Name, "session", slot.Machine.Session, "token", slot.Machine.Token)
+	tt.applyEvents(tt.fleet.Stop(slot, 0), now)
+}
+
 // taskEnded handles a task that has exited, according to the cause.
 func (tt *taskTracker) taskEnded(slot *fleet.Slot, j *job.Job, machine *fleet.Machine, now time.Time) {
 	if tt.debug {
@@ -161,7 +173,7 @@
 	case wire.CauseUnknownTask:
 		tt.backOffJob(j, now)
 	}
-	if j.Shape != job.Gang || slot.Cause == wire.CauseNoResources {
+	if j.Shape != job.Gang || slot.Restarted || slot.Cause == wire.CauseNoResources {
 		return
 	}
 	if slot.Cause == wire.CauseGangIncomplete && tt.waitsOnlyForImages(j) {
--- a/internal/fleet/observe.go
+++ b/internal/fleet/observe.go
@@ -171,6 +171,9 @@
 		return // the job has no such task
 	}
 	s := o.slot(PlacementKey{Job: j, Task: task, Attempt: t.Attempt}, t.Phase)
+	if s.lastListedIn == o.machine.messageCount && t.Phase == wire.TaskExited {
+		return // the message lists the attempt twice; it may still run
+	}
 	s.lastListedIn = o.machine.messageCount
 	o.receivedMessage = o.receivedMessage || (s.LaunchSent && !s.Observed)
 	o.changed = o.changed || !s.Observed || s.Phase != t.Phase
@@ -179,7 +182,11 @@
 	s.DirectLaunch = false
 	previous := s.Phase
 	if previous == wire.TaskExited {
-		return
+		if t.Phase == wire.TaskExited {
+			return
+		}
+		j.AdjustLive(task, 1)
+		o.restarted(s)
 	}
 	s.Phase = t.Phase
 	s.Cause = t.Cause
@@ -193,6 +200,7 @@
 	case t.Phase == wire.TaskExited:
 		j.AdjustLive(task, -1)
 		s.exitedAt = o.now
+		s.Settled = false
 		o.events = append(o.events, Event{Kind: Exited, Slot: s})
 	case t.Phase == wire.TaskRunning && previous != wire.TaskRunning:
 		s.RunningSince = o.now
@@ -200,8 +208,8 @@
 	}
 }
 
-// slot returns the slot of a placement. If there is none, an earlier leader placed the
-// task, and slot adds it to the ledger.
+// slot returns the slot of a placement. If there is none, slot adds it to the ledger: an
+// earlier leader has placed the task, or the ledger has removed the attempt.
 func (o *observation) slot(key PlacementKey, phase wire.TaskPhase) *Slot {
 	if s := o.machine.Slots[key]; s != nil {
 		return s
@@ -211,9 +219,21 @@
 		s.Phase = wire.TaskFetching // so that observeTask handles the exit as a change
 	}
 	o.fleet.addSlot(o.machine, s)
+	if phase != wire.TaskExited && key.term() == o.fleet.Term {
+		o.restarted(s)
+	}
 	return s
 }
 
+// restarted records that the worker runs an attempt that had ended: it has executed a late copy
+// of the attempt's launch.
+func (o *observation) restarted(s *Slot) {
+	s.Restarted = true
+	s.Stopping = false
+	s.HaltSentAt = time.Time{}
+	o.events = append(o.events, Event{Kind: Restarted, Slot: s})
+}
+
 // settleUnreported settles the placements that the message does not list.
 func (o *observation) settleUnreported() {
 	for _, s := range o.machine.Slots {
--- a/internal/fleet/slot.go
+++ b/internal/fleet/slot.go
@@ -14,6 +14,16 @@
 	Attempt uint64
 }
 
+// attemptTermShift is the bit position of the term in an attempt number.
+const attemptTermShift = 24
+
+// NewAttempt returns the attempt number that a term's leader makes as its count-th. It is unique
+// across terms.
+func NewAttempt(term, count uint64) uint64 { return term<<attemptTermShift | count }
+
+// term returns the term in which the attempt was made.
+func (k PlacementKey) term() uint64 { return k.Attempt >> attemptTermShift }
+
 // Slot is a placement that may be on a machine.
 type Slot struct {
 	PlacementKey
@@ -64,6 +74,9 @@
 	// Settled reports whether the leader has processed the exit and stored its result where
 	// one is needed, so that the worker may discard its record of the exit.
 	Settled bool
+	// Restarted reports whether the worker runs the task although the attempt had ended. No
+	// decision of a leader wants it.
+	Restarted bool
 	// lastListedIn is the value of Machine.messageCount at the last message that listed the
 	// task.
 	lastListedIn uint64
@@ -91,6 +104,8 @@
 	// Exited means that the worker reports the exit of the task. The slot remains until the
 	// exit is cleared.
 	Exited
+	// Restarted means that the worker runs an attempt again that had ended.
+	Restarted
 	// Lost means that the task certainly no longer runs but its result is unknown.
 	Lost
 	// NeverStarted means that the launch was certainly not executed.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 	UserResponses    = Metric{"vetchstream_answers_total", "Responses to users, by kind of request and status.", "request"}
 	TaskLaunches     = Metric{"vetchstream_launches_total", "Task launches sent to workers.", ""}
 	CommandsSent     = Metric{"vetchstream_commands_total", "Commands sent to workers, by verb and path.", "command"}
+	TasksRestarted   = Metric{"vetchstream_tasks_restarted_total", "Tasks that a worker ran again after their attempt had ended.", ""}
 	JobsEnded        = Metric{"vetchstream_jobs_ended_total", "Jobs that have ended, by their final phase.", "phase"}
 	ReservationSlots = Metric{"vetchstream_slots_total", "Occurrences of reservations whose outcome is decided, by outcome.", "outcome"}
 	MaintenanceMoves = Metric{"vetchstream_maintenance_moves_total", "Tasks moved or stopped for maintenance.", ""}
