--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -77,8 +77,8 @@
 // delivers launches and stops without waiting for the next heartbeat.
 func (cm *commands) send(machine *fleet.Machine, now time.Time) {
 	session := max(1, machine.Session)
-	orders, sent := cm.compose(machine, 0, machine.Usable(), now)
-	body, err := wire.Marshal(wire.DirectCommands{Token: machine.Token, Session: session, Commands: orders})
+	commands, sent := cm.compose(machine, 0, machine.Usable(), now)
+	body, err := wire.Marshal(wire.DirectCommands{Token: machine.Token, Session: session, Commands: commands})
 	if err != nil {
 		cm.log.Error("cannot encode direct commands; they are not sent", "error", err)
 		return
--- a/internal/control/shards_sync.go
+++ b/internal/control/shards_sync.go
@@ -157,7 +157,7 @@
 		// the tasks again. The leader reads them from the worker's next heartbeat.
 		sh.revokeFrom(box, machine, "the leader does not know its tasks", now)
 	}
-	if clears := machine.ClearOrders(now, maxCommands); clears != nil {
+	if clears := machine.ClearCommands(now, maxCommands); clears != nil {
 		sh.commands.recordCommands(machine, pathHolder, 0, clears)
 		box.clearances = append(box.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears, Token: machine.Token})
 	}
@@ -211,12 +211,12 @@
 			if !sh.answerable(member, &heartbeat) || !sh.machinePool.mayRenewLease(heartbeat.machine, now) {
 				continue
 			}
-			orders, _ := sh.commands.compose(heartbeat.machine, heartbeat.seq, heartbeat.fresh, now)
+			commands, _ := sh.commands.compose(heartbeat.machine, heartbeat.seq, heartbeat.fresh, now)
 			box.answers = append(box.answers, shard.Answer{
 				Machine:  heartbeat.machine.Name,
 				Session:  heartbeat.session,
 				Seq:      heartbeat.seq,
-				Commands: orders,
+				Commands: commands,
 				Token:    heartbeat.machine.Token,
 			})
 		}
--- a/internal/fleet/duplicates_test.go
+++ b/internal/fleet/duplicates_test.go
@@ -10,7 +10,7 @@
 	launch := func(f *ledgerFixture, reportSeq uint64) {
 		f.observe(true, 1, 1, testToken, nil)
 		f.assign(1)
-		f.checkOrders(f.compose(reportSeq, true), "launch 1;")
+		f.checkCommands(f.compose(reportSeq, true), "launch 1;")
 	}
 	exit := func(f *ledgerFixture) {
 		for _, event := range f.observe(true, 1, 2, testToken, exitedTask).Events {
@@ -22,39 +22,39 @@
 			launch(f, 0)
 			exit(f)
 			f.checkToken(testToken)
-			f.checkOrders(f.compose(2, true), "clear 1;")
+			f.checkCommands(f.compose(2, true), "clear 1;")
 			f.checkToken(testToken + 1)
-			f.checkOrders(f.compose(2, true), "clear 1;") // the answer was lost
+			f.checkCommands(f.compose(2, true), "clear 1;") // the answer was lost
 			f.checkToken(testToken + 1)
 		}},
 		{"11: a holder clears the exit of a direct launch with a higher token", func(f *ledgerFixture) {
 			launch(f, 0)
 			exit(f)
-			f.checkOrders(f.machine.ClearOrders(f.now, 100), "clear 1;")
+			f.checkCommands(f.machine.ClearCommands(f.now, 100), "clear 1;")
 			f.checkToken(testToken + 1)
 		}},
 		{"11: the exit of a launch in an answer is cleared with the same token", func(f *ledgerFixture) {
 			launch(f, 1)
 			exit(f)
-			f.checkOrders(f.compose(2, true), "clear 1;")
+			f.checkCommands(f.compose(2, true), "clear 1;")
 			f.checkToken(testToken)
 		}},
 		{"11: a clear that would fence off a direct command in flight waits, but not without end", func(f *ledgerFixture) {
 			launch(f, 0)
 			f.machine.CallInFlight = true
 			exit(f)
-			f.checkOrders(f.compose(2, true), "")
+			f.checkCommands(f.compose(2, true), "")
 			f.now = f.now.Add(maxClearDelay)
-			f.checkOrders(f.compose(2, true), "clear 1;")
+			f.checkCommands(f.compose(2, true), "clear 1;")
 		}},
 		{"11: a machine with the last token of the term gets launches in answers only", func(f *ledgerFixture) {
 			f.observe(true, 1, 1, testTerm, nil)
 			f.assign(1)
-			f.checkOrders(f.compose(0, true), "")
+			f.checkCommands(f.compose(0, true), "")
 			if f.machine.NeedsDirectCommand(f.now) {
 				f.t.Error("NeedsDirectCommand is true although a direct command may not carry the launch")
 			}
-			f.checkOrders(f.compose(1, true), "launch 1;")
+			f.checkCommands(f.compose(1, true), "launch 1;")
 			f.observe(true, 1, 2, testTerm, nil)
 			exit(f)
 			f.checkToken(testTerm)
@@ -82,10 +82,10 @@
 			f.checkLive(0, "after the exit")
 			f.observe(true, 1, 3, testToken, running)
 			f.checkLive(1, "after a newer report lists the task as running")
-			f.checkOrders(f.compose(3, true), "")
+			f.checkCommands(f.compose(3, true), "")
 			f.observe(true, 1, 4, testToken, exited)
 			f.checkLive(0, "after the second exit")
-			f.checkOrders(f.compose(4, true), "")
+			f.checkCommands(f.compose(4, true), "")
 		}},
 		{"10: a message that lists a task as exited and as running counts as running", func(f *ledgerFixture) {
 			observeBoth(f, 1, wire.TaskExited, wire.TaskRunning)
--- a/internal/fleet/explore_world_test.go
+++ b/internal/fleet/explore_world_test.go
@@ -188,11 +188,11 @@
 	for s := range w.fleet.SlotsOf(w.job) {
 		haltedNow = haltedNow || s.HaltSentAt.Equal(w.now)
 	}
-	orders, _, _ := w.fleet.ComposeOrders(w.machine, m.Seq, fresh, w.now, 100)
+	commands, _, _ := w.fleet.ComposeCommands(w.machine, m.Seq, fresh, w.now, 100)
 	if w.disabled == everyAnswerHalts && haltedNow {
-		orders = nil
+		commands = nil
 	}
-	return &wire.HeartbeatResponse{Token: w.token(), Commands: orders}
+	return &wire.HeartbeatResponse{Token: w.token(), Commands: commands}
 }
 
 // nextReport returns the worker's next report.
@@ -212,12 +212,12 @@
 	}
 	w.worker.token = a.Token
 	w.worker.leaseRenewedAt = w.now
-	w.executeOrders(a.Commands)
+	w.executeCommands(a.Commands)
 }
 
-// executeOrders executes orders in the worker.
-func (w *world) executeOrders(orders []wire.Command) {
-	for _, o := range orders {
+// executeCommands executes commands in the worker.
+func (w *world) executeCommands(commands []wire.Command) {
+	for _, o := range commands {
 		switch {
 		case o.Verb == wire.CommandLaunch && w.worker.phase == "":
 			w.worker.phase = wire.TaskRunning
@@ -324,7 +324,7 @@
 		w.observe(message, true)
 	}
 	w.fleet.RecordRenewal(w.machine, report.Session, report.Seq, w.now.Add(-time.Duration(report.AgeMs)*time.Millisecond))
-	if clears := w.machine.ClearOrders(w.now, 100); clears != nil {
+	if clears := w.machine.ClearCommands(w.now, 100); clears != nil {
 		w.clearances = append(w.clearances, shard.ExitClearance{Machine: report.Machine, Commands: clears, Token: w.token()})
 	}
 }
@@ -338,11 +338,11 @@
 
 // sendDirectCommand adds the machine's next direct command to the delayed ones.
 func (w *world) sendDirectCommand() bool {
-	orders, _, _ := w.fleet.ComposeOrders(w.machine, 0, w.machine.Usable(), w.now, 100)
-	if len(orders) > 0 && len(w.delayedCommands) < maxDelayedCommands {
-		w.delayedCommands = append(w.delayedCommands, wire.DirectCommands{Token: w.token(), Session: max(1, w.machine.Session), Commands: orders})
+	commands, _, _ := w.fleet.ComposeCommands(w.machine, 0, w.machine.Usable(), w.now, 100)
+	if len(commands) > 0 && len(w.delayedCommands) < maxDelayedCommands {
+		w.delayedCommands = append(w.delayedCommands, wire.DirectCommands{Token: w.token(), Session: max(1, w.machine.Session), Commands: commands})
 	}
-	return len(orders) > 0
+	return len(commands) > 0
 }
 
 // deliverCommand delivers the oldest delayed command. answered is false if its answer is
@@ -355,7 +355,7 @@
 	w.delayedCommands = w.delayedCommands[1:]
 	if w.worker.accepts(d) {
 		w.worker.token = d.Token
-		w.executeOrders(d.Commands)
+		w.executeCommands(d.Commands)
 		if len(w.executedCommands) < maxCopies {
 			w.executedCommands = append(w.executedCommands, d)
 		}
@@ -377,7 +377,7 @@
 		return false
 	}
 	unknown := w.worker.phase == ""
-	w.executeOrders(w.executedCommands[index].Commands)
+	w.executeCommands(w.executedCommands[index].Commands)
 	if unknown && w.worker.phase != "" {
 		w.violation = "restarted: a copy of an executed launch starts the task again"
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -60,11 +60,11 @@
 	f.fleet.Assign(f.machine, PlacementKey{f.job, 0, attempt}, f.now)
 }
 
-// compose returns the next orders for the machine and keeps the launched slots in f.sent.
+// compose returns the next commands for the machine and keeps the launched slots in f.sent.
 func (f *ledgerFixture) compose(reportSeq uint64, allowLaunches bool) []wire.Command {
-	orders, sent, _ := f.fleet.ComposeOrders(f.machine, reportSeq, allowLaunches, f.now, 100)
+	commands, sent, _ := f.fleet.ComposeCommands(f.machine, reportSeq, allowLaunches, f.now, 100)
 	f.sent = sent
-	return orders
+	return commands
 }
 
 // checkLive checks the number of placements of task 0 that may be on a machine.
@@ -75,15 +75,15 @@
 	}
 }
 
-// checkOrders checks orders, written as verbs with attempt numbers: "launch 1;halt 2;".
-func (f *ledgerFixture) checkOrders(orders []wire.Command, want string) {
+// checkCommands checks commands, written as verbs with attempt numbers: "launch 1;halt 2;".
+func (f *ledgerFixture) checkCommands(commands []wire.Command, want string) {
 	f.t.Helper()
 	got := ""
-	for _, order := range orders {
-		got += fmt.Sprintf("%s %d;", order.Verb, order.Attempt)
+	for _, command := range commands {
+		got += fmt.Sprintf("%s %d;", command.Verb, command.Attempt)
 	}
 	if got != want {
-		f.t.Errorf("orders %q, want %q", got, want)
+		f.t.Errorf("commands %q, want %q", got, want)
 	}
 }
 
@@ -110,18 +110,18 @@
 		{"5: a machine gets no launch until it is fenced", func(f *ledgerFixture) {
 			f.observe(true, 1, 1, testToken-1, nil)
 			f.assign(1)
-			f.checkOrders(f.compose(1, true), "")
+			f.checkCommands(f.compose(1, true), "")
 			f.observe(true, 1, 2, testToken, nil)
-			f.checkOrders(f.compose(2, true), "launch 1;")
+			f.checkCommands(f.compose(2, true), "launch 1;")
 		}},
 		{"6: a machine gets no launch until its record names the job", func(f *ledgerFixture) {
 			f.observe(true, 1, 1, testToken, nil)
 			f.job.RegisteredMachines.Remove(f.machine.Index)
 			f.assign(1)
-			f.checkOrders(f.compose(1, true), "")
-			f.checkOrders(f.compose(0, true), "")
+			f.checkCommands(f.compose(1, true), "")
+			f.checkCommands(f.compose(0, true), "")
 			f.job.RegisteredMachines.Add(f.machine.Index)
-			f.checkOrders(f.compose(0, true), "launch 1;")
+			f.checkCommands(f.compose(0, true), "launch 1;")
 		}},
 		{"6: an inherited machine is unsettled until it is fenced", func(f *ledgerFixture) {
 			f.machine.Inherited = true
@@ -159,14 +159,14 @@
 			f.observe(true, 1, 1, testToken, runningTask)
 			for s := range f.fleet.SlotsOf(f.job) {
 				f.fleet.Stop(s, 5)
-				f.checkOrders(f.compose(1, true), "halt 1;")
+				f.checkCommands(f.compose(1, true), "halt 1;")
 				f.observe(true, 1, 2, testToken, map[uint64]wire.TaskPhase{1: wire.TaskCheckpointing})
 				f.now = f.now.Add(haltInterval)
-				f.checkOrders(f.compose(2, true), "")
+				f.checkCommands(f.compose(2, true), "")
 				f.fleet.Stop(s, 0) // its job is cancelled
 			}
 			for range 2 {
-				f.checkOrders(f.compose(2, true), "halt 1;")
+				f.checkCommands(f.compose(2, true), "halt 1;")
 				f.now = f.now.Add(haltInterval)
 			}
 		}},
@@ -184,12 +184,12 @@
 			f.assign(1)
 			f.compose(0, true)
 			f.observe(true, 1, 2, testToken, nil)
-			f.checkOrders(f.compose(2, true), "")
+			f.checkCommands(f.compose(2, true), "")
 			f.now = f.now.Add(launchResendDelay)
 			f.observe(true, 1, 3, testToken, nil)
-			f.checkOrders(f.compose(3, true), "launch 1;")
+			f.checkCommands(f.compose(3, true), "launch 1;")
 			f.observe(true, 1, 4, testToken, nil)
-			f.checkOrders(f.compose(4, true), "")
+			f.checkCommands(f.compose(4, true), "")
 			f.checkLive(1, "after a report without the task, because the second copy may be lost too")
 			f.observe(true, 1, 5, testToken, map[uint64]wire.TaskPhase{1: wire.TaskExited})
 			f.checkLive(0, "after a report lists the exit")
@@ -197,10 +197,10 @@
 				s.Settled = true
 			}
 			f.checkToken(testToken)
-			f.checkOrders(f.compose(5, true), "clear 1;")
+			f.checkCommands(f.compose(5, true), "clear 1;")
 			f.checkToken(testToken + 1)
 			f.observe(true, 2, 1, testToken+1, nil)
-			f.checkOrders(f.compose(1, true), "")
+			f.checkCommands(f.compose(1, true), "")
 		}},
 	}
 }
@@ -245,10 +245,10 @@
 				f.fleet.Stop(s, 0)
 			}
 			f.now = f.now.Add(launchResendDelay)
-			f.checkOrders(f.compose(1, true), "launch 1;halt 1;")
+			f.checkCommands(f.compose(1, true), "launch 1;halt 1;")
 			f.now = f.now.Add(launchResendDelay)
 			f.job.EndingPhase = wire.JobCancelled
-			f.checkOrders(f.compose(1, true), "halt 1;")
+			f.checkCommands(f.compose(1, true), "halt 1;")
 		}},
 	}
 }
@@ -260,7 +260,7 @@
 		{"8: reports without the task do not settle an unanswered direct launch", func(f *ledgerFixture) {
 			f.observe(true, 1, 1, testToken, nil)
 			f.assign(1)
-			f.checkOrders(f.compose(0, true), "launch 1;")
+			f.checkCommands(f.compose(0, true), "launch 1;")
 			f.observe(true, 1, 2, testToken, nil)
 			f.observe(true, 1, 3, testToken, nil)
 			f.checkLive(1, "after two reports")
@@ -303,7 +303,7 @@
 	}
 }
 
-// ledgerSessionTests returns tests of points 9, 11 and 12: sessions, clear orders and
+// ledgerSessionTests returns tests of points 9, 11 and 12: sessions, clear commands and
 // machines that are returned to the cloud.
 func ledgerSessionTests() []ledgerTest {
 	runningTask := map[uint64]wire.TaskPhase{1: wire.TaskRunning}
@@ -332,10 +332,10 @@
 		}},
 		{"11: only an answer to a report clears an exit, and only once it is settled", func(f *ledgerFixture) {
 			r := f.observe(true, 1, 1, testToken, map[uint64]wire.TaskPhase{1: wire.TaskExited})
-			f.checkOrders(f.compose(1, true), "")
+			f.checkCommands(f.compose(1, true), "")
 			r.Events[0].Slot.Settled = true
-			f.checkOrders(f.compose(0, true), "")
-			f.checkOrders(f.compose(1, true), "clear 1;")
+			f.checkCommands(f.compose(0, true), "")
+			f.checkCommands(f.compose(1, true), "clear 1;")
 		}},
 		{"12: removing a machine removes its placements", func(f *ledgerFixture) {
 			f.observe(true, 1, 1, testToken, runningTask)
@@ -356,13 +356,13 @@
 			for _, s := range f.machine.Slots {
 				f.fleet.Stop(s, 0)
 			}
-			f.checkOrders(f.compose(0, true), "halt 1;")
-			f.checkOrders(f.compose(0, true), "")
+			f.checkCommands(f.compose(0, true), "halt 1;")
+			f.checkCommands(f.compose(0, true), "")
 			f.now = f.now.Add(2 * time.Second)
-			f.checkOrders(f.compose(0, true), "halt 1;")
+			f.checkCommands(f.compose(0, true), "halt 1;")
 			// An answer to a report renews the lease, so each one repeats the halt.
-			f.checkOrders(f.compose(1, true), "halt 1;")
-			f.checkOrders(f.compose(1, true), "halt 1;")
+			f.checkCommands(f.compose(1, true), "halt 1;")
+			f.checkCommands(f.compose(1, true), "halt 1;")
 		}},
 		{"a worker that has seen a later term deposes the leader", func(f *ledgerFixture) {
 			if r := f.observe(true, 1, 1, testTerm+1, runningTask); !r.Deposed {
--- a/internal/fleet/holder.go
+++ b/internal/fleet/holder.go
@@ -17,7 +17,7 @@
 // answers them.
 func (m *Machine) Holder() *Holder { return m.holder }
 
-// SetHolder records that a holder may answer the machine's reports from now on. Orders
+// SetHolder records that a holder may answer the machine's reports from now on. Commands
 // that the leader would have repeated in its own answers now need a direct command.
 func (f *Fleet) SetHolder(m *Machine, holder *Holder) {
 	m.holder = holder
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -70,7 +70,7 @@
 	// until its session has ended (see renewal.go).
 	RenewalStopped bool
 	// Fenced reports whether the worker has sent a message with a token of this term, and thus
-	// refuses orders of earlier leaders.
+	// refuses commands of earlier leaders.
 	Fenced bool
 	// leaseRenewedAt is the latest time at which an answer of this leader, one of its holders
 	// or an earlier leader may have renewed the worker's lease.
--- a/internal/fleet/partition.go
+++ b/internal/fleet/partition.go
@@ -17,7 +17,7 @@
 
 // MarkInboundCut records that the worker did not receive a message, and removes the
 // launches that were not sent yet. The machine gets no launches until a message shows
-// that its worker receives orders again. Launches that were sent stay in the ledger,
+// that its worker receives commands again. Launches that were sent stay in the ledger,
 // because they may have arrived after the worker's last message.
 func (f *Fleet) MarkInboundCut(m *Machine, now time.Time) []Event {
 	if m.InboundCutSince.IsZero() {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -44,10 +44,10 @@
 	return limit, bounded
 }
 
-// Renewable reports whether the leader may answer a report of the machine, where maxOrders
-// bounds the number of orders in the answer. The answer halts the tasks of cancelled jobs
+// Renewable reports whether the leader may answer a report of the machine, where maxCommands
+// bounds the number of commands in the answer. The answer halts the tasks of cancelled jobs
 // that the worker has reported, but it cannot stop launches that are in flight.
-func (f *Fleet) Renewable(m *Machine, now time.Time, maxOrders int) bool {
+func (f *Fleet) Renewable(m *Machine, now time.Time, maxCommands int) bool {
 	halts := 0
 	for _, s := range m.Slots {
 		switch {
@@ -58,7 +58,7 @@
 			halts++
 		}
 	}
-	return halts <= maxOrders
+	return halts <= maxCommands
 }
 
 // StopRenewal records that the machine's reports go unanswered until its worker's session
--- a/internal/fleet/renewal_test.go
+++ b/internal/fleet/renewal_test.go
@@ -34,7 +34,7 @@
 func cancelWithLaunchInFlight(f *ledgerFixture) {
 	f.observe(true, 1, 1, testToken, nil)
 	f.assign(1)
-	f.checkOrders(f.compose(0, true), "launch 1;")
+	f.checkCommands(f.compose(0, true), "launch 1;")
 	f.cancelJob()
 }
 
@@ -65,7 +65,7 @@
 			f.now = f.now.Add(renewalWindow + time.Second)
 			f.observe(true, 1, 2, testToken, running)
 			f.checkRenewable(true, "after a report that lists the task")
-			f.checkOrders(f.compose(2, true), "halt 1;")
+			f.checkCommands(f.compose(2, true), "halt 1;")
 			if _, bounded := f.fleet.RenewalLimit(f.machine); !bounded {
 				f.t.Error("RenewalLimit sets no limit for a holder while the task runs")
 			}
@@ -103,7 +103,7 @@
 			f.cancelJob()
 			f.now = f.now.Add(renewalWindow)
 			if f.fleet.Renewable(f.machine, f.now, 1) || !f.fleet.Renewable(f.machine, f.now, 2) {
-				f.t.Error("for two halts, the lease is renewable with one order or not renewable with two")
+				f.t.Error("for two halts, the lease is renewable with one command or not renewable with two")
 			}
 		}},
 		{"a job that was done before its cancellation does not limit the renewal", func(f *ledgerFixture) {
