Emulator: broken rules are logged; the check of copies is tested

emulate did not say when a rule was broken; it logs an error now. The check that a copy of a launch starts nothing is seen to find one after a clear, and none while the exit is reported or the token is lower.

--- a/internal/emulate/invariants.go
+++ b/internal/emulate/invariants.go
@@ -55,10 +55,12 @@
 // maxViolations bounds the list of violations because a single fault can cause thousands.
 const maxViolations = 20
 
-// addViolation records a violated invariant; the caller holds the lock.
+// addViolation records and logs a violated invariant; the caller holds the lock.
 func (w *World) addViolation(format string, args ...any) {
 	if len(w.checker.violations) < maxViolations {
-		w.checker.violations = append(w.checker.violations, fmt.Sprintf(format, args...))
+		violation := fmt.Sprintf(format, args...)
+		w.checker.violations = append(w.checker.violations, violation)
+		w.cfg.Log.Error("invariant violated", "violation", violation)
 	}
 }
 
--- a/internal/emulate/user_checks_test.go
+++ b/internal/emulate/user_checks_test.go
@@ -195,10 +195,32 @@
 	}, ""},
 }
 
+// launchCopy executes a launch, and then a copy of it. If cleared is set, the exit of the task is
+// cleared in between, and if token is above 0, the worker has seen that token by then.
+func launchCopy(w *World, cleared bool, token uint64) {
+	launch := wire.Command{Verb: wire.CommandLaunch, Task: "run-1/0", Attempt: 1}
+	w.cfg.Types = []wire.MachineType{{Name: "x", CPUs: 5}}
+	w.specs["run-1"] = &job.Spec{ID: "run-1", ShapeName: "array", Tasks: 1}
+	worker := newTestWorker(w, "a", "x")
+	worker.execute([]wire.Command{launch, {Verb: wire.CommandStop, Task: launch.Task, Attempt: 1}})
+	if cleared {
+		worker.execute([]wire.Command{{Verb: wire.CommandClear, Task: launch.Task, Attempt: 1}})
+	}
+	worker.token = token
+	worker.receiveDuplicate(wire.DirectCommands{Commands: []wire.Command{launch}}, 0)
+}
+
+// duplicateCases are copies of launches.
+var duplicateCases = []checkerCase{
+	{"a copy of a launch whose exit has been cleared is a violation", func(w *World) { launchCopy(w, true, 0) }, "restarted"},
+	{"a copy of a launch whose exit is still reported has no effect", func(w *World) { launchCopy(w, false, 0) }, ""},
+	{"a copy with a lower token than the worker has seen is refused", func(w *World) { launchCopy(w, true, 1) }, ""},
+}
+
 // TestInvariantViolationsAreDetected checks that the checker records each kind of violation, and
 // none for behaviour that is allowed.
 func TestInvariantViolationsAreDetected(t *testing.T) {
-	for _, tt := range slices.Concat(answerCases, startCases, starvationCases, serviceLevelCases) {
+	for _, tt := range slices.Concat(answerCases, startCases, starvationCases, serviceLevelCases, duplicateCases) {
 		w := New(Config{CancelTimeout: time.Minute, LeaseDuration: time.Hour})
 		tt.act(w)
 		if got := strings.Join(w.Violations(), "; "); (tt.want == "") != (got == "") || !strings.Contains(got, tt.want) {
