--- a/internal/control/shards_test.go
+++ b/internal/control/shards_test.go
@@ -3,9 +3,11 @@
 import (
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"vetchstream/internal/config"
+	"vetchstream/internal/fleet"
 	"vetchstream/internal/shard"
 	"vetchstream/internal/wire"
 )
@@ -79,3 +81,22 @@
 		t.Error("the machine is not lost 11 s after the last heartbeat that the holder answered")
 	}
 }
+
+// TestMachineWithUsedUpTokensReturnsToLeader checks that a machine that gets launches in answers of
+// the leader only is taken back from its holder, and stays with the leader.
+func TestMachineWithUsedUpTokensReturnsToLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRestartWorld(t)
+		w.assignToHolder()
+		w.machine.Token = w.lt.term
+		w.lt.fleet.Assign(w.machine, fleet.PlacementKey{Job: w.job, Attempt: 1}, time.Now())
+		for range 100 {
+			w.lt.shards.step(time.Now(), true)
+			w.sync()
+			time.Sleep(restartTestSync)
+		}
+		if w.machine.Holder() != nil {
+			t.Error("the holder keeps a machine that has no token left for direct launches")
+		}
+	})
+}
