--- a/internal/control/tasks_restarted_test.go
+++ b/internal/control/tasks_restarted_test.go
@@ -8,8 +8,7 @@
 	"vetchstream/internal/wire"
 )
 
-// TestTaskThatRunsAgainIsCountedAndStopped checks what the leader does when a worker reports a
-// task as running whose exit it had reported before.
+// The worker reports a task as running whose exit it has reported before.
 func TestTaskThatRunsAgainIsCountedAndStopped(t *testing.T) {
 	const attempt, laterAttempt = 5, 6
 	tests := []struct {
--- a/internal/emulate/duplicates.go
+++ b/internal/emulate/duplicates.go
@@ -18,7 +18,7 @@
 	// MaxDelay bounds the delay of a copy. Delays are spread evenly over the orders of magnitude
 	// from minDuplicateDelay to MaxDelay.
 	MaxDelay time.Duration
-	// Random is the source of the draws. Two duplications must not share it.
+	// Random is the source of the draws. Only the world may use it.
 	Random *rand.Rand
 }
 
--- a/internal/node/duplicates_test.go
+++ b/internal/node/duplicates_test.go
@@ -8,9 +8,8 @@
 	"time"
 )
 
-// TestDuplicateLaunches delivers copies of launches, after their tasks have ended, been stopped or
-// been moved, together with other faults. No copy may start a task again.
-func TestDuplicateLaunches(t *testing.T) {
+// The copies arrive after tasks have ended, been stopped or been moved, together with other faults.
+func TestCopyOfLaunchStartsNoTaskAgain(t *testing.T) {
 	sec := time.Second
 	copies := func(seed uint64) fault {
 		return fault{2 * sec, duplicateMessages(seed, 0.5, 0.1, 40*sec, 90*sec)}
@@ -57,9 +56,8 @@
 	)
 }
 
-// TestDuplicateReportsOfRestartedWorkers delivers copies of heartbeats from before the restart of
-// their worker, which numbers its heartbeats from 1 again.
-func TestDuplicateReportsOfRestartedWorkers(t *testing.T) {
+// A worker that restarts without memory numbers its heartbeats from 1 again.
+func TestReportFromBeforeRestartIsNotTheNewest(t *testing.T) {
 	copies := fault{2 * time.Second, duplicateMessages(360, 0, 0.1, 40*time.Second, 90*time.Second)}
 	runScenarios(t, withLongJobs(defaultEnvironment(3, 1, nil)), nil, []scenario{
 		{"the leader restarts after the workers", overlapping(withWorkerRestarts(copies)...)},
@@ -75,11 +73,11 @@
 	return checks
 }
 
-// duplicateSeeds is the number of seeds of TestDuplicatesRandomFaults.
-var duplicateSeeds = flag.Uint64("duplicate-seeds", 3, "seeds of TestDuplicatesRandomFaults")
+// duplicateSeeds is the number of seeds of TestCopyOfLaunchStartsNoTaskAgainRandomFaults.
+var duplicateSeeds = flag.Uint64("duplicate-seeds", 3, "seeds of TestCopyOfLaunchStartsNoTaskAgainRandomFaults")
 
-// TestDuplicatesRandomFaults combines copies of messages with faults drawn from a seed.
-func TestDuplicatesRandomFaults(t *testing.T) {
+// The other faults are drawn from a seed.
+func TestCopyOfLaunchStartsNoTaskAgainRandomFaults(t *testing.T) {
 	env := withLongJobs(defaultEnvironment(5, 1, withSharding))
 	env.randomized = true
 	var scenarios []scenario
